--- /dev/null
+++ b/crates/crank-caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Callers: the HTTP edge that takes requests and gives whole answers.
--- /dev/null
+++ b/crates/crank-command/src/lib.rs
@@ -0,0 +1,1 @@
+//! The commands of crankctl, one a file.
--- /dev/null
+++ b/crates/crank-engine/src/admit.rs
@@ -0,0 +1,1 @@
+//! Admission at a target's node: slots, queue, deadline and drain, before anything runs.
--- /dev/null
+++ b/crates/crank-engine/src/balance.rs
@@ -0,0 +1,1 @@
+//! The choice of a target: load and distance, ejection, gentle start.
--- /dev/null
+++ b/crates/crank-engine/src/burn.rs
@@ -0,0 +1,1 @@
+//! Windowed counts of good and bad answers, and burn rates.
--- /dev/null
+++ b/crates/crank-engine/src/config.rs
@@ -0,0 +1,176 @@
+//! Digests of configurations, and the deltas between them.
+
+use std::collections::BTreeMap;
+
+use crank_protocol::Name;
+use crank_protocol::config::{Change, Config, Delta, Digest, Route, Service, Snapshot, Stamp};
+use sha2::{Digest as _, Sha256};
+
+use crate::Error;
+
+/// The digest of a configuration's canonical encoding.
+///
+/// The encoding is canonical because every map and set in a configuration is ordered.
+///
+/// ```
+/// # use crank_protocol::{Name, config::{Account, Config}};
+/// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// # let config = Config { account, services: Default::default(), routes: Default::default() };
+/// let digest = crank_engine::config::digest(&config);
+/// assert_eq!(digest, crank_engine::config::digest(&config.clone()));
+/// ```
+#[must_use]
+pub fn digest(config: &Config) -> Digest {
+    let mut hasher = Hasher(Sha256::new());
+    let encoded = ciborium::into_writer(config, &mut hasher);
+    debug_assert!(encoded.is_ok(), "hashing does not fail");
+    match Digest::new(&hex::encode(hasher.0.finalize())) {
+        Ok(digest) => digest,
+        Err(error) => unreachable!("{error}"),
+    }
+}
+
+struct Hasher(Sha256);
+
+impl std::io::Write for Hasher {
+    fn write(&mut self, buffer: &[u8]) -> std::io::Result<usize> {
+        self.0.update(buffer);
+        Ok(buffer.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// What turns one accepted configuration into another.
+///
+/// ```
+/// # use crank_protocol::{Name, config::{Account, Config, Snapshot, Stamp, Version}};
+/// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// # let config = Config { account, services: Default::default(), routes: Default::default() };
+/// # let stamp = Stamp { version: Version(1), digest: crank_engine::config::digest(&config) };
+/// let old = Snapshot { stamp, config };
+/// let mut new = old.clone();
+/// new.stamp.version = Version(2);
+/// let delta = crank_engine::config::diff(&old, &new);
+/// assert_eq!(crank_engine::config::apply(&old, &delta)?, new);
+/// # Ok::<(), crank_engine::Error>(())
+/// ```
+#[must_use]
+pub fn diff(base: &Snapshot, result: &Snapshot) -> Delta {
+    let (old, new) = (&base.config, &result.config);
+    let mut changes = Vec::new();
+    if old.account != new.account {
+        changes.push(Change::Account(new.account.clone()));
+    }
+    changes.extend(differences(
+        &old.services,
+        &new.services,
+        put_service,
+        Change::NoService,
+    ));
+    changes.extend(differences(
+        &old.routes,
+        &new.routes,
+        put_route,
+        Change::NoRoute,
+    ));
+    Delta {
+        base: base.stamp.clone(),
+        result: result.stamp.clone(),
+        changes,
+    }
+}
+
+fn put_service(name: Name, service: Service) -> Change {
+    Change::Service(name, service)
+}
+
+fn put_route(name: Name, route: Route) -> Change {
+    Change::Route(name, route)
+}
+
+fn differences<T: Clone + PartialEq>(
+    old: &BTreeMap<Name, T>,
+    new: &BTreeMap<Name, T>,
+    put: fn(Name, T) -> Change,
+    remove: fn(Name) -> Change,
+) -> Vec<Change> {
+    let puts = new
+        .iter()
+        .filter(|(name, value)| old.get(*name) != Some(*value));
+    let removals = old.keys().filter(|name| !new.contains_key(*name));
+    puts.map(|(name, value)| put(name.clone(), value.clone()))
+        .chain(removals.map(|name| remove(name.clone())))
+        .collect()
+}
+
+/// Applies a delta to the exact base it names, and checks the result's digest.
+///
+/// # Errors
+/// [`Error::WrongBase`] on another base and [`Error::WrongDigest`] on another result; in both
+/// cases nothing has changed.
+///
+/// ```
+/// # use crank_protocol::{Name, config::{Account, Config, Snapshot, Stamp, Version}};
+/// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// # let config = Config { account, services: Default::default(), routes: Default::default() };
+/// # let stamp = Stamp { version: Version(1), digest: crank_engine::config::digest(&config) };
+/// # let old = Snapshot { stamp, config };
+/// let mut new = old.clone();
+/// new.stamp.version = Version(2);
+/// let delta = crank_engine::config::diff(&old, &new);
+/// assert!(crank_engine::config::apply(&new, &delta).is_err());
+/// ```
+pub fn apply(base: &Snapshot, delta: &Delta) -> Result<Snapshot, Error> {
+    if base.stamp != delta.base {
+        let (wanted, held) = (Box::new(delta.base.clone()), Box::new(base.stamp.clone()));
+        return Err(Error::WrongBase { wanted, held });
+    }
+    let mut config = base.config.clone();
+    for change in &delta.changes {
+        change_one(&mut config, change.clone());
+    }
+    sealed(config, delta.result.clone())
+}
+
+fn change_one(config: &mut Config, change: Change) {
+    match change {
+        Change::Account(account) => config.account = account,
+        Change::Service(name, service) => {
+            config.services.insert(name, service);
+        }
+        Change::NoService(name) => {
+            config.services.remove(&name);
+        }
+        Change::Route(name, route) => {
+            config.routes.insert(name, route);
+        }
+        Change::NoRoute(name) => {
+            config.routes.remove(&name);
+        }
+    }
+}
+
+/// Joins a configuration and a stamp, if the stamp states its digest.
+///
+/// # Errors
+/// [`Error::WrongDigest`] where it states another.
+///
+/// ```
+/// # use crank_protocol::{Name, config::{Account, Config, Digest, Stamp, Version}};
+/// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// # let config = Config { account, services: Default::default(), routes: Default::default() };
+/// let stamp = Stamp { version: Version(1), digest: Digest::new(&"00".repeat(32)).unwrap() };
+/// assert!(crank_engine::config::sealed(config, stamp).is_err());
+/// ```
+pub fn sealed(config: Config, stamp: Stamp) -> Result<Snapshot, Error> {
+    if digest(&config) == stamp.digest {
+        Ok(Snapshot { stamp, config })
+    } else {
+        Err(Error::WrongDigest {
+            stated: Box::new(stamp),
+        })
+    }
+}
--- /dev/null
+++ b/crates/crank-engine/src/ini.rs
@@ -0,0 +1,1 @@
+//! INI documents with the line of each key.
--- /dev/null
+++ b/crates/crank-engine/src/lib.rs
@@ -0,0 +1,27 @@
+//! Every decision of the mesh, pure: no I/O, no clock, no global randomness.
+//!
+//! Each function that decides takes the present time as an argument, and a seeded generator where
+//! it draws. The processes only carry out what is decided here.
+
+pub mod admit;
+pub mod balance;
+pub mod burn;
+pub mod claim;
+pub mod config;
+pub mod drain;
+pub mod folder;
+pub mod ini;
+pub mod limit;
+pub mod member;
+pub mod notice;
+pub mod overlay;
+pub mod publish;
+pub mod retry;
+pub mod route;
+pub mod spread;
+
+mod error;
+mod moment;
+
+pub use error::Error;
+pub use moment::Moment;
--- /dev/null
+++ b/crates/crank-engine/src/limit.rs
@@ -0,0 +1,1 @@
+//! Concurrency limits and bounded queues of each service at the entry.
--- /dev/null
+++ b/crates/crank-engine/src/member.rs
@@ -0,0 +1,1 @@
+//! Membership: probes, suspicion, incarnations and gossip.
--- /dev/null
+++ b/crates/crank-engine/src/moment.rs
@@ -0,0 +1,43 @@
+//! Monotonic time as an argument.
+
+use crank_protocol::Millis;
+use serde::{Deserialize, Serialize};
+
+const MICROS_PER_MILLI: u64 = 1_000;
+
+/// A moment on a process's monotonic clock, in microseconds since the process started.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// The moment this long afterwards.
+    ///
+    /// ```
+    /// use crank_engine::Moment;
+    /// use crank_protocol::Millis;
+    /// assert_eq!(Moment(5).after(Millis(2)), Moment(2_005));
+    /// ```
+    #[must_use]
+    pub fn after(self, wait: Millis) -> Self {
+        Self(
+            self.0
+                .saturating_add(wait.0.saturating_mul(MICROS_PER_MILLI)),
+        )
+    }
+
+    /// The time since an earlier moment, rounded down; zero if it is not earlier.
+    ///
+    /// ```
+    /// use crank_engine::Moment;
+    /// use crank_protocol::Millis;
+    /// assert_eq!(Moment(2_005).since(Moment(5)), Millis(2));
+    /// assert_eq!(Moment(5).since(Moment(2_005)), Millis(0));
+    /// ```
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0) / MICROS_PER_MILLI)
+    }
+}
--- /dev/null
+++ b/crates/crank-engine/src/notice.rs
@@ -0,0 +1,1 @@
+//! The end of a notice period, counted.
--- /dev/null
+++ b/crates/crank-engine/src/overlay.rs
@@ -0,0 +1,1 @@
+//! Which nodes are neighbours, and which bridge regions.
--- /dev/null
+++ b/crates/crank-engine/src/publish.rs
@@ -0,0 +1,1 @@
+//! Publishing: from a folder's listing to an accepted version.
--- /dev/null
+++ b/crates/crank-engine/src/retry.rs
@@ -0,0 +1,1 @@
+//! What may be tried again: outcome, budget, deadline and depth.
--- /dev/null
+++ b/crates/crank-engine/src/route.rs
@@ -0,0 +1,1 @@
+//! From a path and method to a route.
--- /dev/null
+++ b/crates/crank-load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load and experiments with figures.
--- /dev/null
+++ b/crates/crank-model/src/lib.rs
@@ -0,0 +1,1 @@
+//! A small specification of the core protocol, explored exhaustively.
--- /dev/null
+++ b/crates/crank-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node process: wires the peer packages together as actors.
--- /dev/null
+++ b/crates/crank-operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators: the folder in the store, status, history and notice.
--- /dev/null
+++ b/crates/crank-protocol/src/lib.rs
@@ -0,0 +1,18 @@
+//! Domain types and wire frames, without behaviour.
+//!
+//! Everything the processes say to each other, and everything that the engine decides about, is
+//! named here once. Decisions live in `crank-engine`.
+
+pub mod call;
+pub mod config;
+pub mod member;
+pub mod status;
+pub mod wire;
+
+mod error;
+mod name;
+mod unit;
+
+pub use error::Error;
+pub use name::Name;
+pub use unit::{Bytes, Millis, Permille};
--- /dev/null
+++ b/crates/crank-report/src/lib.rs
@@ -0,0 +1,1 @@
+//! The service-level burn report.
--- /dev/null
+++ b/crates/crank-server/src/lib.rs
@@ -0,0 +1,1 @@
+//! Backend servers: announcements, forwarding and health.
--- /dev/null
+++ b/src/bin/crank-load.rs
@@ -0,0 +1,3 @@
+//! Runs crank-load.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/crank-node.rs
@@ -0,0 +1,3 @@
+//! Runs crank-node.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/crank-report.rs
@@ -0,0 +1,3 @@
+//! Runs crank-report.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/crankctl.rs
@@ -0,0 +1,3 @@
+//! Runs crankctl.
+
+fn main() {}
--- /dev/null
+++ b/standins/crank-platform/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs the stand-in.
+
+fn main() {}
