thin: platform client, claims and the decisions of publishing

The trait's two implementations (Remote over object_store and aws-sdk-dynamodb, Memory with faults), the row modules on top of it, engine::claim and engine::publish.

Neither library may send a write again by itself (retries are off), so a conditional write that fails is another writer's, and a lost answer is said to be lost.

--- a/crates/crank-engine/src/claim.rs
+++ b/crates/crank-engine/src/claim.rs
@@ -1,1 +1,149 @@
 //! At most once: what a claim row means and what to do next.
+//!
+//! A claim is a row under the caller's idempotency key, written only if there is none. Whoever
+//! wrote it may run the request; everybody else is told what became of it.
+
+use std::sync::Arc;
+
+use crank_protocol::call::AnswerHead;
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+
+use crate::Nonce;
+
+/// Tells one request from another under the same key; a hash of method, path and body.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub Arc<str>);
+
+/// The answer of a request that ran.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Recorded {
+    /// Its start.
+    pub head: AnswerHead,
+    /// Its whole body; absent where it was too large to keep.
+    pub body: Option<ByteBuf>,
+}
+
+/// How far a claimed request has come.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stage {
+    /// It may run, be running, or have run without its answer being recorded.
+    Claimed,
+    /// It was certainly not run, and the key is free again.
+    Released,
+    /// It ran.
+    Recorded(Arc<Recorded>),
+}
+
+/// A claim row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Claim {
+    /// Drawn by the claimer.
+    pub nonce: Nonce,
+    /// What was claimed.
+    pub fingerprint: Fingerprint,
+    /// How far it has come.
+    pub stage: Stage,
+}
+
+/// What a claimer is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// The request may run here, and nowhere else.
+    Won,
+    /// The request ran; this is its answer.
+    Recorded(Arc<Recorded>),
+    /// The request was claimed before, and no answer is recorded: its outcome is unknown.
+    InUse,
+    /// The key was used for another request.
+    Mismatch,
+}
+
+/// How the write of a claim ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Put {
+    /// It took effect.
+    Written,
+    /// Its condition did not hold.
+    Refused,
+    /// Its answer never came; it may have taken effect or may still do so.
+    Lost,
+    /// It was not taken.
+    Unavailable,
+}
+
+/// What a claimer does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Write the claim, if there is no row, or over the released claim with this nonce.
+    Put {
+        /// The released claim to write over.
+        over: Option<Nonce>,
+    },
+    /// Read the row.
+    Read,
+    /// Act on this.
+    Done(Verdict),
+    /// Refuse the request: it was not run.
+    GiveUp,
+}
+
+/// The first step of a claimer.
+///
+/// ```
+/// use crank_engine::claim::{first, Step};
+/// assert_eq!(first(), Step::Put { over: None });
+/// ```
+#[must_use]
+pub fn first() -> Step {
+    Step::Put { over: None }
+}
+
+/// What follows the write of a claim.
+///
+/// ```
+/// use crank_engine::claim::{after_put, Put, Step, Verdict};
+/// assert_eq!(after_put(Put::Written), Step::Done(Verdict::Won));
+/// assert_eq!(after_put(Put::Lost), Step::Read);
+/// ```
+#[must_use]
+pub fn after_put(put: Put) -> Step {
+    match put {
+        Put::Written => Step::Done(Verdict::Won),
+        Put::Refused | Put::Lost => Step::Read,
+        Put::Unavailable => Step::GiveUp,
+    }
+}
+
+/// What follows the reading of the row after a write that was refused or whose answer was lost.
+///
+/// Where there is no row the write is tried again under the same nonce, which is safe because it
+/// is conditional: of two writes with one nonce only the first can take effect.
+///
+/// ```
+/// use crank_engine::{Nonce, claim::{after_read, Claim, Fingerprint, Stage, Step, Verdict}};
+/// let fingerprint = Fingerprint("f".into());
+/// let mine = Claim { nonce: Nonce(1), fingerprint, stage: Stage::Claimed };
+/// assert_eq!(after_read(&mine, Some(&mine)), Step::Done(Verdict::Won));
+/// let other = Claim { nonce: Nonce(2), ..mine.clone() };
+/// assert_eq!(after_read(&mine, Some(&other)), Step::Done(Verdict::InUse));
+/// ```
+#[must_use]
+pub fn after_read(mine: &Claim, found: Option<&Claim>) -> Step {
+    let Some(found) = found else {
+        return first();
+    };
+    match &found.stage {
+        Stage::Claimed if found.nonce == mine.nonce => Step::Done(Verdict::Won),
+        Stage::Released => Step::Put {
+            over: Some(found.nonce),
+        },
+        _ if found.fingerprint != mine.fingerprint => Step::Done(Verdict::Mismatch),
+        Stage::Claimed => Step::Done(Verdict::InUse),
+        Stage::Recorded(recorded) => Step::Done(Verdict::Recorded(recorded.clone())),
+    }
+}
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -22,6 +22,8 @@
 
 mod error;
 mod moment;
+mod nonce;
 
 pub use error::Error;
 pub use moment::Moment;
+pub use nonce::Nonce;
--- /dev/null
+++ b/crates/crank-engine/src/publish/tenure.rs
@@ -0,0 +1,168 @@
+//! The publisher's lease: who may spend reads on the folder.
+//!
+//! Clocks of different nodes are never compared: a lease has lapsed for an observer that saw the
+//! same beat for a whole lease on its own clock.
+
+use crank_protocol::{Millis, Name};
+use serde::{Deserialize, Serialize};
+
+use super::{LEASE, RENEW};
+use crate::Moment;
+
+/// The lease row.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Lease {
+    /// The node that holds it.
+    pub holder: Name,
+    /// Raised by every write of the row.
+    pub beat: u64,
+}
+
+/// A conditional write of the lease row.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct LeaseWrite {
+    /// What the row must state; absent where there must be no row.
+    pub from: Option<Lease>,
+    /// What it shall state.
+    pub to: Lease,
+}
+
+/// What a node does about the lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TenureStep {
+    /// Publish: the lease is held.
+    Hold,
+    /// Read the row.
+    Read,
+    /// Write the row.
+    Write(LeaseWrite),
+    /// Leave it to the others.
+    Wait,
+}
+
+/// What one node knows of the lease.
+#[derive(Debug, Clone)]
+pub struct Tenure {
+    node: Name,
+    held: Option<(Lease, Moment)>,
+    seen: Option<(Lease, Moment)>,
+}
+
+impl Tenure {
+    /// The tenure of a node that knows nothing yet.
+    ///
+    /// ```
+    /// use crank_engine::{Moment, publish::{Tenure, TenureStep}};
+    /// # use crank_protocol::Name;
+    /// let tenure = Tenure::new(Name::new("n1")?);
+    /// assert!(!tenure.is_held());
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    #[must_use]
+    pub fn new(node: Name) -> Self {
+        Self {
+            node,
+            held: None,
+            seen: None,
+        }
+    }
+
+    /// Whether this node believes that it holds the lease.
+    ///
+    /// ```
+    /// # use crank_engine::publish::Tenure;
+    /// # use crank_protocol::Name;
+    /// assert!(!Tenure::new(Name::new("n1")?).is_held());
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    #[must_use]
+    pub fn is_held(&self) -> bool {
+        self.held.is_some()
+    }
+
+    /// What to do about the lease now.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, publish::{Tenure, TenureStep}};
+    /// # use crank_protocol::Name;
+    /// let mut tenure = Tenure::new(Name::new("n1")?);
+    /// assert_eq!(tenure.next(true, Moment(0)), TenureStep::Read);
+    /// assert_eq!(tenure.next(false, Moment(0)), TenureStep::Wait);
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    pub fn next(&mut self, candidate: bool, now: Moment) -> TenureStep {
+        if !candidate {
+            self.held = None;
+            return TenureStep::Wait;
+        }
+        let Some((lease, since)) = self.held.clone() else {
+            return TenureStep::Read;
+        };
+        let age = now.since(since);
+        if age < RENEW {
+            TenureStep::Hold
+        } else if age < LEASE {
+            TenureStep::Write(self.next_write(Some(lease)))
+        } else {
+            self.held = None;
+            TenureStep::Read
+        }
+    }
+
+    /// What to do after the row was read.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, publish::{Lease, Tenure, TenureStep}};
+    /// # use crank_protocol::Name;
+    /// let mut tenure = Tenure::new(Name::new("n1")?);
+    /// let other = Lease { holder: Name::new("n2")?, beat: 7 };
+    /// assert_eq!(tenure.after_read(Some(other.clone()), Moment(0)), TenureStep::Wait);
+    /// let later = Moment(0).after(crank_engine::publish::LEASE);
+    /// assert!(matches!(tenure.after_read(Some(other), later), TenureStep::Write(_)));
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    pub fn after_read(&mut self, found: Option<Lease>, now: Moment) -> TenureStep {
+        let Some(lease) = found else {
+            return TenureStep::Write(self.next_write(None));
+        };
+        if lease.holder == self.node || self.silence(&lease, now) >= LEASE {
+            return TenureStep::Write(self.next_write(Some(lease)));
+        }
+        TenureStep::Wait
+    }
+
+    /// Takes what became of a write that was begun at this moment.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, publish::{Tenure, TenureStep}};
+    /// # use crank_protocol::Name;
+    /// let mut tenure = Tenure::new(Name::new("n1")?);
+    /// let TenureStep::Write(write) = tenure.after_read(None, Moment(0)) else { unreachable!() };
+    /// tenure.after_write(write, true, Moment(0));
+    /// assert!(tenure.is_held());
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    pub fn after_write(&mut self, write: LeaseWrite, took_effect: bool, begun: Moment) {
+        self.held = took_effect.then_some((write.to, begun));
+    }
+
+    fn next_write(&self, from: Option<Lease>) -> LeaseWrite {
+        let beat = from.as_ref().map_or(0, |lease| lease.beat) + 1;
+        let holder = self.node.clone();
+        LeaseWrite {
+            from,
+            to: Lease { holder, beat },
+        }
+    }
+
+    fn silence(&mut self, lease: &Lease, now: Moment) -> Millis {
+        match &self.seen {
+            Some((seen, since)) if seen == lease => now.since(*since),
+            _ => {
+                self.seen = Some((lease.clone(), now));
+                Millis(0)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/crank-platform-client/src/claims.rs
@@ -0,0 +1,240 @@
+//! Claims of requests that may run only once.
+
+use std::future::Future;
+use std::time::Duration;
+
+use crank_engine::Nonce;
+use crank_engine::claim::{self, Claim, Fingerprint, Put, Recorded, Stage, Step, Verdict};
+use crank_protocol::{Millis, Name};
+
+use crate::table::{self, Guard};
+use crate::{Error, Key, Platform};
+
+const CLAIMS: &str = "claims";
+const TRIES: u32 = 5;
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Claims a request under the caller's key.
+///
+/// The request may run here if, and only if, this gives [`Verdict::Won`]. After any error it must
+/// be refused as not run. The nonce is drawn for this one claim.
+///
+/// # Errors
+/// [`Error::Unavailable`], or [`Error::AnswerLost`] where the time left was not enough to learn
+/// what became of the claim.
+///
+/// ```
+/// # use crank_engine::{Nonce, claim::{Fingerprint, Verdict}};
+/// # use crank_platform_client::{claims, Memory};
+/// # use crank_protocol::{Millis, Name};
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// # let account = Name::new("lenha-viva").unwrap();
+/// let platform = Memory::new();
+/// let claim = |nonce| {
+///     let fingerprint = Fingerprint("ticket 7".into());
+///     claims::claim(&platform, &account, "key-1", Nonce(nonce), fingerprint, Millis(1_000))
+/// };
+/// assert_eq!(claim(1).await, Ok(Verdict::Won));
+/// assert_eq!(claim(2).await, Ok(Verdict::InUse));
+/// # });
+/// ```
+pub async fn claim(
+    platform: &impl Platform,
+    account: &Name,
+    key: &str,
+    nonce: Nonce,
+    fingerprint: Fingerprint,
+    time_left: Millis,
+) -> Result<Verdict, Error> {
+    let mine = Claim {
+        nonce,
+        fingerprint,
+        stage: Stage::Claimed,
+    };
+    let key = row_key(account, key);
+    in_time(time_left, settle(platform, &key, &mine)).await
+}
+
+async fn settle(platform: &impl Platform, key: &Key, mine: &Claim) -> Result<Verdict, Error> {
+    let mut step = claim::first();
+    let mut failure = unavailable("the claim was not tried");
+    loop {
+        step = match step {
+            Step::Put { over } => {
+                let written = put(platform, key, mine, over.as_ref()).await;
+                let (put, error) = put_result(written);
+                failure = error.unwrap_or(failure);
+                claim::after_put(put)
+            }
+            Step::Read => claim::after_read(mine, found(platform, key).await?.as_ref()),
+            Step::Done(verdict) => return Ok(verdict),
+            Step::GiveUp => return Err(failure),
+        };
+    }
+}
+
+fn put_result(written: Result<(), Error>) -> (Put, Option<Error>) {
+    match written {
+        Ok(()) => (Put::Written, None),
+        Err(Error::ConditionFailed) => (Put::Refused, None),
+        Err(Error::AnswerLost { .. }) => (Put::Lost, None),
+        Err(error) => (Put::Unavailable, Some(error)),
+    }
+}
+
+/// Records the answer of a request that was claimed with this nonce and ran.
+///
+/// Tried a few times within the time left; doing it twice does no harm.
+///
+/// # Errors
+/// [`Error::ConditionFailed`] where the claim is not this nonce's, [`Error::Unavailable`] or
+/// [`Error::AnswerLost`]; the outcome then stays unknown to those who repeat the request.
+///
+/// ```
+/// # use crank_engine::{Nonce, claim::{Fingerprint, Recorded}};
+/// # use crank_platform_client::{claims, Error, Memory};
+/// # use crank_protocol::{Millis, Name, call::{AnswerHead, Load}};
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// # let account = Name::new("lenha-viva").unwrap();
+/// let head = AnswerHead { status: 200, headers: vec![], length: Some(0), load: Load::default() };
+/// let recorded = Recorded { head, body: None };
+/// let fingerprint = Fingerprint("ticket 7".into());
+/// let platform = Memory::new();
+/// let done = claims::record(
+///     &platform, &account, "key-1", Nonce(1), fingerprint, recorded, Millis(1_000),
+/// );
+/// assert_eq!(done.await, Err(Error::ConditionFailed));
+/// # });
+/// ```
+pub async fn record(
+    platform: &impl Platform,
+    account: &Name,
+    key: &str,
+    nonce: Nonce,
+    fingerprint: Fingerprint,
+    recorded: Recorded,
+    time_left: Millis,
+) -> Result<(), Error> {
+    let ended = Claim {
+        nonce,
+        fingerprint,
+        stage: Stage::Recorded(recorded.into()),
+    };
+    let key = row_key(account, key);
+    in_time(time_left, end(platform, &key, &ended)).await
+}
+
+/// Frees the key of a request that was claimed with this nonce and certainly was not run, nor will
+/// be.
+///
+/// # Errors
+/// As [`record`]; the key then stays in use.
+///
+/// ```
+/// # use crank_engine::{Nonce, claim::{Fingerprint, Verdict}};
+/// # use crank_platform_client::{claims, Memory};
+/// # use crank_protocol::{Millis, Name};
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// # let account = Name::new("lenha-viva").unwrap();
+/// let (platform, time) = (Memory::new(), Millis(1_000));
+/// let print = Fingerprint("ticket 7".into());
+/// claims::claim(&platform, &account, "k", Nonce(1), print.clone(), time).await.unwrap();
+/// claims::release(&platform, &account, "k", Nonce(1), print.clone(), time).await.unwrap();
+/// let again = claims::claim(&platform, &account, "k", Nonce(2), print, time).await;
+/// assert_eq!(again, Ok(Verdict::Won));
+/// # });
+/// ```
+pub async fn release(
+    platform: &impl Platform,
+    account: &Name,
+    key: &str,
+    nonce: Nonce,
+    fingerprint: Fingerprint,
+    time_left: Millis,
+) -> Result<(), Error> {
+    let ended = Claim {
+        nonce,
+        fingerprint,
+        stage: Stage::Released,
+    };
+    let key = row_key(account, key);
+    in_time(time_left, end(platform, &key, &ended)).await
+}
+
+async fn end(platform: &impl Platform, key: &Key, ended: &Claim) -> Result<(), Error> {
+    let mut last = unavailable("nothing was tried");
+    for _ in 0..TRIES {
+        let claimed = mark(ended.nonce, &Stage::Claimed);
+        let guard = Guard::Mark(&claimed);
+        let row = table::put(key.clone(), &mark_of(ended), ended, &guard)?;
+        last = match platform.transact(vec![row]).await {
+            Ok(()) => return Ok(()),
+            Err(Error::ConditionFailed) => {
+                let stands = found(platform, key).await?.as_ref() == Some(ended);
+                return if stands {
+                    Ok(())
+                } else {
+                    Err(Error::ConditionFailed)
+                };
+            }
+            Err(error) => error,
+        };
+        tokio::time::sleep(PAUSE).await;
+    }
+    Err(last)
+}
+
+async fn put(
+    platform: &impl Platform,
+    key: &Key,
+    mine: &Claim,
+    over: Option<&Nonce>,
+) -> Result<(), Error> {
+    let released = over.map(|nonce| mark(*nonce, &Stage::Released));
+    let guard = released.as_deref().map_or(Guard::Absent, Guard::Mark);
+    let row = table::put(key.clone(), &mark_of(mine), mine, &guard)?;
+    platform.transact(vec![row]).await
+}
+
+async fn found(platform: &impl Platform, key: &Key) -> Result<Option<Claim>, Error> {
+    let row = platform.row(key).await?;
+    row.map(|row| table::content(&row)).transpose()
+}
+
+async fn in_time<T>(
+    time_left: Millis,
+    work: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    match tokio::time::timeout(time_left.into(), work).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::AnswerLost {
+            detail: "the request's time ran out".into(),
+        }),
+    }
+}
+
+fn row_key(account: &Name, key: &str) -> Key {
+    Key {
+        partition: table::partition(account, &format!("{CLAIMS}/{key}")),
+        sort: CLAIMS.into(),
+    }
+}
+
+fn mark_of(claim: &Claim) -> String {
+    mark(claim.nonce, &claim.stage)
+}
+
+fn mark(nonce: Nonce, stage: &Stage) -> String {
+    let stage = match stage {
+        Stage::Claimed => "claimed",
+        Stage::Released => "released",
+        Stage::Recorded(_) => "recorded",
+    };
+    format!("{stage}-{:032x}", nonce.0)
+}
+
+fn unavailable(detail: &str) -> Error {
+    Error::Unavailable {
+        detail: detail.into(),
+    }
+}
