Start a whole mesh of processes for experiments and process tests

One fleet module serves crank-load, the demo and the process tests, so that they drive the same processes the same way. Addresses are port 0 and read back from each program's first line, so that runs side by side never meet.

--- /dev/null
+++ b/crates/crank-load/src/error.rs
@@ -0,0 +1,67 @@
+//! The one error type of this package.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use thiserror::Error as ThisError;
+
+/// What may go wrong in an experiment.
+#[derive(Debug, ThisError)]
+pub enum Error {
+    /// A program could not be started.
+    #[error("cannot start {}: {source}; build all programs first with `cargo build --workspace`", .program.display())]
+    Start {
+        /// The program.
+        program: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A program ended or fell silent before it said where it listens.
+    #[error("{program} did not say where it listens; its last words: {last_words}")]
+    Silent {
+        /// The program and its name in the fleet.
+        program: Arc<str>,
+        /// The end of its log.
+        last_words: Arc<str>,
+    },
+    /// A program said something else than where it listens.
+    #[error("{program} said '{line}' where its addresses were expected")]
+    Unexpected {
+        /// The program and its name in the fleet.
+        program: Arc<str>,
+        /// What it said.
+        line: Arc<str>,
+    },
+    /// A file of an experiment could not be read or written.
+    #[error("cannot use {}: {source}", .path.display())]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A signal could not be sent.
+    #[error("cannot signal {program}: {source}")]
+    Signal {
+        /// The program and its name in the fleet.
+        program: Arc<str>,
+        /// What the system said.
+        source: nix::errno::Errno,
+    },
+    /// A request of the experiment itself failed.
+    #[error("{what}: {source}")]
+    Http {
+        /// What was asked.
+        what: Arc<str>,
+        /// What the library said.
+        source: reqwest::Error,
+    },
+    /// A condition was not met in the time that its caller gave.
+    #[error("{what} did not come about within {waited_ms} ms")]
+    Waited {
+        /// The condition.
+        what: Arc<str>,
+        /// How long it was waited for, in milliseconds.
+        waited_ms: u64,
+    },
+}
--- /dev/null
+++ b/crates/crank-load/src/fleet/layout.rs
@@ -0,0 +1,89 @@
+//! Who stands where in an experiment.
+
+use std::sync::Arc;
+
+/// One node and the backend server beside it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seat {
+    /// The node's name.
+    pub name: Arc<str>,
+    /// Its region.
+    pub region: Arc<str>,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// The service of its backend server.
+    pub service: Arc<str>,
+}
+
+/// The seats of an experiment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Layout {
+    /// The client account.
+    pub account: Arc<str>,
+    /// The region in which the platform's store stands.
+    pub store_region: Arc<str>,
+    /// Every node.
+    pub seats: Vec<Seat>,
+    /// Requests that one backend server runs at once.
+    pub slots: u32,
+    /// How long one request runs, in milliseconds.
+    pub work_ms: u64,
+}
+
+const SLOTS: u32 = 6;
+const WORK_MS: u64 = 5;
+
+impl Layout {
+    /// Spreads nodes evenly over regions, data centres (counted over all regions) and services.
+    ///
+    /// ```
+    /// use crank_load::fleet::Layout;
+    /// let layout = Layout::new("sutkent", 6, 2, 3, &["recipes", "panels"]);
+    /// assert_eq!(layout.seats.len(), 6);
+    /// assert_eq!(&*layout.seats[5].data_centre, "dc2");
+    /// ```
+    #[must_use]
+    pub fn new(
+        account: &str,
+        nodes: usize,
+        regions: usize,
+        data_centres: usize,
+        services: &[&str],
+    ) -> Self {
+        let seats = (0..nodes)
+            .map(|n| seat(n, regions, data_centres, services))
+            .collect();
+        Self {
+            account: account.into(),
+            store_region: "region0".into(),
+            seats,
+            slots: SLOTS,
+            work_ms: WORK_MS,
+        }
+    }
+
+    /// The same with other slots and another run time in milliseconds.
+    ///
+    /// ```
+    /// # use crank_load::fleet::Layout;
+    /// let layout = Layout::new("sutkent", 2, 1, 1, &["recipes"]).with_work(9, 20);
+    /// assert_eq!((layout.slots, layout.work_ms), (9, 20));
+    /// ```
+    #[must_use]
+    pub fn with_work(mut self, slots: u32, work_ms: u64) -> Self {
+        self.slots = slots;
+        self.work_ms = work_ms;
+        self
+    }
+}
+
+fn seat(n: usize, regions: usize, data_centres: usize, services: &[&str]) -> Seat {
+    let data_centre = n % data_centres;
+    let service = services[(n / data_centres) % services.len()];
+    Seat {
+        name: format!("node{n}").into(),
+        region: format!("region{}", data_centre % regions).into(),
+        data_centre: format!("dc{data_centre}").into(),
+        service: service.into(),
+    }
+}
--- /dev/null
+++ b/crates/crank-load/src/fleet/mod.rs
@@ -0,0 +1,9 @@
+//! A whole mesh of real processes on loopback: stand-ins, nodes and backend servers.
+
+mod layout;
+mod process;
+mod start;
+
+pub use layout::{Layout, Seat};
+pub use process::{Process, Signal};
+pub use start::{Fleet, Node, wait};
--- /dev/null
+++ b/crates/crank-load/src/fleet/start.rs
@@ -0,0 +1,216 @@
+//! Starting the processes of a fleet.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Layout, Process, Seat, Signal};
+use crate::Error;
+
+const POLL: Duration = Duration::from_millis(50);
+
+/// A node with the backend server beside it.
+#[derive(Debug)]
+pub struct Node {
+    /// Where it stands.
+    pub seat: Seat,
+    /// The node's process.
+    pub node: Process,
+    /// The backend server's process.
+    pub backend: Process,
+}
+
+impl Node {
+    /// The base URL for callers.
+    #[must_use]
+    pub fn callers(&self) -> String {
+        url(self.node.address("callers").unwrap_or_default())
+    }
+
+    /// The base URL for operators.
+    #[must_use]
+    pub fn operators(&self) -> String {
+        url(self.node.address("operators").unwrap_or_default())
+    }
+
+    /// The base URL of the backend server.
+    #[must_use]
+    pub fn backend_url(&self) -> String {
+        url(self.backend.listening())
+    }
+}
+
+fn url(address: &str) -> String {
+    format!("http://{address}")
+}
+
+/// A running mesh of processes; all are killed when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Who stands where.
+    pub layout: Layout,
+    /// The stand-in of the platform.
+    pub platform: Process,
+    /// The nodes in the order of the layout's seats.
+    pub nodes: Vec<Node>,
+    programs: PathBuf,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    /// Starts the platform's stand-in and every node with its backend server.
+    ///
+    /// `programs` is the directory of the built programs; settings and logs go to `folder`.
+    ///
+    /// # Errors
+    /// Whatever keeps a process from starting.
+    pub async fn start(layout: Layout, programs: &Path, folder: &Path) -> Result<Self, Error> {
+        let arguments = ["--listen".to_owned(), "127.0.0.1:0".to_owned()];
+        let program = programs.join("crank-platform");
+        let platform = Process::start("platform", &program, &arguments, folder).await?;
+        let mut fleet = Self {
+            nodes: Vec::with_capacity(layout.seats.len()),
+            layout,
+            platform,
+            programs: programs.to_owned(),
+            folder: folder.to_owned(),
+        };
+        for seat in fleet.layout.seats.clone() {
+            let node = fleet.start_node(seat).await?;
+            fleet.nodes.push(node);
+        }
+        Ok(fleet)
+    }
+
+    /// The base URL of the platform's stand-in.
+    #[must_use]
+    pub fn platform_url(&self) -> String {
+        url(self.platform.listening())
+    }
+
+    /// The directory of settings and logs.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// A file with the store's settings for `crankctl`.
+    ///
+    /// # Errors
+    /// [`Error::File`].
+    pub fn store_settings(&self) -> Result<PathBuf, Error> {
+        self.write("store.ini", &self.store_section())
+    }
+
+    /// Starts a node and its backend server anew, without memory.
+    ///
+    /// # Errors
+    /// Whatever keeps a process from starting.
+    pub async fn restart(&mut self, index: usize) -> Result<(), Error> {
+        let seat = self.nodes[index].seat.clone();
+        let old = &mut self.nodes[index];
+        old.node.signal(Signal::Kill).ok();
+        old.backend.signal(Signal::Kill).ok();
+        self.nodes[index] = self.start_node(seat).await?;
+        Ok(())
+    }
+
+    /// Starts a node alone anew, without memory, beside a backend server that lives on.
+    ///
+    /// # Errors
+    /// Whatever keeps a process from starting.
+    pub async fn start_node(&self, seat: Seat) -> Result<Node, Error> {
+        let settings = self.write(&format!("{}.ini", seat.name), &self.node_settings(&seat))?;
+        let arguments = ["--settings".to_owned(), settings.display().to_string()];
+        let program = self.programs.join("crank-node");
+        let node = Process::start(&seat.name, &program, &arguments, &self.folder).await?;
+        let announce = node.address("servers").unwrap_or_default().to_owned();
+        let backend = self.start_backend(&seat, &announce).await?;
+        Ok(Node {
+            seat,
+            node,
+            backend,
+        })
+    }
+
+    async fn start_backend(&self, seat: &Seat, announce: &str) -> Result<Process, Error> {
+        let arguments = [
+            ("--node", announce.to_owned()),
+            ("--listen", "127.0.0.1:0".to_owned()),
+            ("--service", seat.service.to_string()),
+            ("--slots", self.layout.slots.to_string()),
+            ("--work-ms", self.layout.work_ms.to_string()),
+        ];
+        let arguments: Vec<String> = arguments
+            .into_iter()
+            .flat_map(|(flag, value)| [flag.to_owned(), value])
+            .collect();
+        let name = format!("{}-backend", seat.name);
+        Process::start(
+            &name,
+            &self.programs.join("crank-backend"),
+            &arguments,
+            &self.folder,
+        )
+        .await
+    }
+
+    fn write(&self, name: &str, content: &str) -> Result<PathBuf, Error> {
+        let path = self.folder.join(name);
+        std::fs::write(&path, content).map_err(|source| Error::File {
+            path: path.clone(),
+            source,
+        })?;
+        Ok(path)
+    }
+
+    fn store_section(&self) -> String {
+        let url = self.platform_url();
+        let region = &self.layout.store_region;
+        let account = &self.layout.account;
+        format!(
+            "[platform]\nobjects = {url}\ntable = {url}\nbucket = crank\ntable_name = crank\n\
+             region = {region}\naccount = {account}\n"
+        )
+    }
+
+    fn node_settings(&self, seat: &Seat) -> String {
+        format!(
+            "[node]\nname = {}\nregion = {}\ndata_centre = {}\n\
+             [listen]\ncallers = 127.0.0.1:0\nmesh = 127.0.0.1:0\nservers = 127.0.0.1:0\n\
+             operators = 127.0.0.1:0\n[log]\nlevel = info\n{}",
+            seat.name,
+            seat.region,
+            seat.data_centre,
+            self.store_section()
+        )
+    }
+}
+
+/// Polls a condition until it holds.
+///
+/// # Errors
+/// [`Error::Waited`] where it does not hold in time.
+///
+/// ```
+/// use std::time::Duration;
+/// let runtime = tokio::runtime::Runtime::new().unwrap();
+/// let held = runtime.block_on(crank_load::fleet::wait("nothing", Duration::from_secs(1), async || true));
+/// assert!(held.is_ok());
+/// ```
+pub async fn wait(
+    what: &str,
+    limit: Duration,
+    mut condition: impl AsyncFnMut() -> bool,
+) -> Result<(), Error> {
+    let what: Arc<str> = what.into();
+    let waited_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+    let polling = async {
+        while !condition().await {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    tokio::time::timeout(limit, polling)
+        .await
+        .map_err(|_| Error::Waited { what, waited_ms })
+}
