thin: read INI documents and merge the folder with every fault named

engine::ini reads a document over ini_core with file and line of each key (also for settings: Document::read, Reader, ini::value); folder::merge checks the whole. The signature changed: merge(&[File]) -> Result<Merged { config, passed_over }, Vec<status::Fault>>.

Faults of absence (missing key, section, service) are held back while a line or file could not be read, since they may be its consequence; every other fault is reported at once. A file that another overrides is not judged key by key: what counts is the merged whole.

Ruled out: ini_core's own '#' comments (it takes one mark only), so '#' lines are passed over here.

--- /dev/null
+++ b/crates/crank-engine/src/folder/service.rs
@@ -0,0 +1,98 @@
+//! The `[service NAME]` sections: keys, ranges and defaults.
+
+use crank_protocol::config::{Importance, Objective, Service};
+use crank_protocol::{Millis, Permille};
+
+use super::Problem;
+use crate::ini::{self, Fault, Reader, Section, value};
+
+const MOST_SLOTS: u32 = 10_000;
+const MOST_CONNECTIONS: u32 = 100_000;
+const MOST_QUEUE: u32 = 100_000;
+pub(super) const LONGEST_TIMEOUT_MILLIS: u64 = 10 * 60_000;
+const LONGEST_WARM_UP_MILLIS: u64 = 10 * 60_000;
+const LONGEST_GRACE_MILLIS: u64 = 60 * 60_000;
+const LONGEST_LATENCY_MILLIS: u64 = 10 * 60_000;
+const WHOLE_PERMILLE: u32 = 1_000;
+const LEAST_GOOD_PERMILLE: u32 = 500;
+// The whole would leave no budget to burn.
+const MOST_GOOD_PERMILLE: u32 = 999;
+
+const DEFAULT_CONNECTIONS: u32 = 100;
+const DEFAULT_QUEUE: u32 = 16;
+const DEFAULT_TIMEOUT: Millis = Millis(10_000);
+const DEFAULT_RETRY_BUDGET: Permille = Permille(100);
+const DEFAULT_WARM_UP: Millis = Millis(10_000);
+const DEFAULT_DRAIN_GRACE: Millis = Millis(30_000);
+
+pub(super) fn read(section: &Section, faults: &mut Vec<Fault>) -> Option<Service> {
+    let mut reader = Reader::new(section);
+    let slots = reader.required("slots", "requests that one server runs at once", |text| {
+        value::count(text, 1, MOST_SLOTS)
+    });
+    let connections = reader.optional("connections", |text| {
+        value::count(text, 1, MOST_CONNECTIONS)
+    });
+    let queue = reader.optional("queue", |text| value::count(text, 0, MOST_QUEUE));
+    let timeout = reader.optional("timeout", |text| {
+        value::duration(text, 1, LONGEST_TIMEOUT_MILLIS)
+    });
+    let retry_budget =
+        reader.optional("retry_budget", |text| value::share(text, 0, WHOLE_PERMILLE));
+    let importance = reader.optional("importance", importance);
+    let warm_up = reader.optional("warm_up", |text| {
+        value::duration(text, 0, LONGEST_WARM_UP_MILLIS)
+    });
+    let drain_grace = reader.optional("drain_grace", |text| {
+        value::duration(text, 0, LONGEST_GRACE_MILLIS)
+    });
+    let objective = objective(section, &mut reader);
+    faults.extend(reader.finish());
+    Some(Service {
+        slots: slots?,
+        connections: connections.unwrap_or(DEFAULT_CONNECTIONS),
+        queue: queue.unwrap_or(DEFAULT_QUEUE),
+        timeout: timeout.unwrap_or(DEFAULT_TIMEOUT),
+        retry_budget: retry_budget.unwrap_or(DEFAULT_RETRY_BUDGET),
+        importance: importance.unwrap_or_default(),
+        warm_up: warm_up.unwrap_or(DEFAULT_WARM_UP),
+        drain_grace: drain_grace.unwrap_or(DEFAULT_DRAIN_GRACE),
+        objective,
+    })
+}
+
+fn objective(section: &Section, reader: &mut Reader<'_>) -> Option<Objective> {
+    const GOOD: &str = "objective_good";
+    const LATENCY: &str = "objective_latency";
+    let good = reader.optional(GOOD, |text| {
+        value::share(text, LEAST_GOOD_PERMILLE, MOST_GOOD_PERMILLE)
+    });
+    let latency = reader.optional(LATENCY, |text| {
+        value::duration(text, 1, LONGEST_LATENCY_MILLIS)
+    });
+    let present = |key| section.entries.contains_key(key);
+    let half = match (present(GOOD), present(LATENCY)) {
+        (true, false) => Some((GOOD, LATENCY)),
+        (false, true) => Some((LATENCY, GOOD)),
+        _ => None,
+    };
+    if let Some((present, missing)) = half {
+        reader.refuse(present, Problem::HalfObjective { present, missing }.into());
+    }
+    Some(Objective {
+        good: good?,
+        latency: latency?,
+    })
+}
+
+fn importance(text: &str) -> Result<Importance, ini::Problem> {
+    match text {
+        "low" => Ok(Importance::Low),
+        "normal" => Ok(Importance::Normal),
+        "high" => Ok(Importance::High),
+        _ => Err(ini::Problem::BadValue {
+            given: text.into(),
+            wanted: "low, normal or high",
+        }),
+    }
+}
--- a/crates/crank-engine/src/ini.rs
+++ b/crates/crank-engine/src/ini.rs
@@ -1,1 +1,10 @@
-//! INI documents with the line of each key.
+//! INI documents with the file and line of each key, for the folder and for settings.
+
+mod document;
+mod fault;
+mod reader;
+pub mod value;
+
+pub use document::{Document, Entry, Section};
+pub use fault::{Fault, Problem};
+pub use reader::Reader;
