--- a/crates/crank-platform-client/src/remote/objects.rs
+++ b/crates/crank-platform-client/src/remote/objects.rs
@@ -76,6 +76,7 @@
         content: Bytes,
         condition: Condition,
     ) -> Result<Etag, Error> {
+        let must_be_there = matches!(condition, Condition::Unchanged(_));
         let mode = match condition {
             Condition::Always => PutMode::Overwrite,
             Condition::Absent => PutMode::Create,
@@ -88,7 +89,10 @@
             .store
             .put_opts(&path(key)?, content.into(), mode.into())
             .await
-            .map_err(|error| write_error(&error))?;
+            .map_err(|error| match error {
+                object_store::Error::NotFound { .. } if must_be_there => Error::ConditionFailed,
+                error => write_error(&error),
+            })?;
         etag(key, written.e_tag.as_deref())
     }
 }
