--- a/crates/crank-engine/src/error.rs
+++ b/crates/crank-engine/src/error.rs
@@ -1,5 +1,6 @@
 //! The one error type of this package.
 
+use crank_protocol::Name;
 use crank_protocol::config::Stamp;
 use thiserror::Error as ThisError;
 
@@ -20,4 +21,14 @@
         /// The stated stamp.
         stated: Box<Stamp>,
     },
+    /// A route leads to a service that the configuration lacks.
+    #[error("version {} has a route '{route}' to the missing service '{service}': it is not applied; publish a corrected folder", .stated.version)]
+    Dangling {
+        /// The stated stamp.
+        stated: Box<Stamp>,
+        /// The route.
+        route: Name,
+        /// The service that is not there.
+        service: Name,
+    },
 }
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod spread;
 
 mod error;
+mod hash;
 mod moment;
 
 pub use error::Error;
--- /dev/null
+++ b/crates/crank-engine/src/member/regions.rs
@@ -0,0 +1,73 @@
+//! Which regions were heard of late.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crank_protocol::wire::Age;
+use crank_protocol::{Millis, Name};
+
+use crate::Moment;
+
+/// A region not heard for this long is unreachable.
+const SILENT_AFTER: Millis = Millis(10_000);
+/// Covers the time that a report travels, so that no age shrinks by being passed on.
+const PASSING: Millis = Millis(1);
+
+/// When each region was heard, here or by another node that said so.
+#[derive(Debug, Clone, Default)]
+pub struct Regions {
+    heard: BTreeMap<Name, Moment>,
+}
+
+impl Regions {
+    /// Notes that a region was heard this long ago; what is known better stays.
+    ///
+    /// ```
+    /// use crank_engine::{Moment, member::Regions};
+    /// use crank_protocol::{Millis, Name};
+    /// let mut regions = Regions::default();
+    /// regions.hear(&Name::new("astana")?, Millis(0), Moment(0));
+    /// assert!(regions.silent(Moment(0)).is_empty());
+    /// assert_eq!(regions.silent(Moment(0).after(Millis(60_000))).len(), 1);
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    pub fn hear(&mut self, region: &Name, age: Millis, now: Moment) {
+        let micros = age.0.saturating_mul(1_000);
+        let at = Moment(now.0.saturating_sub(micros));
+        match self.heard.get_mut(region) {
+            Some(known) => *known = at.max(*known),
+            None => {
+                self.heard.insert(region.clone(), at);
+            }
+        }
+    }
+
+    /// How long ago each region was heard, for other nodes.
+    ///
+    /// ```
+    /// use crank_engine::{Moment, member::Regions};
+    /// assert!(Regions::default().ages(Moment(0)).is_empty());
+    /// ```
+    #[must_use]
+    pub fn ages(&self, now: Moment) -> Vec<Age> {
+        let ages = self.heard.iter().map(|(region, at)| Age {
+            region: region.clone(),
+            age: Millis(now.since(*at).0 + PASSING.0),
+        });
+        ages.collect()
+    }
+
+    /// The regions that are unreachable.
+    ///
+    /// ```
+    /// use crank_engine::{Moment, member::Regions};
+    /// assert!(Regions::default().silent(Moment(0)).is_empty());
+    /// ```
+    #[must_use]
+    pub fn silent(&self, now: Moment) -> BTreeSet<Name> {
+        let silent = self
+            .heard
+            .iter()
+            .filter(|(_, at)| now.since(**at) > SILENT_AFTER);
+        silent.map(|(region, _)| region.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/crank-engine/src/member/table.rs
@@ -0,0 +1,267 @@
+//! What is believed of every node.
+
+use std::collections::BTreeMap;
+
+use crank_protocol::member::{Endpoint, Member, State};
+use crank_protocol::{Millis, Name};
+
+use crate::{Moment, hash};
+
+/// A node that is dead or left is forgotten after this.
+const FORGET_AFTER: Millis = Millis(24 * 3_600_000);
+/// A suspect that has not refuted by then is dead.
+const SUSPICION: Millis = Millis(4_000);
+/// The share of the usual number of times that gossip repeats a piece of news.
+const REPEATS_PER_DOUBLING: u32 = 1;
+
+/// What a piece of news changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Learned {
+    /// Nothing: it is known, or older than what is known.
+    Nothing,
+    /// The belief about a node.
+    News,
+    /// It was wrong about this node, which now says otherwise.
+    Refuted,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    member: Member,
+    since: Moment,
+    repeats_left: u32,
+}
+
+/// What a node believes of every node, itself included.
+#[derive(Debug, Clone)]
+pub struct Table {
+    me: Name,
+    entries: BTreeMap<Name, Entry>,
+    /// News that no neighbour has been sent, and who told it.
+    fresh: BTreeMap<Name, Option<Name>>,
+    sum: u64,
+}
+
+impl Table {
+    /// A table that holds only this node.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// let table = Table::new(me.clone(), Moment(0));
+    /// assert_eq!(table.me(), &me);
+    /// ```
+    #[must_use]
+    pub fn new(me: Member, now: Moment) -> Self {
+        let id = me.id.clone();
+        let mut table = Self {
+            me: id,
+            entries: BTreeMap::new(),
+            fresh: BTreeMap::new(),
+            sum: 0,
+        };
+        table.put(me, None, now);
+        table
+    }
+
+    /// What this node says of itself.
+    #[must_use]
+    pub fn me(&self) -> &Member {
+        match self.entries.get(&self.me) {
+            Some(entry) => &entry.member,
+            None => unreachable!("a table holds its own node"),
+        }
+    }
+
+    /// What is believed of a node.
+    #[must_use]
+    pub fn get(&self, id: &Name) -> Option<&Member> {
+        self.entries.get(id).map(|entry| &entry.member)
+    }
+
+    /// Every node, in the order of names.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.entries.values().map(|entry| &entry.member)
+    }
+
+    /// A hash of the nodes believed to be there; equal tables have equal hashes.
+    #[must_use]
+    pub fn sum(&self) -> u64 {
+        self.sum
+    }
+
+    /// Says something new of this node.
+    pub fn announce(&mut self, endpoint: Option<Endpoint>, now: Moment) {
+        let mut me = self.me().clone();
+        if me.endpoint == endpoint {
+            return;
+        }
+        me.endpoint = endpoint;
+        me.incarnation += 1;
+        self.put(me, None, now);
+    }
+
+    /// Says that this node leaves.
+    pub fn leave(&mut self, now: Moment) {
+        let mut me = self.me().clone();
+        me.state = State::Left;
+        me.incarnation += 1;
+        self.put(me, None, now);
+    }
+
+    /// Weighs a piece of news; `from` is the neighbour that told it, who needs no telling.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::{Learned, Table}};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// let mut table = Table::new(me.clone(), Moment(0));
+    /// let rumour = Member { state: State::Dead, ..me };
+    /// assert_eq!(table.learn(rumour, None, Moment(0)), Learned::Refuted);
+    /// assert_eq!(table.me().incarnation, 2);
+    /// ```
+    pub fn learn(&mut self, news: Member, from: Option<&Name>, now: Moment) -> Learned {
+        if news.id == self.me {
+            return self.learn_of_me(&news, now);
+        }
+        let is_news = match self.entries.get(&news.id) {
+            Some(entry) => precedence(&news) > precedence(&entry.member),
+            // A tombstone that outlives its node in tables must not travel for ever.
+            None => matches!(news.state, State::Alive | State::Suspect),
+        };
+        if !is_news {
+            return Learned::Nothing;
+        }
+        self.put(news, from.cloned(), now);
+        Learned::News
+    }
+
+    fn learn_of_me(&mut self, news: &Member, now: Moment) -> Learned {
+        let mut me = self.me().clone();
+        if me.state == State::Left || *news == me || news.incarnation < me.incarnation {
+            return Learned::Nothing;
+        }
+        me.incarnation = news.incarnation + 1;
+        self.put(me, None, now);
+        Learned::Refuted
+    }
+
+    /// Suspects a node that did not answer.
+    pub fn suspect(&mut self, id: &Name, now: Moment) {
+        let alive = self
+            .get(id)
+            .filter(|member| member.state == State::Alive && member.id != self.me);
+        if let Some(mut member) = alive.cloned() {
+            member.state = State::Suspect;
+            self.put(member, None, now);
+        }
+    }
+
+    /// Declares dead the suspects of the own region whose time is up, and forgets the long dead.
+    pub fn expire(&mut self, patience: u32, now: Moment) {
+        let region = self.me().place.region.clone();
+        let limit = Millis(SUSPICION.0 * u64::from(patience));
+        let late = |entry: &&Entry| {
+            let member = &entry.member;
+            member.state == State::Suspect
+                && member.place.region == region
+                && now.since(entry.since) >= limit
+        };
+        let late: Vec<_> = self.entries.values().filter(late).cloned().collect();
+        for entry in late {
+            let mut member = entry.member;
+            member.state = State::Dead;
+            self.put(member, None, now);
+        }
+        let me = self.me.clone();
+        self.entries.retain(|id, entry| {
+            *id == me || is_there(&entry.member) || now.since(entry.since) < FORGET_AFTER
+        });
+    }
+
+    /// Gives every suspect its whole time again, because this node itself was not running.
+    pub fn excuse(&mut self, now: Moment) {
+        for entry in self.entries.values_mut() {
+            entry.since = now;
+        }
+    }
+
+    /// The news that neighbours have not been sent, each with the neighbour that told it.
+    pub fn take_fresh(&mut self) -> Vec<(Member, Option<Name>)> {
+        let fresh = std::mem::take(&mut self.fresh);
+        let known = fresh
+            .into_iter()
+            .filter_map(|(id, from)| self.get(&id).cloned().map(|member| (member, from)));
+        known.collect()
+    }
+
+    /// Whether there is news that neighbours have not been sent.
+    #[must_use]
+    pub fn has_fresh(&self) -> bool {
+        !self.fresh.is_empty()
+    }
+
+    /// Up to `most` pieces of news for a datagram to a node, least repeated first; what is wrongly
+    /// believed of the receiver comes before all, so that it can refute.
+    pub fn gossip(&mut self, to: Option<&Name>, most: usize) -> Vec<Member> {
+        let mut gossip = Vec::new();
+        let doubted = to.and_then(|id| self.get(id));
+        gossip.extend(
+            doubted
+                .filter(|member| member.state != State::Alive)
+                .cloned(),
+        );
+        let mut waiting: Vec<_> = self
+            .entries
+            .values_mut()
+            .filter(|entry| entry.repeats_left > 0 && Some(&entry.member.id) != to)
+            .collect();
+        waiting.sort_by_key(|entry| std::cmp::Reverse(entry.repeats_left));
+        for entry in waiting.into_iter().take(most.saturating_sub(gossip.len())) {
+            entry.repeats_left -= 1;
+            gossip.push(entry.member.clone());
+        }
+        gossip
+    }
+
+    fn put(&mut self, member: Member, from: Option<Name>, now: Moment) {
+        let repeats_left = REPEATS_PER_DOUBLING * (self.entries.len() + 2).ilog2();
+        let id = member.id.clone();
+        self.sum = self.sum.wrapping_add(weight(&member));
+        let entry = Entry {
+            member,
+            since: now,
+            repeats_left,
+        };
+        if let Some(old) = self.entries.insert(id.clone(), entry) {
+            self.sum = self.sum.wrapping_sub(weight(&old.member));
+        }
+        self.fresh.insert(id, from);
+    }
+}
+
+fn is_there(member: &Member) -> bool {
+    matches!(member.state, State::Alive | State::Suspect)
+}
+
+/// Later incarnations come first; within one, the worse state.
+fn precedence(member: &Member) -> (u64, State) {
+    (member.incarnation, member.state)
+}
+
+/// Suspicion stays within a region and tombstones are forgotten at different times, so neither
+/// counts.
+fn weight(member: &Member) -> u64 {
+    if !is_there(member) {
+        return 0;
+    }
+    hash::stable(&[
+        member.id.as_str().as_bytes(),
+        &member.incarnation.to_be_bytes(),
+    ])
+}
--- /dev/null
+++ b/crates/crank-engine/src/spread/holder.rs
@@ -0,0 +1,169 @@
+//! The configuration in force, and what may replace it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crank_protocol::config::{Config, Delta, Snapshot, Stamp};
+
+use crate::{Error, config};
+
+/// The deltas kept for nodes that are a little behind.
+const KEPT_DELTAS: usize = 16;
+
+/// What became of a configuration that came in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// It is in force now.
+    Applied,
+    /// It is not later than what is held.
+    Old,
+    /// It claims a held version's number for another content; never applied.
+    Conflict,
+    /// It is later, but has another base: fetch the whole snapshot.
+    NeedWhole,
+    /// It is malformed: fetch the whole snapshot from another node.
+    Bad(Error),
+}
+
+/// What a stamp heard from another node means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Gap {
+    /// Both hold the same.
+    Same,
+    /// The other lacks something.
+    Theirs,
+    /// This node lacks something.
+    Ours,
+    /// Both hold the same number with another content.
+    Conflict,
+}
+
+/// The configuration in force on a node; its version never falls.
+///
+/// ```
+/// use crank_engine::spread::{Holder, Step};
+/// use crank_protocol::{Name, config::{Account, Config, Snapshot, Stamp, Version}};
+/// let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// let config = Config { account, services: Default::default(), routes: Default::default() };
+/// let stamp = Stamp { version: Version(1), digest: crank_engine::config::digest(&config) };
+/// let snapshot = Snapshot { stamp, config };
+/// let mut holder = Holder::default();
+/// assert_eq!(holder.take_snapshot(snapshot.clone()), Step::Applied);
+/// assert_eq!(holder.take_snapshot(snapshot), Step::Old);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Holder {
+    held: Option<Arc<Snapshot>>,
+    deltas: VecDeque<Delta>,
+}
+
+impl Holder {
+    /// What is in force.
+    #[must_use]
+    pub fn held(&self) -> Option<&Arc<Snapshot>> {
+        self.held.as_ref()
+    }
+
+    /// The stamp of what is in force.
+    #[must_use]
+    pub fn stamp(&self) -> Option<&Stamp> {
+        self.held.as_ref().map(|snapshot| &snapshot.stamp)
+    }
+
+    /// Takes a delta if it applies to exactly what is held.
+    pub fn take_delta(&mut self, delta: &Delta) -> Step {
+        match self.gap(Some(&delta.result)) {
+            Gap::Same | Gap::Theirs => return Step::Old,
+            Gap::Conflict => return Step::Conflict,
+            Gap::Ours => {}
+        }
+        let Some(held) = &self.held else {
+            return Step::NeedWhole;
+        };
+        let applied = config::apply(held, delta).and_then(closed);
+        match applied {
+            Ok(snapshot) => {
+                self.keep(delta.clone());
+                self.held = Some(Arc::new(snapshot));
+                Step::Applied
+            }
+            Err(Error::WrongBase { .. }) => Step::NeedWhole,
+            Err(error) => Step::Bad(error),
+        }
+    }
+
+    /// Takes a whole configuration if it is later than what is held.
+    pub fn take_snapshot(&mut self, snapshot: Snapshot) -> Step {
+        match self.gap(Some(&snapshot.stamp)) {
+            Gap::Same | Gap::Theirs => return Step::Old,
+            Gap::Conflict => return Step::Conflict,
+            Gap::Ours => {}
+        }
+        let sealed = config::sealed(snapshot.config, snapshot.stamp).and_then(closed);
+        match sealed {
+            Ok(snapshot) => {
+                match &self.held {
+                    Some(held) => self.keep(config::diff(held, &snapshot)),
+                    None => self.deltas.clear(),
+                }
+                self.held = Some(Arc::new(snapshot));
+                Step::Applied
+            }
+            Err(error) => Step::Bad(error),
+        }
+    }
+
+    /// What the stamp that another node holds means.
+    #[must_use]
+    pub fn gap(&self, theirs: Option<&Stamp>) -> Gap {
+        match (self.stamp(), theirs) {
+            (None, None) => Gap::Same,
+            (None, Some(_)) => Gap::Ours,
+            (Some(_), None) => Gap::Theirs,
+            (Some(ours), Some(theirs)) => match ours.version.cmp(&theirs.version) {
+                std::cmp::Ordering::Less => Gap::Ours,
+                std::cmp::Ordering::Greater => Gap::Theirs,
+                std::cmp::Ordering::Equal if ours.digest == theirs.digest => Gap::Same,
+                std::cmp::Ordering::Equal => Gap::Conflict,
+            },
+        }
+    }
+
+    /// The deltas that lead from a base to what is held, in order, if they are kept.
+    #[must_use]
+    pub fn since(&self, base: &Stamp) -> Option<Vec<Delta>> {
+        let first = self.deltas.iter().position(|delta| delta.base == *base)?;
+        Some(self.deltas.iter().skip(first).cloned().collect())
+    }
+
+    /// The step that led to what is held.
+    #[must_use]
+    pub fn last_delta(&self) -> Option<&Delta> {
+        self.deltas.back()
+    }
+
+    fn keep(&mut self, delta: Delta) {
+        self.deltas.push_back(delta);
+        if self.deltas.len() > KEPT_DELTAS {
+            self.deltas.pop_front();
+        }
+    }
+}
+
+/// Lets a configuration pass if each route's service is in it.
+fn closed(snapshot: Snapshot) -> Result<Snapshot, Error> {
+    let Config {
+        services, routes, ..
+    } = &snapshot.config;
+    let dangling = routes
+        .iter()
+        .find(|(_, route)| !services.contains_key(&route.service));
+    match dangling {
+        None => Ok(snapshot),
+        Some((name, route)) => Err(Error::Dangling {
+            stated: Box::new(snapshot.stamp.clone()),
+            route: name.clone(),
+            service: route.service.clone(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/crank-mesh/src/actor/datagrams.rs
@@ -0,0 +1,273 @@
+//! Datagrams: probes, gossip, and what rides on them.
+
+use std::sync::atomic::Ordering;
+
+use crank_engine::Moment;
+use crank_engine::member::{Learned, Outgoing};
+use crank_engine::spread::{Gap, Report};
+use crank_protocol::config::Stamp;
+use crank_protocol::member::Member;
+use crank_protocol::status::Node;
+use crank_protocol::wire::{Datagram, Probe};
+use crank_protocol::{Millis, Name};
+use rand::seq::IndexedRandom;
+use xtra::Handler;
+
+use super::message::{Heard, Unreadable};
+use super::state::{Ahead, Mesh};
+use crate::traffic::{Direction, Reach};
+
+/// Tables that differ while no news is under way are compared after this.
+const TABLES_QUIET: Millis = Millis(3_000);
+/// The least time between two comparisons of tables.
+const TABLES_PERIOD: Millis = Millis(20_000);
+/// The time between two probes to the node at the other end of a bridge.
+const FAR_PERIOD: Millis = Millis(2_000);
+/// The time between two rounds of questions by a node that is not current yet.
+const REPORT_PERIOD: Millis = Millis(500);
+/// The nodes asked in one such round.
+const REPORTERS: usize = 5;
+
+impl Handler<Heard> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, heard: Heard, _: &mut xtra::Context<Self>) {
+        let Heard {
+            address,
+            datagram,
+            bytes,
+        } = heard;
+        let is_ours = datagram.account == self.account && datagram.from != self.settings.id;
+        if !is_ours || self.settings.cut.holds(address) {
+            return;
+        }
+        let reach = self.reach(&datagram.from);
+        self.outputs
+            .traffic
+            .datagram(reach, Direction::Received, bytes);
+        self.take(address, datagram, reach);
+        self.stir();
+    }
+}
+
+impl Handler<Unreadable> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, unreadable: Unreadable, _: &mut xtra::Context<Self>) {
+        self.outputs
+            .alarms
+            .malformed
+            .fetch_add(1, Ordering::Relaxed);
+        let Unreadable { address, error } = unreadable;
+        log::warn!(event = "datagram_dropped", peer:% = address; "{error}");
+    }
+}
+
+impl Mesh {
+    fn take(&mut self, address: std::net::SocketAddr, datagram: Datagram, reach: Reach) {
+        let now = self.now();
+        let from = datagram.from;
+        for news in datagram.gossip {
+            self.learn(news, None, now);
+        }
+        self.hear(&from, now);
+        for age in datagram.regions {
+            if age.region != self.settings.place.region {
+                self.regions.hear(&age.region, age.age, now);
+            }
+        }
+        self.compare(&from, datagram.stamp.as_ref(), now);
+        let asks_for_answer = matches!(datagram.probe, Probe::Ask { .. } | Probe::Told { .. });
+        if !asks_for_answer {
+            self.compare_tables(&from, datagram.table, reach, now);
+        }
+        self.answer(address, &from, datagram.stamp, &datagram.probe);
+    }
+
+    fn answer(
+        &mut self,
+        address: std::net::SocketAddr,
+        from: &Name,
+        stamp: Option<Stamp>,
+        probe: &Probe,
+    ) {
+        match probe {
+            Probe::Ask { number } => {
+                let vitals = *self.vitals.borrow();
+                let told = Probe::Told {
+                    number: *number,
+                    current: *self.outputs.ready.borrow(),
+                    ready: vitals.ready,
+                    in_flight: vitals.in_flight,
+                };
+                let to = from.clone();
+                self.send_all(vec![Outgoing {
+                    address,
+                    to,
+                    probe: told,
+                }]);
+            }
+            Probe::Told {
+                number,
+                current,
+                ready,
+                in_flight,
+            } => self.told(from, stamp, *number, *current, (*ready, *in_flight)),
+            _ => {
+                let due = self.prober.receive(&self.table, from, address, probe);
+                self.send_all(due);
+            }
+        }
+    }
+
+    fn told(
+        &mut self,
+        from: &Name,
+        stamp: Option<Stamp>,
+        number: u64,
+        current: bool,
+        (ready, in_flight): (bool, u32),
+    ) {
+        let Some(member) = self.table.get(from).cloned() else {
+            return;
+        };
+        if self.start.wants_reports() {
+            let report = Report {
+                data_centre: member.place.data_centre.clone(),
+                stamp: stamp.clone(),
+                current,
+            };
+            self.start.report(from, report);
+        }
+        if let Some(asker) = self.asks.get(&number) {
+            let node = Node {
+                member,
+                applied: stamp,
+                ready,
+                in_flight,
+            };
+            let _ = asker.try_send(node);
+        }
+    }
+
+    /// Notes a sign of life.
+    pub(crate) fn hear(&mut self, from: &Name, now: Moment) {
+        if let Some(member) = self.table.get(from) {
+            let region = &member.place.region;
+            if *region != self.settings.place.region {
+                self.regions.hear(region, Millis(0), now);
+            }
+        }
+        let links = self.links.values_mut();
+        for link in links.filter(|link| link.peer.as_ref() == Some(from)) {
+            link.heard = now;
+        }
+    }
+
+    pub(crate) fn learn(&mut self, news: Member, from: Option<&Name>, now: Moment) {
+        let was_wrong = news.id == self.settings.id;
+        if self.table.learn(news, from, now) == Learned::Refuted && was_wrong && self.joined {
+            self.prober.strained();
+        }
+    }
+
+    /// Compares what another node holds with what this one holds.
+    pub(crate) fn compare(&mut self, from: &Name, theirs: Option<&Stamp>, now: Moment) {
+        let links = self.links.values_mut();
+        for link in links.filter(|link| link.peer.as_ref() == Some(from)) {
+            link.stamp = theirs.cloned();
+        }
+        match (self.holder.gap(theirs), theirs) {
+            (Gap::Ours, Some(stamp)) => {
+                let known = self.ahead.as_ref().map(|ahead| ahead.stamp.version);
+                if known.is_none_or(|version| version < stamp.version) {
+                    self.ahead = Some(Ahead {
+                        node: from.clone(),
+                        stamp: stamp.clone(),
+                        since: now,
+                    });
+                }
+            }
+            (Gap::Conflict, _) => {
+                self.settle(&crank_engine::spread::Step::Conflict, Some(from));
+            }
+            _ => {}
+        }
+    }
+
+    fn compare_tables(&mut self, from: &Name, sum: u64, reach: Reach, now: Moment) {
+        let is_quiet = now.since(self.changed) >= TABLES_QUIET;
+        if sum == self.table.sum() || !is_quiet || now < self.next_tables || !self.joined {
+            return;
+        }
+        self.next_tables = now.after(TABLES_PERIOD);
+        log::debug!(event = "tables_differ", peer:% = from, reach:? = reach; "asking for the table");
+        self.errands.insert(from.clone(), now);
+        self.run_errands(now);
+    }
+
+    /// Probes the other ends of connections to other regions.
+    pub(crate) fn ping_far(&mut self, now: Moment) {
+        if now < self.next_far {
+            return;
+        }
+        self.next_far = now.after(FAR_PERIOD);
+        let far = self
+            .links
+            .values()
+            .filter(|link| link.reach == Reach::Far && link.dial.is_some());
+        let peers: Vec<Name> = far.filter_map(|link| link.peer.clone()).collect();
+        for peer in peers {
+            let number = self.prober.next_number();
+            self.probe(&peer, Probe::Ping { number });
+        }
+    }
+
+    pub(crate) fn probe(&mut self, to: &Name, probe: Probe) {
+        if let Some(member) = self.table.get(to) {
+            let outgoing = Outgoing {
+                address: member.address,
+                to: to.clone(),
+                probe,
+            };
+            self.send_all(vec![outgoing]);
+        }
+    }
+
+    /// Asks nodes of several data centres what they hold, until this node is current.
+    pub(crate) fn keep_start(&mut self, now: Moment) {
+        if !self.start.wants_reports() {
+            return;
+        }
+        let others: Vec<Member> = self.others().cloned().collect();
+        let mut places: Vec<_> = others
+            .iter()
+            .map(|member| &member.place.data_centre)
+            .collect();
+        places.sort();
+        places.dedup();
+        let stamp = self.holder.stamp();
+        if self.start.is_current(stamp, others.len(), places.len()) {
+            self.outputs.ready.send_replace(true);
+            return;
+        }
+        if now < self.next_reports {
+            return;
+        }
+        self.next_reports = now.after(REPORT_PERIOD);
+        let number = self.prober.next_number();
+        let mut asked: Vec<Name> = Vec::new();
+        let mine = &self.settings.place.data_centre;
+        let apart: Vec<_> = others
+            .iter()
+            .filter(|member| member.place.data_centre != *mine)
+            .collect();
+        let apart = apart.sample(&mut self.rng, REPORTERS / 2 + 1);
+        asked.extend(apart.map(|member| member.id.clone()));
+        let any = others.sample(&mut self.rng, REPORTERS - asked.len());
+        asked.extend(any.map(|member| member.id.clone()));
+        for id in asked {
+            self.probe(&id, Probe::Ask { number });
+        }
+    }
+}
--- /dev/null
+++ b/crates/crank-mesh/src/actor/links.rs
@@ -0,0 +1,303 @@
+//! Which control connections are open.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+
+use crank_engine::Moment;
+use crank_engine::overlay;
+use crank_protocol::member::{Member, State};
+use crank_protocol::wire::{Control, Members};
+use crank_protocol::{Millis, Name};
+use rand::seq::IndexedRandom;
+use xtra::Handler;
+
+use super::message::{Closed, Dial, Opened};
+use super::state::{Link, Mesh, Missing};
+use crate::Error;
+use crate::link;
+use crate::traffic::Reach;
+
+/// Control connections that others may open to a node.
+const MOST_LINKS: usize = 256;
+/// A connection that nothing needs is closed after this.
+const LINGER: Millis = Millis(5_000);
+/// A connection to another region on which nothing is heard for this long is closed.
+const FAR_SILENCE: Millis = Millis(8_000);
+/// The region that is later in the alphabet waits this long to be connected to.
+const FAR_TURN: Millis = Millis(3_000);
+/// The time between two attempts to join through a seed.
+const JOIN_PERIOD: Millis = Millis(1_000);
+/// The time between two connections to a seed that no known node explains.
+const STRANGE_SEED_PERIOD: Millis = Millis(60_000);
+/// What is wanted of a node by name is given up after this.
+const ERRAND_TIMEOUT: Millis = Millis(10_000);
+
+impl Handler<Opened> for Mesh {
+    type Return = Option<u64>;
+
+    async fn handle(&mut self, opened: Opened, _: &mut xtra::Context<Self>) -> Option<u64> {
+        if opened.dial.is_none() && self.links.len() >= MOST_LINKS {
+            return None;
+        }
+        let now = self.now();
+        if let Some(dial) = &opened.dial {
+            self.dialing.remove(dial);
+        }
+        self.next_link += 1;
+        let id = self.next_link;
+        let link = Link {
+            sender: opened.sender,
+            dial: opened.dial,
+            peer: None,
+            reach: Reach::Near,
+            stamp: None,
+            heard: now,
+            wanted: now,
+        };
+        self.links.insert(id, link);
+        let hello = self.hello();
+        self.send_frame(id, &hello);
+        Some(id)
+    }
+}
+
+impl Handler<Closed> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, closed: Closed, _: &mut xtra::Context<Self>) {
+        let Closed { link, dial, error } = closed;
+        let now = self.now();
+        let known = link.and_then(|link| self.links.remove(&link));
+        let greeted = known.is_some_and(|link| link.peer.is_some());
+        if let Some(dial) = dial {
+            self.dialing.remove(&dial);
+            if !greeted || error.is_some() {
+                let backoff = self.backoffs.entry(dial.clone()).or_default();
+                backoff.failed(now, &mut self.rng);
+            }
+            self.note_failed_bridge(&dial);
+        }
+        let Some(error) = error else {
+            return;
+        };
+        if matches!(error, Error::Malformed { .. } | Error::Oversized { .. }) {
+            self.outputs
+                .alarms
+                .malformed
+                .fetch_add(1, Ordering::Relaxed);
+        }
+        log::debug!(event = "link_closed"; "{error}");
+    }
+}
+
+impl Mesh {
+    /// Other members that are there.
+    pub(crate) fn others(&self) -> impl Iterator<Item = &Member> {
+        self.table.members().filter(|member| {
+            member.id != self.settings.id && matches!(member.state, State::Alive | State::Suspect)
+        })
+    }
+
+    /// Opens the connections that are needed, and closes those that are not.
+    pub(crate) fn keep_links(&mut self, now: Moment) {
+        self.errands
+            .retain(|_, since| now.since(*since) < ERRAND_TIMEOUT);
+        let mut wanted = self.near_wanted();
+        wanted.extend(self.far_wanted(now));
+        wanted.extend(self.errands.keys().cloned());
+        self.close_links(&wanted, now);
+        let linked: BTreeSet<&Name> = self
+            .links
+            .values()
+            .filter_map(|link| link.peer.as_ref())
+            .collect();
+        let unlinked: Vec<Name> = wanted
+            .into_iter()
+            .filter(|id| !linked.contains(id))
+            .collect();
+        for id in unlinked {
+            self.dial(Dial::Member(id), now);
+        }
+        self.dial_seed(now);
+    }
+
+    fn near_wanted(&self) -> BTreeSet<Name> {
+        let neighbours = overlay::neighbours(self.table.me(), self.table.members());
+        neighbours.iter().map(|member| member.id.clone()).collect()
+    }
+
+    /// The nodes of other regions that this node should be connected to as a bridge.
+    fn far_wanted(&mut self, now: Moment) -> Vec<Name> {
+        let here = self.settings.place.region.clone();
+        let regions: BTreeSet<Name> = self
+            .others()
+            .map(|member| member.place.region.clone())
+            .filter(|region| *region != here)
+            .collect();
+        self.missing.retain(|region, _| regions.contains(region));
+        let mut wanted = Vec::new();
+        for there in regions {
+            wanted.extend(self.far_wanted_in(&here, there, now));
+        }
+        wanted
+    }
+
+    fn far_wanted_in(&mut self, here: &Name, there: Name, now: Moment) -> Option<Name> {
+        let mine = overlay::bridges(here, &there, self.table.members());
+        let rank = mine
+            .iter()
+            .take(overlay::BRIDGES)
+            .position(|member| member.id == self.settings.id)?;
+        let linked = self.links.values().find(|link| {
+            let place = link.peer.as_ref().and_then(|peer| self.table.get(peer));
+            place.is_some_and(|member| member.place.region == there)
+        });
+        if let Some(link) = linked {
+            self.missing.remove(&there);
+            return link.peer.clone();
+        }
+        let theirs = overlay::bridges(&there, here, self.table.members());
+        let missing = self.missing.entry(there.clone()).or_insert(Missing {
+            since: now,
+            attempts: 0,
+        });
+        if *here > there && now.since(missing.since) < FAR_TURN {
+            return None;
+        }
+        let choice = (rank + missing.attempts) % theirs.len().max(1);
+        theirs.get(choice).map(|member| member.id.clone())
+    }
+
+    fn note_failed_bridge(&mut self, dial: &Dial) {
+        if let Dial::Member(id) = dial
+            && let Some(member) = self.table.get(id)
+            && let Some(missing) = self.missing.get_mut(&member.place.region)
+        {
+            missing.attempts += 1;
+        }
+    }
+
+    fn close_links(&mut self, wanted: &BTreeSet<Name>, now: Moment) {
+        let (table, cut) = (&self.table, &self.settings.cut);
+        self.links.retain(|_, link| {
+            let Some(peer) = &link.peer else {
+                return now.since(link.heard) < LINGER;
+            };
+            let Some(member) = table.get(peer) else {
+                return false;
+            };
+            if wanted.contains(peer) || link.dial.is_none() {
+                link.wanted = now;
+            }
+            let is_there = matches!(member.state, State::Alive | State::Suspect);
+            let is_heard = link.reach == Reach::Near || now.since(link.heard) < FAR_SILENCE;
+            let is_wanted = now.since(link.wanted) < LINGER;
+            is_there && is_heard && is_wanted && !cut.holds(member.address)
+        });
+    }
+
+    /// Of two connections with a node, both sides keep the one that the earlier name opened.
+    pub(crate) fn drop_double(&mut self, link: u64, peer: &Name) {
+        let mut doubles: Vec<(bool, u64)> = self
+            .links
+            .iter()
+            .filter(|(_, other)| other.peer.as_ref() == Some(peer))
+            .map(|(id, other)| {
+                let opened_here = other.dial.is_some();
+                (opened_here == (self.settings.id < *peer), *id)
+            })
+            .collect();
+        doubles.sort_unstable();
+        doubles.pop();
+        for (_, id) in doubles {
+            log::trace!(event = "double_link", peer:% = peer, link; "dropping link {id}");
+            self.links.remove(&id);
+        }
+    }
+
+    fn dial_seed(&mut self, now: Moment) {
+        if now < self.next_seed {
+            return;
+        }
+        let mut seeds = self.settings.seeds.clone();
+        let alone = self.others().next().is_none();
+        let period = if self.joined && !alone {
+            let known: BTreeSet<_> = self.others().map(|member| member.address).collect();
+            seeds.retain(|seed| !known.contains(seed));
+            STRANGE_SEED_PERIOD
+        } else {
+            JOIN_PERIOD
+        };
+        let mine = self.table.me().address;
+        seeds.retain(|seed| *seed != mine);
+        self.next_seed = now.after(period);
+        if alone {
+            self.joined = false;
+        }
+        if let Some(seed) = seeds.choose(&mut self.rng).copied() {
+            self.dial(Dial::Seed(seed), now);
+        }
+    }
+
+    fn dial(&mut self, dial: Dial, now: Moment) {
+        let address = match &dial {
+            Dial::Seed(address) => Some(*address),
+            Dial::Member(id) => self.table.get(id).map(|member| member.address),
+        };
+        let is_due = self
+            .backoffs
+            .get(&dial)
+            .is_none_or(|backoff| backoff.is_due(now));
+        let is_open = self
+            .links
+            .values()
+            .any(|link| link.dial.as_ref() == Some(&dial));
+        let Some(address) = address else {
+            return;
+        };
+        if !is_due || is_open || self.settings.cut.holds(address) {
+            return;
+        }
+        if self.dialing.insert(dial.clone()) {
+            tokio::spawn(link::dial(dial, address, self.mailbox.clone()));
+        }
+    }
+
+    /// Asks the nodes that are connected for what is wanted of them by name.
+    pub(crate) fn run_errands(&mut self, now: Moment) {
+        let ready: Vec<(u64, Name)> = self
+            .links
+            .iter()
+            .filter_map(|(id, link)| link.peer.clone().map(|peer| (*id, peer)))
+            .filter(|(_, peer)| self.errands.contains_key(peer))
+            .collect();
+        for (id, peer) in ready {
+            self.errands.remove(&peer);
+            self.send_frame(id, &Control::WantMembers);
+        }
+        self.keep_configuration(now);
+    }
+
+    /// Sends the gathered news to every connection but the one that it came from.
+    pub(crate) fn flush(&mut self) {
+        let now = self.now();
+        let fresh = self.table.take_fresh();
+        self.publish_view(now);
+        let links: Vec<(u64, Name, Reach)> = self
+            .links
+            .iter()
+            .filter_map(|(id, link)| link.peer.clone().map(|peer| (*id, peer, link.reach)))
+            .collect();
+        for (id, peer, reach) in links {
+            let news: Vec<Member> = fresh
+                .iter()
+                .filter(|(member, from)| from.as_ref() != Some(&peer) && member.id != peer)
+                .filter(|(member, _)| reach == Reach::Near || member.state != State::Suspect)
+                .map(|(member, _)| member.clone())
+                .collect();
+            if !news.is_empty() {
+                self.send_frame(id, &Control::News(Members(news)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -0,0 +1,387 @@
+//! What the actor knows, and how it sends.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use crank_engine::Moment;
+use crank_engine::member::{Outgoing, Prober, Regions, Table};
+use crank_engine::spread::{Backoff, Gate, Holder, Start, Step};
+use crank_protocol::Name;
+use crank_protocol::config::{Snapshot, Stamp};
+use crank_protocol::member::{Member, State};
+use crank_protocol::status::Node;
+use crank_protocol::wire::{
+    Control, Datagram, LARGEST_CONTROL_BYTES, LARGEST_DATAGRAM_BYTES, Probe,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+use xtra::{Actor, Handler, WeakAddress};
+
+use super::message::{Dial, Flush, Stop, Tick};
+use crate::handle::{Alarms, Vitals};
+use crate::settings::Settings;
+use crate::traffic::{Direction, Kind, Reach, Traffic};
+use crate::{View, codec};
+
+/// Pieces of news in one datagram.
+const GOSSIP: usize = 6;
+/// News is gathered for so long before it goes out on connections.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// A control connection.
+pub(crate) struct Link {
+    pub(crate) sender: mpsc::Sender<Bytes>,
+    pub(crate) dial: Option<Dial>,
+    /// The node at the other end, once it has said who it is.
+    pub(crate) peer: Option<Name>,
+    pub(crate) reach: Reach,
+    /// What the other end is known to hold.
+    pub(crate) stamp: Option<Stamp>,
+    pub(crate) heard: Moment,
+    pub(crate) wanted: Moment,
+}
+
+/// What another node holds that this one lacks.
+pub(crate) struct Ahead {
+    pub(crate) node: Name,
+    pub(crate) stamp: Stamp,
+    pub(crate) since: Moment,
+}
+
+/// Where the actor puts what the rest of the node may see.
+pub(crate) struct Outputs {
+    pub(crate) view: watch::Sender<Arc<View>>,
+    pub(crate) config: watch::Sender<Option<Arc<Snapshot>>>,
+    pub(crate) ready: watch::Sender<bool>,
+    pub(crate) traffic: Arc<Traffic>,
+    pub(crate) alarms: Arc<Alarms>,
+}
+
+/// Where the rest of the node sees it.
+pub(crate) struct Receivers {
+    pub(crate) view: watch::Receiver<Arc<View>>,
+    pub(crate) config: watch::Receiver<Option<Arc<Snapshot>>>,
+    pub(crate) ready: watch::Receiver<bool>,
+}
+
+impl Outputs {
+    pub(crate) fn new(me: &Name) -> (Self, Receivers) {
+        let empty = View::new(me.clone(), [], BTreeSet::new());
+        let (view, view_read) = watch::channel(Arc::new(empty));
+        let (config, config_read) = watch::channel(None);
+        let (ready, ready_read) = watch::channel(false);
+        let outputs = Self {
+            view,
+            config,
+            ready,
+            traffic: Arc::default(),
+            alarms: Arc::default(),
+        };
+        let receivers = Receivers {
+            view: view_read,
+            config: config_read,
+            ready: ready_read,
+        };
+        (outputs, receivers)
+    }
+}
+
+/// The state of membership and of spreading on one node.
+pub(crate) struct Mesh {
+    pub(crate) settings: Settings,
+    pub(crate) account: u32,
+    pub(crate) mailbox: WeakAddress<Self>,
+    pub(crate) socket: Arc<UdpSocket>,
+    pub(crate) outputs: Outputs,
+    pub(crate) vitals: watch::Receiver<Vitals>,
+    pub(crate) rng: StdRng,
+    began: Instant,
+
+    pub(crate) table: Table,
+    pub(crate) prober: Prober,
+    pub(crate) regions: Regions,
+    pub(crate) changed: Moment,
+    flushing: bool,
+
+    pub(crate) holder: Holder,
+    pub(crate) start: Start,
+    pub(crate) gate: Gate,
+    pub(crate) ahead: Option<Ahead>,
+    /// When the outstanding request for a configuration is given up.
+    pub(crate) pulling: Option<Moment>,
+    pub(crate) pull: Backoff,
+
+    pub(crate) links: BTreeMap<u64, Link>,
+    pub(crate) next_link: u64,
+    pub(crate) dialing: BTreeSet<Dial>,
+    pub(crate) backoffs: BTreeMap<Dial, Backoff>,
+    /// Nodes to connect to for their member table or configuration.
+    pub(crate) errands: BTreeMap<Name, Moment>,
+    pub(crate) joined: bool,
+    pub(crate) next_seed: Moment,
+    pub(crate) next_tables: Moment,
+    pub(crate) next_far: Moment,
+    pub(crate) next_reports: Moment,
+    /// Since when a region has no connection, and how many attempts have failed.
+    pub(crate) missing: BTreeMap<Name, Missing>,
+    pub(crate) asks: BTreeMap<u64, mpsc::Sender<Node>>,
+}
+
+/// A region to which this bridge has no connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Missing {
+    pub(crate) since: Moment,
+    pub(crate) attempts: usize,
+}
+
+impl Mesh {
+    pub(crate) fn new(
+        settings: Settings,
+        address: SocketAddr,
+        socket: Arc<UdpSocket>,
+        outputs: Outputs,
+        vitals: watch::Receiver<Vitals>,
+        mailbox: WeakAddress<Self>,
+    ) -> Self {
+        let now = Moment(0);
+        let me = Member {
+            id: settings.id.clone(),
+            place: settings.place.clone(),
+            address,
+            incarnation: 1,
+            state: State::Alive,
+            endpoint: None,
+        };
+        let rng = match settings.random {
+            Some(seed) => StdRng::seed_from_u64(seed),
+            None => rand::make_rng(),
+        };
+        let mesh = Self {
+            account: crank_engine::overlay::tag(&settings.account),
+            settings,
+            mailbox,
+            socket,
+            outputs,
+            vitals,
+            rng,
+            began: Instant::now(),
+            table: Table::new(me, now),
+            prober: Prober::new(now),
+            regions: Regions::default(),
+            changed: now,
+            flushing: false,
+            holder: Holder::default(),
+            start: Start::default(),
+            gate: Gate::default(),
+            ahead: None,
+            pulling: None,
+            pull: Backoff::default(),
+            links: BTreeMap::new(),
+            next_link: 0,
+            dialing: BTreeSet::new(),
+            backoffs: BTreeMap::new(),
+            errands: BTreeMap::new(),
+            joined: false,
+            next_seed: now,
+            next_tables: now,
+            next_far: now,
+            next_reports: now,
+            missing: BTreeMap::new(),
+            asks: BTreeMap::new(),
+        };
+        mesh.publish_view(now);
+        mesh
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        let micros = self.began.elapsed().as_micros();
+        Moment(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    pub(crate) fn reach(&self, id: &Name) -> Reach {
+        let region = self.table.get(id).map(|member| &member.place.region);
+        match region {
+            Some(region) if *region != self.settings.place.region => Reach::Far,
+            _ => Reach::Near,
+        }
+    }
+
+    /// Sends datagrams; one that the system does not take at once is lost, as any may be.
+    pub(crate) fn send_all(&mut self, outgoing: Vec<Outgoing>) {
+        for one in outgoing {
+            self.send_one(&one);
+        }
+    }
+
+    fn send_one(&mut self, outgoing: &Outgoing) {
+        if self.settings.cut.holds(outgoing.address) {
+            return;
+        }
+        let now = self.now();
+        let most = match outgoing.probe {
+            Probe::Ask { .. } | Probe::Told { .. } => 0,
+            _ => GOSSIP,
+        };
+        let datagram = Datagram {
+            account: self.account,
+            from: self.settings.id.clone(),
+            stamp: self.holder.stamp().cloned(),
+            table: self.table.sum(),
+            regions: self.regions.ages(now),
+            probe: outgoing.probe.clone(),
+            gossip: self.table.gossip(Some(&outgoing.to), most),
+        };
+        match codec::encode(&datagram, LARGEST_DATAGRAM_BYTES) {
+            Ok(bytes) => {
+                let reach = self.reach(&outgoing.to);
+                let traffic = &self.outputs.traffic;
+                traffic.datagram(reach, Direction::Sent, bytes.len());
+                let _ = self.socket.try_send_to(&bytes, outgoing.address);
+            }
+            Err(error) => log::error!(event = "datagram_not_sent"; "{error}"),
+        }
+    }
+
+    /// Queues a frame on a connection; one that does not keep up is closed.
+    pub(crate) fn send_frame(&mut self, link: u64, frame: &Control) {
+        let encoded = match codec::encode(frame, LARGEST_CONTROL_BYTES) {
+            Ok(bytes) => Bytes::from(bytes),
+            Err(error) => {
+                log::error!(event = "frame_not_sent"; "{error}");
+                return;
+            }
+        };
+        self.queue(link, kind(frame), encoded);
+    }
+
+    /// Queues one frame on several connections, encoded once.
+    pub(crate) fn send_frames(&mut self, links: &[u64], frame: &Control) {
+        match codec::encode(frame, LARGEST_CONTROL_BYTES) {
+            Ok(bytes) => {
+                let encoded = Bytes::from(bytes);
+                for link in links {
+                    self.queue(*link, kind(frame), encoded.clone());
+                }
+            }
+            Err(error) => log::error!(event = "frame_not_sent"; "{error}"),
+        }
+    }
+
+    fn queue(&mut self, link: u64, kind: Kind, frame: Bytes) {
+        let Some(known) = self.links.get(&link) else {
+            return;
+        };
+        let traffic = &self.outputs.traffic;
+        traffic.frame(kind, known.reach, Direction::Sent, frame.len());
+        if known.sender.try_send(frame).is_err() {
+            log::warn!(event = "link_slow", peer:? = known.peer; "{}", crate::Error::Slow);
+            self.links.remove(&link);
+        }
+    }
+
+    /// Notes that the table may have changed, and has the news sent soon.
+    pub(crate) fn stir(&mut self) {
+        if self.flushing || !self.table.has_fresh() {
+            return;
+        }
+        self.flushing = true;
+        self.changed = self.now();
+        let mailbox = self.mailbox.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(GATHER).await;
+            let _ = mailbox.send(Flush).await;
+        });
+    }
+
+    pub(crate) fn publish_view(&self, now: Moment) {
+        let me = self.settings.id.clone();
+        let members = self.table.members().cloned();
+        let view = View::new(me, members, self.regions.silent(now));
+        self.outputs.view.send_replace(Arc::new(view));
+    }
+
+    /// Makes a change of the holder visible, and says what the step means.
+    pub(crate) fn settle(&mut self, step: &Step, from: Option<&Name>) {
+        match step {
+            Step::Applied => {
+                let held = self.holder.held().cloned();
+                self.outputs.config.send_replace(held);
+                self.pull.succeeded();
+            }
+            Step::Conflict => {
+                self.outputs
+                    .alarms
+                    .conflicts
+                    .fetch_add(1, Ordering::Relaxed);
+                log::error!(event = "version_conflict", peer:? = from; "a version came with another digest; it is not applied: compare the history in the store");
+            }
+            Step::Bad(error) => {
+                self.outputs
+                    .alarms
+                    .malformed
+                    .fetch_add(1, Ordering::Relaxed);
+                log::error!(event = "configuration_refused", peer:? = from; "{error}");
+            }
+            Step::Old | Step::NeedWhole => {}
+        }
+    }
+}
+
+fn kind(frame: &Control) -> Kind {
+    match frame {
+        Control::News(_) => Kind::News,
+        Control::Members(_) => Kind::Members,
+        Control::Delta(_) => Kind::Delta,
+        Control::Snapshot(_) => Kind::Snapshot,
+        _ => Kind::Other,
+    }
+}
+
+/// What a received frame counts as.
+pub(crate) fn kind_of(frame: &Control) -> Kind {
+    kind(frame)
+}
+
+impl Actor for Mesh {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl Handler<Stop> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, _: Stop, context: &mut xtra::Context<Self>) {
+        context.stop_all();
+    }
+}
+
+impl Handler<Flush> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, _: Flush, _: &mut xtra::Context<Self>) {
+        self.flushing = false;
+        self.flush();
+    }
+}
+
+impl Handler<Tick> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut xtra::Context<Self>) {
+        let now = self.now();
+        let due = self.prober.tick(&mut self.table, now, &mut self.rng);
+        self.send_all(due);
+        self.keep_links(now);
+        self.ping_far(now);
+        self.keep_configuration(now);
+        self.keep_start(now);
+        self.stir();
+    }
+}
--- /dev/null
+++ b/crates/crank-mesh/src/codec.rs
@@ -0,0 +1,40 @@
+//! CBOR within bounds.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+
+/// Encodes a value, unless that takes more than `limit` bytes.
+pub(crate) fn encode(value: &impl Serialize, limit: usize) -> Result<Vec<u8>, Error> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).map_err(|error| Error::Malformed {
+        detail: error.to_string(),
+    })?;
+    checked(bytes.len(), limit)?;
+    Ok(bytes)
+}
+
+/// Decodes a value that takes all the bytes, which are `limit` at most.
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8], limit: usize) -> Result<T, Error> {
+    checked(bytes.len(), limit)?;
+    let mut rest = bytes;
+    let value = ciborium::from_reader(&mut rest).map_err(|error| Error::Malformed {
+        detail: error.to_string(),
+    })?;
+    if rest.is_empty() {
+        Ok(value)
+    } else {
+        Err(Error::Malformed {
+            detail: format!("{} bytes too many", rest.len()),
+        })
+    }
+}
+
+fn checked(bytes: usize, limit: usize) -> Result<(), Error> {
+    if bytes <= limit {
+        Ok(())
+    } else {
+        Err(Error::Oversized { bytes, limit })
+    }
+}
--- /dev/null
+++ b/crates/crank-mesh/src/handle.rs
@@ -0,0 +1,219 @@
+//! What the other parts of a node may ask of the mesh.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use crank_engine::spread::{Head, Step};
+use crank_protocol::Name;
+use crank_protocol::config::Snapshot;
+use crank_protocol::member::{Endpoint, Member, State};
+use crank_protocol::status::{Answer, Node};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, timeout_at};
+use xtra::Address;
+
+use crate::actor::{Announce, Ask, BeginAsking, EndAsking, HeadRead, Leave, Mesh, Offer, Seeds};
+use crate::{Error, Traffic, View};
+
+/// How long each of two rounds of questions waits for answers.
+const ASK_ROUND: Duration = Duration::from_millis(500);
+/// Questions sent at once; more would overrun the receive buffer with answers.
+const ASK_BURST: usize = 64;
+/// The pause between bursts of questions.
+const ASK_PAUSE: Duration = Duration::from_millis(5);
+/// How long the farewell may take to go out.
+const FAREWELL: Duration = Duration::from_millis(200);
+
+/// What a node says of itself when it is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Vitals {
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Requests that its backend server runs or that wait for it.
+    pub in_flight: u32,
+}
+
+/// Counts of what must not happen.
+#[derive(Debug, Default)]
+pub struct Alarms {
+    pub(crate) conflicts: AtomicU64,
+    pub(crate) malformed: AtomicU64,
+}
+
+impl Alarms {
+    /// How often another node claimed a held version's number for another content.
+    #[must_use]
+    pub fn conflicts(&self) -> u64 {
+        self.conflicts.load(Ordering::Relaxed)
+    }
+
+    /// How many datagrams, frames and configurations were malformed or oversized.
+    #[must_use]
+    pub fn malformed(&self) -> u64 {
+        self.malformed.load(Ordering::Relaxed)
+    }
+}
+
+/// The mesh as the other parts of the node use it.
+#[derive(Clone)]
+pub struct Handle {
+    pub(crate) mesh: Address<Mesh>,
+    pub(crate) address: SocketAddr,
+    pub(crate) view: watch::Receiver<Arc<View>>,
+    pub(crate) config: watch::Receiver<Option<Arc<Snapshot>>>,
+    pub(crate) ready: watch::Receiver<bool>,
+    pub(crate) vitals: Arc<watch::Sender<Vitals>>,
+    pub(crate) traffic: Arc<Traffic>,
+    pub(crate) alarms: Arc<Alarms>,
+}
+
+impl Handle {
+    /// The address that other nodes are told.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Every member as this node knows it.
+    #[must_use]
+    pub fn view(&self) -> watch::Receiver<Arc<View>> {
+        self.view.clone()
+    }
+
+    /// The configuration in force here.
+    #[must_use]
+    pub fn config(&self) -> watch::Receiver<Option<Arc<Snapshot>>> {
+        self.config.clone()
+    }
+
+    /// Whether this node may claim that its configuration is the fleet's.
+    #[must_use]
+    pub fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.clone()
+    }
+
+    /// Control bytes by kind.
+    #[must_use]
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
+    }
+
+    /// Counts of what must not happen.
+    #[must_use]
+    pub fn alarms(&self) -> &Arc<Alarms> {
+        &self.alarms
+    }
+
+    /// Sets what this node says of itself when it is asked.
+    pub fn set_vitals(&self, vitals: Vitals) {
+        self.vitals.send_replace(vitals);
+    }
+
+    /// Gives an accepted configuration, read from the store or just published.
+    ///
+    /// # Errors
+    /// [`Error::Stopped`] after [`Handle::leave`].
+    pub async fn offer(&self, snapshot: Snapshot) -> Result<Step, Error> {
+        let offer = Offer { snapshot };
+        self.mesh.send(offer).await.map_err(|_| Error::Stopped)
+    }
+
+    /// Tells what a reading of the head row said.
+    ///
+    /// # Errors
+    /// [`Error::Stopped`] after [`Handle::leave`].
+    pub async fn head(&self, head: Head) -> Result<(), Error> {
+        let read = HeadRead { head };
+        self.mesh.send(read).await.map_err(|_| Error::Stopped)
+    }
+
+    /// Tells all nodes about the backend server beside this one.
+    ///
+    /// # Errors
+    /// [`Error::Stopped`] after [`Handle::leave`].
+    pub async fn announce(&self, endpoint: Option<Endpoint>) -> Result<(), Error> {
+        let announce = Announce { endpoint };
+        self.mesh.send(announce).await.map_err(|_| Error::Stopped)
+    }
+
+    /// Replaces the nodes through which to join.
+    ///
+    /// # Errors
+    /// [`Error::Stopped`] after [`Handle::leave`].
+    pub async fn seeds(&self, seeds: Vec<SocketAddr>) -> Result<(), Error> {
+        let seeds = Seeds { seeds };
+        self.mesh.send(seeds).await.map_err(|_| Error::Stopped)
+    }
+
+    /// Asks every member how it is, this node included; takes about a second if any is silent.
+    ///
+    /// # Errors
+    /// [`Error::Stopped`] after [`Handle::leave`].
+    pub async fn nodes(&self) -> Result<Vec<Answer>, Error> {
+        let (sender, mut answers) = mpsc::channel(ASK_BURST);
+        let begun = self.mesh.send(BeginAsking { sender }).await;
+        let begun = begun.map_err(|_| Error::Stopped)?;
+        let asked = |member: &&Member| member.state != State::Left;
+        let mut missing: BTreeMap<Name, Member> = begun
+            .members
+            .iter()
+            .filter(asked)
+            .map(|member| (member.id.clone(), member.clone()))
+            .collect();
+        let mut told = Vec::new();
+        for _ in 0..2 {
+            self.ask(begun.number, &mut missing, &mut answers, &mut told)
+                .await?;
+        }
+        let number = begun.number;
+        let _ = self.mesh.send(EndAsking { number }).await;
+        told.extend(missing.into_values().map(Answer::Silent));
+        Ok(told)
+    }
+
+    async fn ask(
+        &self,
+        number: u64,
+        missing: &mut BTreeMap<Name, Member>,
+        answers: &mut mpsc::Receiver<Node>,
+        told: &mut Vec<Answer>,
+    ) -> Result<(), Error> {
+        let names: Vec<Name> = missing.keys().cloned().collect();
+        for burst in names.chunks(ASK_BURST) {
+            let names = burst.to_vec();
+            let ask = Ask { number, names };
+            self.mesh.send(ask).await.map_err(|_| Error::Stopped)?;
+            let pause = Instant::now() + ASK_PAUSE;
+            collect(pause, missing, answers, told).await;
+        }
+        collect(Instant::now() + ASK_ROUND, missing, answers, told).await;
+        Ok(())
+    }
+
+    /// Says goodbye to the other nodes and stops.
+    pub async fn leave(&self) {
+        if self.mesh.send(Leave).await.is_ok() {
+            tokio::time::sleep(FAREWELL).await;
+            let _ = self.mesh.send(crate::actor::Stop).await;
+        }
+    }
+}
+
+async fn collect(
+    until: Instant,
+    missing: &mut BTreeMap<Name, Member>,
+    answers: &mut mpsc::Receiver<Node>,
+    told: &mut Vec<Answer>,
+) {
+    while !missing.is_empty() {
+        let Ok(Some(node)) = timeout_at(until, answers.recv()).await else {
+            return;
+        };
+        if missing.remove(&node.member.id).is_some() {
+            told.push(Answer::Node(node));
+        }
+    }
+}
--- a/crates/crank-mesh/src/lib.rs
+++ b/crates/crank-mesh/src/lib.rs
@@ -1,1 +1,51 @@
 //! Other nodes: probes over UDP, control and call connections over WebSocket.
+//!
+//! [`start`] makes a process a member of the mesh. Membership and the configuration in force live
+//! in one actor, which is fed datagrams, frames and ticks, and carries out what `crank_engine`
+//! decides. One address takes it all: datagrams, and connections whose path is `/control` or
+//! `/call`; the latter are passed on.
+
+mod actor;
+mod codec;
+mod error;
+mod handle;
+mod link;
+mod listen;
+mod settings;
+mod traffic;
+mod view;
+
+pub use crank_engine::spread::{Head, Step};
+pub use error::Error;
+pub use handle::{Alarms, Handle, Vitals};
+pub use listen::{CALL_PATH, CONTROL_PATH, Socket};
+pub use settings::{Cut, Settings};
+pub use traffic::{Direction, Kind, Reach, Traffic, Usage};
+pub use view::View;
+
+use tokio::sync::mpsc;
+
+/// Joins the mesh, and passes the call connections that other nodes open into `calls`.
+///
+/// # Errors
+/// [`Error::Bind`] if the address cannot be taken.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// use crank_mesh::{Settings, start};
+/// use crank_protocol::{Name, member::Place};
+/// let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+/// let listen = "127.0.0.1:0".parse()?;
+/// let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+/// let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+/// let mesh = start(settings, calls).await?;
+/// assert_eq!(mesh.view().borrow().members().count(), 1);
+/// mesh.leave().await;
+/// # Ok(())
+/// # }
+/// ```
+pub async fn start(settings: Settings, calls: mpsc::Sender<Socket>) -> Result<Handle, Error> {
+    let listener = listen::bind(settings.listen).await?;
+    Ok(actor::spawn(settings, listener, calls))
+}
--- /dev/null
+++ b/crates/crank-mesh/src/settings.rs
@@ -0,0 +1,99 @@
+//! What a node must be told before it can join.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crank_protocol::Name;
+use crank_protocol::member::Place;
+use parking_lot::RwLock;
+
+/// What a node must be told before it can join.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The client account.
+    pub account: Name,
+    /// The node's name; a restarted node takes it over.
+    pub id: Name,
+    /// Where it stands.
+    pub place: Place,
+    /// Where it listens, UDP and TCP; other nodes are told the address that this becomes.
+    pub listen: SocketAddr,
+    /// Nodes through which it joins.
+    pub seeds: Vec<SocketAddr>,
+    /// Addresses that tests cut off.
+    pub cut: Cut,
+    /// The seed of its random choices; drawn where absent.
+    pub random: Option<u64>,
+}
+
+impl Settings {
+    /// Settings of a node without seeds.
+    ///
+    /// ```
+    /// use crank_mesh::Settings;
+    /// use crank_protocol::{Name, member::Place};
+    /// let place = Place { region: Name::new("almaty")?, data_centre: Name::new("almaty-1")? };
+    /// let listen = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    /// let settings = Settings::new(Name::new("sutkent")?, Name::new("node-1")?, place, listen);
+    /// assert!(settings.seeds.is_empty());
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    #[must_use]
+    pub fn new(account: Name, id: Name, place: Place, listen: SocketAddr) -> Self {
+        Self {
+            account,
+            id,
+            place,
+            listen,
+            seeds: Vec::new(),
+            cut: Cut::default(),
+            random: None,
+        }
+    }
+
+    /// The same with nodes through which to join.
+    #[must_use]
+    pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
+    /// The same with a switch by which tests cut addresses off.
+    #[must_use]
+    pub fn with_cut(mut self, cut: Cut) -> Self {
+        self.cut = cut;
+        self
+    }
+
+    /// The same with a fixed seed of random choices.
+    #[must_use]
+    pub fn with_random(mut self, random: u64) -> Self {
+        self.random = Some(random);
+        self
+    }
+}
+
+/// Addresses to and from which nothing passes; tests change it while the node runs.
+#[derive(Debug, Clone, Default)]
+pub struct Cut(Arc<RwLock<BTreeSet<SocketAddr>>>);
+
+impl Cut {
+    /// Cuts off these addresses and no others.
+    ///
+    /// ```
+    /// let cut = crank_mesh::Cut::default();
+    /// let address = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    /// cut.set([address]);
+    /// assert!(cut.holds(address));
+    /// ```
+    pub fn set(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        *self.0.write() = addresses.into_iter().collect();
+    }
+
+    /// Whether an address is cut off.
+    #[must_use]
+    pub fn holds(&self, address: SocketAddr) -> bool {
+        self.0.read().contains(&address)
+    }
+}
--- /dev/null
+++ b/crates/crank-mesh/tests/convergence.rs
@@ -0,0 +1,53 @@
+//! A fleet finds together, and a configuration reaches all of it.
+
+mod support;
+
+use crank_mesh::{Head, Step};
+use crank_protocol::member::{Endpoint, Stage};
+use crank_protocol::status::Answer;
+use support::{fleet, knows, name, snapshot, until, version};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_version_reaches_every_node_of_two_regions() {
+    let nodes = fleet(24, 2).await;
+    until("full tables", || nodes.iter().all(|node| knows(node, 24))).await;
+    for number in 1..=3 {
+        let step = nodes[5].mesh.offer(snapshot(number)).await.unwrap();
+        assert_eq!(step, Step::Applied);
+        let in_force = || nodes.iter().all(|node| version(node) == Some(number));
+        until("the version everywhere", in_force).await;
+    }
+    let head = Head::At(snapshot(3).stamp);
+    nodes[7].mesh.head(head).await.unwrap();
+    let ready = nodes[7].mesh.ready();
+    until("ready", || *ready.borrow()).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stage_reaches_every_node_and_every_node_answers() {
+    let nodes = fleet(12, 2).await;
+    until("full tables", || nodes.iter().all(|node| knows(node, 12))).await;
+    for stage in [Stage::Ready, Stage::Draining, Stage::Gone] {
+        let endpoint = Endpoint {
+            service: name("recipes"),
+            stage,
+            slots: 6,
+        };
+        let announced = Some(endpoint);
+        nodes[0].mesh.announce(announced.clone()).await.unwrap();
+        let id = &nodes[0].settings.id;
+        let spread = || {
+            nodes.iter().all(|node| {
+                let view = node.mesh.view().borrow().clone();
+                view.get(id)
+                    .is_some_and(|member| member.endpoint == announced)
+            })
+        };
+        until("the stage everywhere", spread).await;
+    }
+    let answers = nodes[3].mesh.nodes().await.unwrap();
+    let answered = answers
+        .iter()
+        .filter(|answer| matches!(answer, Answer::Node(_)));
+    assert_eq!(answered.count(), 12);
+}
--- a/crates/crank-protocol/src/error.rs
+++ b/crates/crank-protocol/src/error.rs
@@ -19,4 +19,10 @@
         /// What was given.
         given: String,
     },
+    /// A member in a short encoding does not make sense.
+    #[error("a member in a datagram or frame is malformed: run the same release on all nodes")]
+    BadMember,
+    /// A probe in a short encoding does not make sense.
+    #[error("a probe in a datagram is malformed: run the same release on all nodes")]
+    BadProbe,
 }
--- a/crates/crank-protocol/src/lib.rs
+++ b/crates/crank-protocol/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod status;
 pub mod wire;
 
+mod compact;
 mod error;
 mod name;
 mod unit;
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -6,7 +6,7 @@
 use crate::call::{AnswerHead, Head, Load, Refusal};
 use crate::config::{Delta, Snapshot, Stamp};
 use crate::member::Member;
-use crate::{Millis, Name};
+use crate::{Millis, Name, compact};
 
 /// The version of the protocol between nodes.
 pub const PROTOCOL: u16 = 1;
@@ -19,18 +19,34 @@
 
 /// A probe over UDP, with gossip.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "compact::Datagram", into = "compact::Datagram")]
 pub struct Datagram {
+    /// A short hash of the client account; nodes of different accounts do not talk.
+    pub account: u32,
     /// The sender.
     pub from: Name,
     /// The configuration that the sender holds.
     pub stamp: Option<Stamp>,
+    /// A hash of the members that the sender believes to be there.
+    pub table: u64,
+    /// How long ago the other regions were heard, as far as the sender knows.
+    pub regions: Vec<Age>,
     /// What it asks or answers.
     pub probe: Probe,
     /// News of members.
     pub gossip: Vec<Member>,
 }
 
+/// How long ago a region was heard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Age {
+    /// The region.
+    pub region: Name,
+    /// The time since then.
+    pub age: Millis,
+}
+
 /// The probe in a datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -52,8 +68,29 @@
         /// The node to ask.
         target: Name,
     },
+    /// How are you?
+    Ask {
+        /// Ties the answer to the question.
+        number: u64,
+    },
+    /// This is how I am; the datagram's stamp is the configuration in force.
+    Told {
+        /// The number of the question.
+        number: u64,
+        /// Whether the sender may claim that its configuration is the fleet's.
+        current: bool,
+        /// Whether it takes requests.
+        ready: bool,
+        /// Requests that its backend server runs or that wait for it.
+        in_flight: u32,
+    },
 }
 
+/// Members in a short encoding.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "Vec<compact::Member>", into = "Vec<compact::Member>")]
+pub struct Members(pub Vec<Member>);
+
 /// The first frame on each connection between nodes, from both sides.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -83,7 +120,11 @@
     /// Give me your members.
     WantMembers,
     /// My members.
-    Members(Vec<Member>),
+    Members(Members),
+    /// News of members.
+    News(Members),
+    /// Give me what changed since this configuration.
+    WantSince(Stamp),
     /// Not now; come back later.
     Busy {
         /// When to come back.
