--- a/crates/crank-load/src/fleet/start.rs
+++ b/crates/crank-load/src/fleet/start.rs
@@ -169,8 +169,8 @@
         let region = &self.layout.store_region;
         let account = &self.layout.account;
         format!(
-            "[platform]\nobjects = {url}\ntable = {url}\nbucket = crank\ntable_name = crank\n\
-             region = {region}\naccount = {account}\n"
+            "[account]\nname = {account}\n[platform]\nobjects = {url}\ntable = {url}\n\
+             bucket = crank\ntable_name = crank\nregion = {region}\n"
         )
     }
 
--- a/crates/crank-platform-client/src/lib.rs
+++ b/crates/crank-platform-client/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod error;
 mod platform;
+mod settings;
 mod value;
 
 pub use error::Error;
 pub use platform::Platform;
+pub use settings::Settings;
 pub use value::{Condition, Etag, Key, Listing, Object, Row, RowCondition, RowWrite, Value};
