--- a/crates/crank-platform-client/src/settings.rs
+++ b/crates/crank-platform-client/src/settings.rs
@@ -94,20 +94,17 @@
     if !faults.is_empty() {
         return Err(faults);
     }
-    match (objects, table, bucket, table_name, region) {
-        (Some(objects), Some(table), Some(bucket), Some(table_name), Some(region)) => {
-            let account = region.clone();
-            Ok(Settings {
-                account,
-                objects,
-                table,
-                bucket,
-                table_name,
-                region,
-            })
-        }
-        _ => Err(faults),
-    }
+    let settings = || {
+        Some(Settings {
+            account: account?,
+            objects: objects?,
+            table: table?,
+            bucket: bucket?,
+            table_name: table_name?,
+            region: region?,
+        })
+    };
+    settings().ok_or(faults)
 }
 
 fn url(text: &str) -> Result<Arc<str>, Problem> {
