--- a/crates/crank-platform-client/src/settings.rs
+++ b/crates/crank-platform-client/src/settings.rs
@@ -3,9 +3,14 @@
 use std::sync::Arc;
 
 use crank_engine::ini::{Document, Fault, Problem, Reader, Section, value};
-use crank_protocol::Name;
+use crank_protocol::{Millis, Name};
+
+use crate::Access;
 
 const URL: &str = "an address such as http://127.0.0.1:9000";
+const NO_KEY: &str = "none";
+const DEFAULT_TIMEOUT: Millis = Millis(2_000);
+const LONGEST_TIMEOUT_MS: u64 = 60_000;
 const REQUIRED_URL: &str = "the URL of the service";
 const REQUIRED_NAME: &str = "a name";
 
@@ -24,6 +29,12 @@
     pub table_name: Name,
     /// The region in which the store stands.
     pub region: Name,
+    /// The access key.
+    pub access_key: Arc<str>,
+    /// Its secret.
+    pub secret_key: Arc<str>,
+    /// The longest that one request to the store may take.
+    pub timeout: Millis,
 }
 
 impl Settings {
@@ -59,6 +70,31 @@
             }
         }
     }
+
+    /// What a client needs to reach the store.
+    ///
+    /// ```
+    /// # use crank_engine::ini::Document;
+    /// # use crank_platform_client::Settings;
+    /// # let text = b"[account]\nname = sutkent\n[platform]\nobjects = http://127.0.0.1:1\n\
+    /// #     table = http://127.0.0.1:1\nbucket = crank\ntable_name = crank\nregion = almaty\n";
+    /// # let document = Document::read("store.ini".into(), text).unwrap();
+    /// # let settings = Settings::read("store.ini", &document).unwrap();
+    /// assert_eq!(&*settings.access().bucket, "crank");
+    /// ```
+    #[must_use]
+    pub fn access(&self) -> Access {
+        Access {
+            objects: self.objects.clone(),
+            rows: self.table.clone(),
+            region: self.region.clone().into(),
+            bucket: self.bucket.clone().into(),
+            table: self.table_name.clone().into(),
+            access_key: self.access_key.clone(),
+            secret_key: self.secret_key.clone(),
+            timeout: self.timeout,
+        }
+    }
 }
 
 fn section<T>(
@@ -90,6 +126,11 @@
     let bucket = reader.required("bucket", REQUIRED_NAME, value::name);
     let table_name = reader.required("table_name", REQUIRED_NAME, value::name);
     let region = reader.required("region", REQUIRED_NAME, value::name);
+    let access_key = reader.optional("access_key", text);
+    let secret_key = reader.optional("secret_key", text);
+    let timeout = reader.optional("timeout", |text| {
+        value::duration(text, 1, LONGEST_TIMEOUT_MS)
+    });
     let faults = reader.finish();
     if !faults.is_empty() {
         return Err(faults);
@@ -102,11 +143,18 @@
             bucket: bucket?,
             table_name: table_name?,
             region: region?,
+            access_key: access_key.unwrap_or_else(|| Arc::from(NO_KEY)),
+            secret_key: secret_key.unwrap_or_else(|| Arc::from(NO_KEY)),
+            timeout: timeout.unwrap_or(DEFAULT_TIMEOUT),
         })
     };
     settings().ok_or(faults)
 }
 
+fn text(text: &str) -> Result<Arc<str>, Problem> {
+    Ok(text.into())
+}
+
 fn url(text: &str) -> Result<Arc<str>, Problem> {
     let rest = text
         .strip_prefix("http://")
