--- a/crates/crank-engine/src/retry.rs
+++ b/crates/crank-engine/src/retry.rs
@@ -1,1 +1,196 @@
 //! What may be tried again: outcome, budget, deadline and depth.
+
+use crank_protocol::Permille;
+use crank_protocol::call::{Load, Outcome, Refusal, Refused};
+use serde::{Deserialize, Serialize};
+
+use crate::Moment;
+
+/// The most attempts of one request, the first included.
+pub const MOST_ATTEMPTS: u32 = 4;
+/// Retries that a budget holds when it is full.
+pub const FULL_BUDGET_RETRIES: u64 = 10;
+
+const TOKENS_PER_RETRY: u64 = 1_000;
+
+/// What is certain about a request that got this refusal and no more.
+///
+/// ```
+/// use crank_engine::retry;
+/// use crank_protocol::call::{Outcome, Refusal};
+/// assert_eq!(retry::outcome(&Refusal::Leaving), Outcome::NotRun);
+/// assert_eq!(retry::outcome(&Refusal::Lost), Outcome::Unknown);
+/// ```
+#[must_use]
+pub fn outcome(refusal: &Refusal) -> Outcome {
+    match refusal {
+        Refusal::NotReady
+        | Refusal::NoRoute
+        | Refusal::BadRequest { .. }
+        | Refusal::NoServer
+        | Refusal::Leaving
+        | Refusal::Overloaded { .. }
+        | Refusal::TooLate
+        | Refusal::StoreDown
+        | Refusal::KeyMismatch
+        | Refusal::NotSent => Outcome::NotRun,
+        Refusal::KeyInUse | Refusal::Lost | Refusal::TimedOut | Refusal::Cancelled => {
+            Outcome::Unknown
+        }
+        Refusal::Cut => Outcome::Ran,
+    }
+}
+
+/// A refusal with what is certain about its request.
+///
+/// ```
+/// use crank_engine::retry;
+/// use crank_protocol::call::{Outcome, Refusal};
+/// assert_eq!(retry::refused(Refusal::NoServer, None).outcome, Outcome::NotRun);
+/// ```
+#[must_use]
+pub fn refused(refusal: Refusal, load: Option<Load>) -> Refused {
+    Refused {
+        outcome: outcome(&refusal),
+        refusal,
+        load,
+    }
+}
+
+/// Bounds the retries of a service to a share of its requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    share: Permille,
+    tokens: u64,
+}
+
+impl Budget {
+    /// A full budget that allows this share of retries.
+    ///
+    /// ```
+    /// use crank_engine::retry::{Budget, FULL_BUDGET_RETRIES};
+    /// use crank_protocol::Permille;
+    /// let mut budget = Budget::new(Permille(100));
+    /// assert_eq!((0..100).filter(|_| budget.spend()).count() as u64, FULL_BUDGET_RETRIES);
+    /// ```
+    #[must_use]
+    pub fn new(share: Permille) -> Self {
+        let tokens = if share.0 == 0 {
+            0
+        } else {
+            FULL_BUDGET_RETRIES * TOKENS_PER_RETRY
+        };
+        Self { share, tokens }
+    }
+
+    /// Takes another share from now on.
+    ///
+    /// ```
+    /// # use crank_engine::retry::Budget;
+    /// # use crank_protocol::Permille;
+    /// let mut budget = Budget::new(Permille(100));
+    /// budget.set_share(Permille(0));
+    /// assert!(!budget.spend());
+    /// ```
+    pub fn set_share(&mut self, share: Permille) {
+        if share.0 == 0 {
+            self.tokens = 0;
+        }
+        self.share = share;
+    }
+
+    /// Counts a request, which earns its share of a retry.
+    ///
+    /// ```
+    /// # use crank_engine::retry::Budget;
+    /// # use crank_protocol::Permille;
+    /// let mut budget = Budget::new(Permille(500));
+    /// while budget.spend() {}
+    /// budget.earn();
+    /// budget.earn();
+    /// assert!(budget.spend());
+    /// assert!(!budget.spend());
+    /// ```
+    pub fn earn(&mut self) {
+        let earned = self.tokens.saturating_add(u64::from(self.share.0));
+        self.tokens = earned.min(FULL_BUDGET_RETRIES * TOKENS_PER_RETRY);
+    }
+
+    /// Pays for a retry, if there is enough left.
+    ///
+    /// ```
+    /// # use crank_engine::retry::Budget;
+    /// # use crank_protocol::Permille;
+    /// assert!(!Budget::new(Permille(0)).spend());
+    /// ```
+    pub fn spend(&mut self) -> bool {
+        match self.tokens.checked_sub(TOKENS_PER_RETRY) {
+            Some(left) => {
+                self.tokens = left;
+                true
+            }
+            None => false,
+        }
+    }
+}
+
+/// What is known of a request when one of its attempts was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Attempt {
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+    /// The layer of the call chain; only layer zero retries.
+    pub depth: u32,
+    /// Attempts made so far.
+    pub made: u32,
+    /// When its time is over.
+    pub deadline: Moment,
+}
+
+/// Whether a refused request is tried again; pays for the retry where it is.
+///
+/// A request that may have run is tried again only where running it twice does no harm. A refusal
+/// that another target would repeat is final.
+///
+/// ```
+/// use crank_engine::{Moment, retry};
+/// use crank_protocol::{Permille, call::Refusal};
+/// let mut budget = retry::Budget::new(Permille(100));
+/// let order = retry::Attempt { idempotent: false, depth: 0, made: 1, deadline: Moment(900) };
+/// assert!(retry::again(Moment(0), order, &Refusal::Leaving, &mut budget));
+/// assert!(!retry::again(Moment(0), order, &Refusal::Lost, &mut budget));
+/// ```
+pub fn again(now: Moment, attempt: Attempt, refusal: &Refusal, budget: &mut Budget) -> bool {
+    let safe = match outcome(refusal) {
+        Outcome::NotRun => true,
+        Outcome::Unknown => attempt.idempotent,
+        Outcome::Ran => false,
+    };
+    safe && another_may_differ(refusal)
+        && attempt.depth == 0
+        && attempt.made < MOST_ATTEMPTS
+        && now < attempt.deadline
+        && budget.spend()
+}
+
+fn another_may_differ(refusal: &Refusal) -> bool {
+    match refusal {
+        Refusal::NotReady
+        | Refusal::Leaving
+        | Refusal::Overloaded { .. }
+        | Refusal::StoreDown
+        | Refusal::NotSent
+        | Refusal::Lost => true,
+        Refusal::NoRoute
+        | Refusal::BadRequest { .. }
+        | Refusal::NoServer
+        | Refusal::TooLate
+        | Refusal::KeyInUse
+        | Refusal::KeyMismatch
+        | Refusal::TimedOut
+        | Refusal::Cut
+        | Refusal::Cancelled => false,
+    }
+}
