Bounded limits with importance, admission at the target, drain

One Limit serves both the entry's bulkhead and the target's admission. A queue gives up its least important waiter when it is full, refuses what cannot meet its deadline at the mean service time, and lets what waits finish when the node leaves; a backend server that leaves gets none of it.

--- a/crates/crank-engine/src/drain.rs
+++ b/crates/crank-engine/src/drain.rs
@@ -1,1 +1,178 @@
 //! Leaving: what a draining node or backend server may still take.
+
+use crank_protocol::Millis;
+use crank_protocol::call::Refusal;
+use crank_protocol::member::Stage;
+use serde::{Deserialize, Serialize};
+
+use crate::Moment;
+
+/// How far a leaving node or backend server has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Progress {
+    /// It does not leave.
+    Serving,
+    /// It finishes its work.
+    Draining {
+        /// Requests that run or wait.
+        in_flight: u32,
+        /// What is left of its grace.
+        left: Millis,
+    },
+    /// It has finished its work and may go.
+    Drained,
+    /// Work has outlasted its grace and must be reported.
+    Overdue {
+        /// Requests that run or wait.
+        in_flight: u32,
+        /// How long the grace has been over.
+        by: Millis,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Leaving {
+    since: Moment,
+    grace: Millis,
+}
+
+/// Whether a node and the backend server beside it take work.
+///
+/// ```
+/// use crank_engine::Moment;
+/// use crank_engine::drain::{Drain, Progress};
+/// use crank_protocol::{Millis, call::Refusal, member::Stage};
+/// let mut drain = Drain::new();
+/// drain.announce(Moment(0), Stage::Ready, Millis(100));
+/// assert_eq!(drain.admit(), Ok(()));
+/// drain.leave(Moment(0), Millis(100));
+/// assert_eq!(drain.admit(), Err(Refusal::Leaving));
+/// assert_eq!(drain.progress(Moment(0), 0), Progress::Drained);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Drain {
+    node: Option<Leaving>,
+    server: Option<Leaving>,
+    stage: Stage,
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Drain {
+    /// A node whose backend server has not announced itself.
+    ///
+    /// ```
+    /// use crank_engine::drain::Drain;
+    /// assert!(Drain::new().admit().is_err());
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            node: None,
+            server: None,
+            stage: Stage::Gone,
+        }
+    }
+
+    /// The node begins to leave; a second call changes nothing.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::drain::{Drain, Progress};
+    /// # use crank_protocol::Millis;
+    /// let mut drain = Drain::new();
+    /// drain.leave(Moment(0), Millis(5));
+    /// drain.leave(Moment(4_000), Millis(5));
+    /// let overdue = Progress::Overdue { in_flight: 1, by: Millis(1) };
+    /// assert_eq!(drain.progress(Moment(6_000), 1), overdue);
+    /// ```
+    pub fn leave(&mut self, now: Moment, grace: Millis) {
+        self.node.get_or_insert(Leaving { since: now, grace });
+    }
+
+    /// The backend server announces its stage of life.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::drain::Drain;
+    /// # use crank_protocol::{Millis, member::Stage};
+    /// let mut drain = Drain::new();
+    /// drain.announce(Moment(0), Stage::Ready, Millis(5));
+    /// assert!(drain.server_takes_work());
+    /// ```
+    pub fn announce(&mut self, now: Moment, stage: Stage, grace: Millis) {
+        match stage {
+            Stage::Draining => {
+                self.server.get_or_insert(Leaving { since: now, grace });
+            }
+            Stage::Starting | Stage::Ready | Stage::Gone => self.server = None,
+        }
+        self.stage = stage;
+    }
+
+    /// Whether new work is taken.
+    ///
+    /// # Errors
+    /// [`Refusal::Leaving`] where it is not.
+    ///
+    /// ```
+    /// # use crank_engine::drain::Drain;
+    /// # use crank_protocol::call::Refusal;
+    /// assert_eq!(Drain::new().admit(), Err(Refusal::Leaving));
+    /// ```
+    pub fn admit(&self) -> Result<(), Refusal> {
+        if self.node.is_none() && self.server_takes_work() {
+            Ok(())
+        } else {
+            Err(Refusal::Leaving)
+        }
+    }
+
+    /// Whether work that waits at the node may still be given to the backend server.
+    ///
+    /// ```
+    /// # use crank_engine::drain::Drain;
+    /// assert!(!Drain::new().server_takes_work());
+    /// ```
+    #[must_use]
+    pub fn server_takes_work(&self) -> bool {
+        self.stage == Stage::Ready
+    }
+
+    /// How far the leaving has come, given the requests that run or wait.
+    ///
+    /// Where node and backend server both leave, the longer grace holds.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::drain::{Drain, Progress};
+    /// assert_eq!(Drain::new().progress(Moment(0), 0), Progress::Serving);
+    /// ```
+    #[must_use]
+    pub fn progress(&self, now: Moment, in_flight: u32) -> Progress {
+        let ends = [self.node, self.server]
+            .into_iter()
+            .flatten()
+            .map(|leaving| leaving.since.after(leaving.grace))
+            .max();
+        match ends {
+            None => Progress::Serving,
+            Some(_) if in_flight == 0 => Progress::Drained,
+            Some(end) if now < end => Progress::Draining {
+                in_flight,
+                left: end.since(now),
+            },
+            Some(end) => Progress::Overdue {
+                in_flight,
+                by: now.since(end),
+            },
+        }
+    }
+}
--- a/crates/crank-engine/src/limit.rs
+++ b/crates/crank-engine/src/limit.rs
@@ -1,1 +1,319 @@
-//! Concurrency limits and bounded queues of each service at the entry.
+//! Concurrency limits with a bounded queue, as used for each service at the entry and for each
+//! backend server at its node.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use crank_protocol::Millis;
+use crank_protocol::call::Refusal;
+use crank_protocol::config::Importance;
+use serde::{Deserialize, Serialize};
+
+use crate::Moment;
+
+/// The shortest time after which a refused request is told to try again.
+pub const SHORTEST_RETRY_AFTER: Millis = Millis(10);
+/// The longest time after which a refused request is told to try again.
+pub const LONGEST_RETRY_AFTER: Millis = Millis(5_000);
+
+const MICROS_PER_MILLI: u64 = 1_000;
+/// The weight of a new service time in the running mean is one in this many.
+const MEAN_WEIGHT: u64 = 8;
+
+/// A request that asks for a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ticket {
+    /// Its number; requests of equal importance run in the order of their numbers.
+    pub id: u64,
+    /// What is given up first when there is not room for all.
+    pub importance: Importance,
+    /// When its time is over.
+    pub deadline: Moment,
+}
+
+/// What becomes of a ticket.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Step {
+    /// It runs from now on.
+    Run {
+        /// The ticket's number.
+        id: u64,
+    },
+    /// It was not run and will not be.
+    Refuse {
+        /// The ticket's number.
+        id: u64,
+        /// Why.
+        refusal: Refusal,
+    },
+}
+
+/// How much may run and wait at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Size {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Requests that wait at once.
+    pub queue: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Rank {
+    importance: Reverse<Importance>,
+    id: u64,
+}
+
+/// Requests that run and requests that wait, both bounded.
+///
+/// A request waits only while it can still meet its deadline, and gives up its place to a more
+/// important one when the queue is full. A ticket that waits gets no step until its turn comes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limit {
+    size: Size,
+    running: BTreeMap<u64, Moment>,
+    waiting: BTreeMap<Rank, Moment>,
+    mean_micros: u64,
+}
+
+impl Limit {
+    /// An empty limit.
+    ///
+    /// ```
+    /// use crank_engine::Moment;
+    /// use crank_engine::limit::{Limit, Size, Step, Ticket};
+    /// let mut limit = Limit::new(Size { slots: 1, queue: 1 });
+    /// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000) };
+    /// assert_eq!(limit.enter(Moment(0), ticket(1)), [Step::Run { id: 1 }]);
+    /// assert_eq!(limit.enter(Moment(0), ticket(2)), []);
+    /// assert!(matches!(limit.enter(Moment(0), ticket(3))[..], [Step::Refuse { id: 3, .. }]));
+    /// assert_eq!(limit.leave(Moment(1), 1), [Step::Run { id: 2 }]);
+    /// ```
+    #[must_use]
+    pub fn new(size: Size) -> Self {
+        Self {
+            size,
+            running: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            mean_micros: 0,
+        }
+    }
+
+    /// Takes another size; what runs and waits stays, and a larger size lets waiting ones run.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::limit::{Limit, Size, Step, Ticket};
+    /// # let mut limit = Limit::new(Size { slots: 0, queue: 1 });
+    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000) };
+    /// assert_eq!(limit.enter(Moment(0), ticket), []);
+    /// assert_eq!(limit.resize(Moment(0), Size { slots: 1, queue: 1 }), [Step::Run { id: 1 }]);
+    /// ```
+    pub fn resize(&mut self, now: Moment, size: Size) -> Vec<Step> {
+        self.size = size;
+        self.fill(now)
+    }
+
+    /// A request asks for a place: it runs, waits, or is refused.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::limit::{Limit, Size, Step, Ticket};
+    /// # use crank_protocol::call::Refusal;
+    /// let mut limit = Limit::new(Size { slots: 1, queue: 1 });
+    /// let late = Ticket { id: 1, importance: Default::default(), deadline: Moment(5) };
+    /// let refused = Step::Refuse { id: 1, refusal: Refusal::TooLate };
+    /// assert_eq!(limit.enter(Moment(5), late), [refused]);
+    /// ```
+    pub fn enter(&mut self, now: Moment, ticket: Ticket) -> Vec<Step> {
+        if ticket.deadline <= now {
+            return vec![refuse(ticket.id, Refusal::TooLate)];
+        }
+        if self.has_free_slot() && self.waiting.is_empty() {
+            self.running.insert(ticket.id, now);
+            return vec![Step::Run { id: ticket.id }];
+        }
+        if self.expected_end(now, &ticket) > ticket.deadline {
+            return vec![refuse(ticket.id, self.overloaded())];
+        }
+        self.wait(ticket)
+    }
+
+    fn wait(&mut self, ticket: Ticket) -> Vec<Step> {
+        let mut steps = Vec::new();
+        if self.waiting.len() >= self.size.queue as usize {
+            match self.least_important() {
+                Some(least) if least.importance.0 < ticket.importance => {
+                    self.waiting.remove(&least);
+                    steps.push(refuse(least.id, self.overloaded()));
+                }
+                Some(_) | None => return vec![refuse(ticket.id, self.overloaded())],
+            }
+        }
+        self.waiting.insert(rank(&ticket), ticket.deadline);
+        steps
+    }
+
+    /// A running request has ended; the next ones may run.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::limit::{Limit, Size};
+    /// let mut limit = Limit::new(Size { slots: 1, queue: 1 });
+    /// assert_eq!(limit.leave(Moment(1), 99), []);
+    /// ```
+    pub fn leave(&mut self, now: Moment, id: u64) -> Vec<Step> {
+        if let Some(began) = self.running.remove(&id) {
+            self.learn(now.0.saturating_sub(began.0));
+        }
+        self.fill(now)
+    }
+
+    /// Nobody waits for this request any more; it leaves the queue or its slot.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::limit::{Limit, Size, Ticket};
+    /// let mut limit = Limit::new(Size { slots: 0, queue: 1 });
+    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000) };
+    /// limit.enter(Moment(0), ticket);
+    /// limit.cancel(Moment(1), 1);
+    /// assert_eq!(limit.waiting(), 0);
+    /// ```
+    pub fn cancel(&mut self, now: Moment, id: u64) -> Vec<Step> {
+        self.waiting.retain(|rank, _| rank.id != id);
+        self.running.remove(&id);
+        self.fill(now)
+    }
+
+    /// Refuses everything that waits.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::limit::{Limit, Size, Ticket};
+    /// # use crank_protocol::call::Refusal;
+    /// let mut limit = Limit::new(Size { slots: 0, queue: 1 });
+    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000) };
+    /// limit.enter(Moment(0), ticket);
+    /// assert_eq!(limit.clear(&Refusal::Leaving).len(), 1);
+    /// ```
+    pub fn clear(&mut self, refusal: &Refusal) -> Vec<Step> {
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting
+            .into_keys()
+            .map(|rank| refuse(rank.id, refusal.clone()))
+            .collect()
+    }
+
+    /// Requests that run now.
+    ///
+    /// ```
+    /// # use crank_engine::limit::{Limit, Size};
+    /// assert_eq!(Limit::new(Size { slots: 1, queue: 1 }).running(), 0);
+    /// ```
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        count(self.running.len())
+    }
+
+    /// Requests that wait now.
+    ///
+    /// ```
+    /// # use crank_engine::limit::{Limit, Size};
+    /// assert_eq!(Limit::new(Size { slots: 1, queue: 1 }).waiting(), 0);
+    /// ```
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        count(self.waiting.len())
+    }
+
+    /// How much may run and wait at once.
+    ///
+    /// ```
+    /// # use crank_engine::limit::{Limit, Size};
+    /// assert_eq!(Limit::new(Size { slots: 1, queue: 2 }).size().queue, 2);
+    /// ```
+    #[must_use]
+    pub fn size(&self) -> Size {
+        self.size
+    }
+
+    /// The refusal for a request that finds no room now.
+    ///
+    /// ```
+    /// # use crank_engine::limit::{Limit, SHORTEST_RETRY_AFTER, Size};
+    /// # use crank_protocol::call::Refusal;
+    /// let refusal = Limit::new(Size { slots: 1, queue: 1 }).overloaded();
+    /// assert_eq!(refusal, Refusal::Overloaded { retry_after: SHORTEST_RETRY_AFTER });
+    /// ```
+    #[must_use]
+    pub fn overloaded(&self) -> Refusal {
+        let micros = self.turn_micros(self.waiting.len() + 1);
+        let retry_after = Millis(micros / MICROS_PER_MILLI);
+        Refusal::Overloaded {
+            retry_after: retry_after.clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER),
+        }
+    }
+
+    fn fill(&mut self, now: Moment) -> Vec<Step> {
+        let mut steps = Vec::new();
+        while self.has_free_slot() {
+            let Some((rank, deadline)) = self.waiting.pop_first() else {
+                break;
+            };
+            if now.0.saturating_add(self.mean_micros) > deadline.0 || deadline <= now {
+                steps.push(refuse(rank.id, Refusal::TooLate));
+            } else {
+                self.running.insert(rank.id, now);
+                steps.push(Step::Run { id: rank.id });
+            }
+        }
+        steps
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.running.len() < self.size.slots as usize
+    }
+
+    fn least_important(&self) -> Option<Rank> {
+        self.waiting.last_key_value().map(|(rank, _)| *rank)
+    }
+
+    fn expected_end(&self, now: Moment, ticket: &Ticket) -> Moment {
+        let ahead = self.waiting.range(..rank(ticket)).count();
+        let wait = self.turn_micros(ahead + 1);
+        Moment(now.0.saturating_add(wait).saturating_add(self.mean_micros))
+    }
+
+    fn turn_micros(&self, turns: usize) -> u64 {
+        let slots = u64::from(self.size.slots.max(1));
+        self.mean_micros.saturating_mul(turns as u64) / slots
+    }
+
+    fn learn(&mut self, took_micros: u64) {
+        self.mean_micros = if self.mean_micros == 0 {
+            took_micros
+        } else {
+            (self.mean_micros * (MEAN_WEIGHT - 1) + took_micros) / MEAN_WEIGHT
+        };
+    }
+}
+
+fn rank(ticket: &Ticket) -> Rank {
+    Rank {
+        importance: Reverse(ticket.importance),
+        id: ticket.id,
+    }
+}
+
+fn refuse(id: u64, refusal: Refusal) -> Step {
+    Step::Refuse { id, refusal }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
