--- a/crates/crank-engine/src/admit.rs
+++ b/crates/crank-engine/src/admit.rs
@@ -69,7 +69,7 @@
         }
     }
 
-    /// A running request has ended.
+    /// A request has ended, or nobody waits for it any more.
     ///
     /// ```
     /// # use crank_engine::Moment;
@@ -82,19 +82,6 @@
         self.limit.leave(now, id)
     }
 
-    /// Nobody waits for this request any more.
-    ///
-    /// ```
-    /// # use crank_engine::Moment;
-    /// # use crank_engine::admit::Admission;
-    /// # use crank_engine::limit::Size;
-    /// let mut admission = Admission::new(Size { slots: 1, queue: 1 });
-    /// assert_eq!(admission.cancel(Moment(0), 1), []);
-    /// ```
-    pub fn cancel(&mut self, now: Moment, id: u64) -> Vec<Step> {
-        self.limit.cancel(now, id)
-    }
-
     /// Takes another size.
     ///
     /// ```
--- a/crates/crank-engine/src/balance.rs
+++ b/crates/crank-engine/src/balance.rs
@@ -1,1 +1,362 @@
 //! The choice of a target: load and distance, ejection, gentle start.
+
+mod eject;
+mod subset;
+mod target;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crank_protocol::call::Load;
+use crank_protocol::config::Service;
+use crank_protocol::member::{Member, Place, Stage, State};
+use crank_protocol::{Millis, Name};
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+
+use crate::Moment;
+use target::Target;
+
+pub use eject::{CONSECUTIVE_FAILURES, LONGEST_EJECTION, SHORTEST_EJECTION};
+pub use subset::{FEWEST_TARGETS, SPARE_TARGETS};
+
+/// The estimated use of a near target's slots from which farther ones are weighed too.
+pub const SPILL_AT: f64 = 1.0;
+
+/// How far a target is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Distance {
+    /// In the same data centre.
+    Near,
+    /// In another data centre of the same region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+const DISTANCES: [Distance; 3] = [Distance::Near, Distance::Region, Distance::Far];
+
+impl Distance {
+    /// How far one place is from another.
+    ///
+    /// ```
+    /// use crank_engine::balance::Distance;
+    /// use crank_protocol::{Name, member::Place};
+    /// let place = |region: &str, data_centre: &str| Place {
+    ///     region: Name::new(region).unwrap(),
+    ///     data_centre: Name::new(data_centre).unwrap(),
+    /// };
+    /// let here = place("bahia", "b1");
+    /// assert_eq!(Distance::between(&here, &place("bahia", "b2")), Distance::Region);
+    /// assert_eq!(Distance::between(&here, &place("maranhao", "m1")), Distance::Far);
+    /// ```
+    #[must_use]
+    pub fn between(one: &Place, other: &Place) -> Self {
+        if one.region != other.region {
+            Self::Far
+        } else if one.data_centre != other.data_centre {
+            Self::Region
+        } else {
+            Self::Near
+        }
+    }
+
+    /// What the way costs, as a share of a target's slots.
+    fn handicap(self) -> f64 {
+        match self {
+            Self::Near => 0.0,
+            Self::Region => 0.1,
+            Self::Far => 0.5,
+        }
+    }
+}
+
+/// A chosen target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Choice {
+    /// The target's node.
+    pub id: Name,
+    /// Where that node takes connections from other nodes.
+    pub address: SocketAddr,
+}
+
+/// How an attempt at a target ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// It answered.
+    Answered {
+        /// How long its answer took to begin, in microseconds.
+        micros: u64,
+    },
+    /// It refused for want of room.
+    Full,
+    /// It takes no new work.
+    Leaving,
+    /// It gave no answer in the time there was.
+    Slow {
+        /// How long it was waited for, in microseconds.
+        micros: u64,
+    },
+    /// It failed, or the way to it did.
+    Failed,
+    /// The attempt says nothing of the target.
+    Unrelated,
+}
+
+/// The targets of one service, as one node sees them.
+///
+/// The choice is between two drawn at random, by the load that their own answers told. Own data
+/// centre goes before region before far, as long as a nearer one has room.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    own: Name,
+    place: Place,
+    warm_up: Millis,
+    known: BTreeMap<Name, Target>,
+    subset: BTreeMap<Distance, Vec<Name>>,
+    seen_before: bool,
+}
+
+impl Pool {
+    /// A pool without targets, for the node of this name and place.
+    ///
+    /// ```
+    /// use crank_engine::{Moment, balance::Pool};
+    /// use crank_protocol::{Name, member::Place};
+    /// use rand::SeedableRng;
+    /// let name = |text: &str| Name::new(text).unwrap();
+    /// let place = Place { region: name("bahia"), data_centre: name("b1") };
+    /// let mut pool = Pool::new(name("n1"), place);
+    /// let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+    /// assert_eq!(pool.choose(Moment(0), &[], &mut rng), None);
+    /// ```
+    #[must_use]
+    pub fn new(own: Name, place: Place) -> Self {
+        Self {
+            own,
+            place,
+            warm_up: Millis(0),
+            known: BTreeMap::new(),
+            subset: BTreeMap::new(),
+            seen_before: false,
+        }
+    }
+
+    /// Takes the service's policy and the members as they are now.
+    ///
+    /// A target that stays keeps what was learnt of it. One that appears later than the first
+    /// members starts gently.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, balance::Pool};
+    /// # use crank_protocol::{Name, config::Service, member::Member};
+    /// fn refresh(pool: &mut Pool, now: Moment, name: &Name, service: &Service, all: &[Member]) {
+    ///     pool.update(now, name, service, all);
+    /// }
+    /// ```
+    pub fn update(&mut self, now: Moment, name: &Name, service: &Service, members: &[Member]) {
+        self.warm_up = service.warm_up;
+        let mut old = std::mem::take(&mut self.known);
+        let mut nodes = 0;
+        for member in members {
+            nodes += usize::from(is_up(member));
+            let Some(slots) = slots_of(member, name, service) else {
+                continue;
+            };
+            let distance = Distance::between(&self.place, &member.place);
+            let began = self.began(now);
+            let mut target = old
+                .remove(&member.id)
+                .unwrap_or_else(|| Target::new(member.address, distance, began));
+            target.refresh(member, distance, slots);
+            self.known.insert(member.id.clone(), target);
+        }
+        self.seen_before |= !self.known.is_empty();
+        self.subset = subset::pick(&self.own, nodes, service.connections, &self.known);
+    }
+
+    fn began(&self, now: Moment) -> Option<Moment> {
+        self.seen_before.then_some(now)
+    }
+
+    /// Chooses a target that was not tried yet, and counts the attempt as in flight until
+    /// [`Pool::finish`].
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, balance::{Choice, Pool}};
+    /// fn another(pool: &mut Pool, now: Moment, first: &Choice, rng: &mut impl rand::Rng) -> bool {
+    ///     pool.choose(now, &[first.id.clone()], rng).is_some()
+    /// }
+    /// ```
+    pub fn choose(&mut self, now: Moment, tried: &[Name], rng: &mut impl Rng) -> Option<Choice> {
+        let id = self
+            .weigh(now, tried, rng)
+            .or_else(|| self.last_resort(now, tried))?;
+        let target = self.known.get_mut(&id)?;
+        target.begin();
+        let address = target.address;
+        Some(Choice { id, address })
+    }
+
+    fn weigh(&self, now: Moment, tried: &[Name], rng: &mut impl Rng) -> Option<Name> {
+        let mut best: Option<Scored> = None;
+        for distance in DISTANCES {
+            let Some(found) = self.better_of_two(now, distance, tried, rng) else {
+                continue;
+            };
+            let found_is_better = best.as_ref().is_none_or(|best| found.score < best.score);
+            if found_is_better {
+                best = Some(found);
+            }
+            if best.as_ref().is_some_and(|best| best.score < SPILL_AT) {
+                break;
+            }
+        }
+        best.map(|best| best.id)
+    }
+
+    fn better_of_two(
+        &self,
+        now: Moment,
+        distance: Distance,
+        tried: &[Name],
+        rng: &mut impl Rng,
+    ) -> Option<Scored> {
+        let mut open: Vec<&Name> = self
+            .subset
+            .get(&distance)?
+            .iter()
+            .filter(|id| !tried.contains(id))
+            .filter(|id| {
+                self.known
+                    .get(*id)
+                    .is_some_and(|target| target.is_open(now))
+            })
+            .collect();
+        let first = self.draw(now, &mut open, rng)?;
+        let second = self.draw(now, &mut open, rng);
+        let scored = |id: &Name| self.score(now, distance, id);
+        let first = scored(first)?;
+        match second.and_then(scored) {
+            Some(second) if second.score < first.score => Some(second),
+            Some(_) | None => Some(first),
+        }
+    }
+
+    /// Draws one; a target that starts gently is passed over as long as it is cold.
+    fn draw<'a>(
+        &self,
+        now: Moment,
+        open: &mut Vec<&'a Name>,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Name> {
+        if open.is_empty() {
+            return None;
+        }
+        let mut index = rng.random_range(0..open.len());
+        if rng.random::<f64>() > self.warmth(now, open[index]) {
+            index = rng.random_range(0..open.len());
+        }
+        Some(open.swap_remove(index))
+    }
+
+    fn warmth(&self, now: Moment, id: &Name) -> f64 {
+        self.known
+            .get(id)
+            .map_or(0.0, |target| target.warmth(now, self.warm_up))
+    }
+
+    fn score(&self, now: Moment, distance: Distance, id: &Name) -> Option<Scored> {
+        let target = self.known.get(id)?;
+        Some(Scored {
+            score: target.score(now, self.warm_up) + distance.handicap(),
+            id: id.clone(),
+        })
+    }
+
+    /// With all others tried or ejected, an ejected one is better than none.
+    fn last_resort(&self, now: Moment, tried: &[Name]) -> Option<Name> {
+        self.known
+            .iter()
+            .filter(|(id, target)| !tried.contains(id) && !target.is_leaving(now))
+            .min_by_key(|(_, target)| (target.distance, target.in_flight()))
+            .map(|(id, _)| id.clone())
+    }
+
+    /// An attempt has ended.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, balance::{Choice, End, Pool}};
+    /// fn lost(pool: &mut Pool, now: Moment, choice: &Choice) {
+    ///     pool.finish(now, &choice.id, End::Failed, None);
+    /// }
+    /// ```
+    pub fn finish(&mut self, now: Moment, id: &Name, end: End, load: Option<Load>) {
+        let Some(target) = self.known.get_mut(id) else {
+            return;
+        };
+        target.finish(now, end, load);
+        eject::review(now, &mut self.known, id);
+    }
+
+    /// The targets that the node may connect to.
+    ///
+    /// ```
+    /// # use crank_engine::balance::Pool;
+    /// fn is_alone(pool: &Pool) -> bool {
+    ///     pool.targets().count() == 0
+    /// }
+    /// ```
+    pub fn targets(&self) -> impl Iterator<Item = &Name> {
+        self.subset.values().flatten()
+    }
+
+    /// The targets that are ejected now.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, balance::Pool};
+    /// fn all_in(pool: &Pool, now: Moment) -> bool {
+    ///     pool.ejected(now).count() == 0
+    /// }
+    /// ```
+    pub fn ejected(&self, now: Moment) -> impl Iterator<Item = &Name> {
+        self.known
+            .iter()
+            .filter(move |(_, target)| target.is_ejected(now))
+            .map(|(id, _)| id)
+    }
+
+    /// The slots of all targets together.
+    ///
+    /// ```
+    /// # use crank_engine::balance::Pool;
+    /// fn has_room_for(pool: &Pool, requests: u32) -> bool {
+    ///     pool.slots() >= requests
+    /// }
+    /// ```
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        self.known.values().map(|target| target.slots).sum()
+    }
+}
+
+#[derive(Debug)]
+struct Scored {
+    score: f64,
+    id: Name,
+}
+
+fn is_up(member: &Member) -> bool {
+    matches!(member.state, State::Alive | State::Suspect)
+}
+
+fn slots_of(member: &Member, name: &Name, service: &Service) -> Option<u32> {
+    let endpoint = member.endpoint.as_ref()?;
+    let serves = &endpoint.service == name && endpoint.stage == Stage::Ready;
+    let slots = endpoint.slots.min(service.slots);
+    (serves && slots > 0 && is_up(member)).then_some(slots)
+}
--- /dev/null
+++ b/crates/crank-engine/src/balance/eject.rs
@@ -0,0 +1,106 @@
+use std::collections::BTreeMap;
+
+use crank_protocol::{Millis, Name};
+use serde::{Deserialize, Serialize};
+
+use super::target::Target;
+use crate::Moment;
+
+/// Failures without an answer between them that eject a target.
+pub const CONSECUTIVE_FAILURES: u32 = 5;
+/// How long a target is ejected the first time; each further time doubles it.
+pub const SHORTEST_EJECTION: Millis = Millis(2_000);
+/// How long a target is ejected at most.
+pub const LONGEST_EJECTION: Millis = Millis(60_000);
+
+/// At most one target in this many is out at once.
+const ONE_OUT_OF: usize = 2;
+/// A target is slow when its mean latency is this many times the median of the others …
+const SLOW_TIMES: f64 = 5.0;
+/// … and this much longer, in microseconds, so that distance alone makes none slow.
+const SLOW_BY_MICROS: f64 = 50_000.0;
+/// Latencies that must be known of a target before it is compared.
+const FEWEST_SAMPLES: u32 = 3;
+/// Targets that a slow one must be compared with.
+const FEWEST_OTHERS: usize = 2;
+
+/// The failures and ejections of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Record {
+    failures: u32,
+    times: u32,
+    out_until: Option<Moment>,
+}
+
+impl Record {
+    pub(super) fn answered(&mut self) {
+        self.failures = 0;
+    }
+
+    pub(super) fn failed(&mut self) {
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    pub(super) fn is_out(&self, now: Moment) -> bool {
+        self.out_until.is_some_and(|until| now < until)
+    }
+
+    /// When it came back, if it was out and is not any more.
+    pub(super) fn returned(&self, now: Moment) -> Option<Moment> {
+        self.out_until.filter(|until| *until <= now)
+    }
+
+    fn eject(&mut self, now: Moment) {
+        let long_ago = self
+            .returned(now)
+            .map(|until| until.after(LONGEST_EJECTION));
+        if long_ago.is_some_and(|forgotten| forgotten <= now) {
+            self.times = 0;
+        }
+        let doubled = SHORTEST_EJECTION.0 << self.times.min(16);
+        let time = Millis(doubled.min(LONGEST_EJECTION.0));
+        self.out_until = Some(now.after(time));
+        self.times = self.times.saturating_add(1);
+        self.failures = 0;
+    }
+}
+
+/// Ejects a target whose last attempt shows it to fail or to be slow, unless too many are out.
+pub(super) fn review(now: Moment, known: &mut BTreeMap<Name, Target>, id: &Name) {
+    let Some(target) = known.get(id) else {
+        return;
+    };
+    let fails = target.record.failures >= CONSECUTIVE_FAILURES;
+    if target.is_ejected(now) || !(fails || is_slow(known, id, target)) {
+        return;
+    }
+    let out = known
+        .values()
+        .filter(|target| target.is_ejected(now))
+        .count();
+    if out + 1 > known.len() / ONE_OUT_OF {
+        return;
+    }
+    if let Some(target) = known.get_mut(id) {
+        target.record.eject(now);
+        target.latency = super::target::Latency::default();
+    }
+}
+
+fn is_slow(known: &BTreeMap<Name, Target>, id: &Name, target: &Target) -> bool {
+    if target.latency.samples < FEWEST_SAMPLES {
+        return false;
+    }
+    let mut others: Vec<f64> = known
+        .iter()
+        .filter(|(other, target)| *other != id && target.latency.samples >= FEWEST_SAMPLES)
+        .map(|(_, target)| target.latency.mean_micros)
+        .collect();
+    if others.len() < FEWEST_OTHERS {
+        return false;
+    }
+    others.sort_by(f64::total_cmp);
+    let median = others[(others.len() - 1) / 2];
+    target.latency.mean_micros > median * SLOW_TIMES + SLOW_BY_MICROS
+}
--- a/crates/crank-engine/src/limit.rs
+++ b/crates/crank-engine/src/limit.rs
@@ -158,7 +158,7 @@
         steps
     }
 
-    /// A running request has ended; the next ones may run.
+    /// A request has ended, or nobody waits for it any more; the next ones may run.
     ///
     /// ```
     /// # use crank_engine::Moment;
@@ -167,29 +167,13 @@
     /// assert_eq!(limit.leave(Moment(1), 99), []);
     /// ```
     pub fn leave(&mut self, now: Moment, id: u64) -> Vec<Step> {
-        if let Some(began) = self.running.remove(&id) {
-            self.learn(now.0.saturating_sub(began.0));
+        match self.running.remove(&id) {
+            Some(began) => self.learn(now.0.saturating_sub(began.0)),
+            None => self.waiting.retain(|rank, _| rank.id != id),
         }
         self.fill(now)
     }
 
-    /// Nobody waits for this request any more; it leaves the queue or its slot.
-    ///
-    /// ```
-    /// # use crank_engine::Moment;
-    /// # use crank_engine::limit::{Limit, Size, Ticket};
-    /// let mut limit = Limit::new(Size { slots: 0, queue: 1 });
-    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000) };
-    /// limit.enter(Moment(0), ticket);
-    /// limit.cancel(Moment(1), 1);
-    /// assert_eq!(limit.waiting(), 0);
-    /// ```
-    pub fn cancel(&mut self, now: Moment, id: u64) -> Vec<Step> {
-        self.waiting.retain(|rank, _| rank.id != id);
-        self.running.remove(&id);
-        self.fill(now)
-    }
-
     /// Refuses everything that waits.
     ///
     /// ```
--- a/crates/crank-engine/src/retry.rs
+++ b/crates/crank-engine/src/retry.rs
@@ -57,6 +57,23 @@
     }
 }
 
+/// What is certain about a request of which this was certain so far, and then one more attempt ended.
+///
+/// ```
+/// use crank_engine::retry;
+/// use crank_protocol::call::Outcome;
+/// assert_eq!(retry::combine(Outcome::Unknown, Outcome::NotRun), Outcome::Unknown);
+/// assert_eq!(retry::combine(Outcome::NotRun, Outcome::Ran), Outcome::Ran);
+/// ```
+#[must_use]
+pub fn combine(before: Outcome, attempt: Outcome) -> Outcome {
+    match (before, attempt) {
+        (Outcome::Ran, _) | (_, Outcome::Ran) => Outcome::Ran,
+        (Outcome::Unknown, _) | (_, Outcome::Unknown) => Outcome::Unknown,
+        (Outcome::NotRun, Outcome::NotRun) => Outcome::NotRun,
+    }
+}
+
 /// Bounds the retries of a service to a share of its requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -180,10 +197,10 @@
         Refusal::NotReady
         | Refusal::Leaving
         | Refusal::Overloaded { .. }
-        | Refusal::StoreDown
         | Refusal::NotSent
         | Refusal::Lost => true,
         Refusal::NoRoute
+        | Refusal::StoreDown
         | Refusal::BadRequest { .. }
         | Refusal::NoServer
         | Refusal::TooLate
