thin: the target's node admits, claims, forwards and records

The claim is asked for in a task of its own: dropped by its caller, it still ends in a recorded outcome or a released claim. A claim that is answered after the deadline is given up again.

--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limit;
 pub mod member;
 pub mod notice;
+pub mod once;
 pub mod overlay;
 pub mod publish;
 pub mod retry;
--- /dev/null
+++ b/crates/crank-node/src/gate.rs
@@ -0,0 +1,222 @@
+//! Waiting for a place: carries out what [`Admission`] decides.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crank_engine::Moment;
+use crank_engine::admit::Admission;
+use crank_engine::drain::Progress;
+use crank_engine::limit::{Size, Step, Ticket};
+use crank_protocol::Millis;
+use crank_protocol::call::{Load, Refusal};
+use crank_protocol::config::Importance;
+use crank_protocol::member::Stage;
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+
+/// Lets requests through as an [`Admission`] decides.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")] async fn main() {
+/// use crank_engine::limit::Size;
+/// use crank_node::{clock::Clock, gate::Gate};
+/// use crank_protocol::{Millis, config::Importance, member::Stage};
+/// let clock = Clock::new();
+/// let gate = Gate::new(clock, Size { slots: 1, queue: 0 });
+/// gate.announce(Stage::Ready, Millis(100));
+/// let deadline = clock.now().after(Millis(60_000));
+/// let pass = gate.enter(Importance::Normal, deadline).await;
+/// assert!(pass.is_ok());
+/// assert!(gate.enter(Importance::Normal, deadline).await.is_err());
+/// # }
+/// ```
+#[derive(Debug, Clone)]
+pub struct Gate {
+    clock: Clock,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    admission: Admission,
+    waiters: HashMap<u64, oneshot::Sender<Result<(), Refusal>>>,
+    next: u64,
+}
+
+impl State {
+    fn carry_out(&mut self, steps: Vec<Step>) {
+        for step in steps {
+            let (id, result) = match step {
+                Step::Run { id } => (id, Ok(())),
+                Step::Refuse { id, refusal } => (id, Err(refusal)),
+            };
+            if let Some(waiter) = self.waiters.remove(&id) {
+                // A waiter that is gone gives its place back when its pass is dropped.
+                let _ = waiter.send(result);
+            }
+        }
+    }
+}
+
+/// A place; dropping it gives the place to the next request.
+#[derive(Debug)]
+pub struct Pass {
+    gate: Gate,
+    id: u64,
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        let now = self.gate.clock.now();
+        let mut state = self.gate.state.lock();
+        state.waiters.remove(&self.id);
+        let steps = state.admission.leave(now, self.id);
+        state.carry_out(steps);
+    }
+}
+
+impl Gate {
+    /// A gate that is closed until [`Gate::announce`] says `Ready`.
+    ///
+    /// ```
+    /// # use crank_engine::limit::Size;
+    /// # use crank_node::{clock::Clock, gate::Gate};
+    /// # let _runtime = tokio::runtime::Runtime::new().unwrap();
+    /// let gate = Gate::new(Clock::new(), Size { slots: 6, queue: 12 });
+    /// assert_eq!(gate.load().slots, 6);
+    /// ```
+    #[must_use]
+    pub fn new(clock: Clock, size: Size) -> Self {
+        let state = State {
+            admission: Admission::new(size),
+            waiters: HashMap::new(),
+            next: 0,
+        };
+        Self {
+            clock,
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Waits for a place.
+    ///
+    /// # Errors
+    /// What [`Admission`] refuses with, and [`Refusal::TooLate`] once the deadline is over. In
+    /// every case the request has not run. Dropping the future leaves the queue.
+    ///
+    /// ```
+    /// # #[tokio::main(flavor = "current_thread")] async fn main() {
+    /// # use crank_engine::{Moment, limit::Size};
+    /// # use crank_node::{clock::Clock, gate::Gate};
+    /// # use crank_protocol::{call::Refusal, config::Importance};
+    /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
+    /// let refused = gate.enter(Importance::Normal, Moment(u64::MAX)).await;
+    /// assert_eq!(refused.err(), Some(Refusal::Leaving));
+    /// # }
+    /// ```
+    pub async fn enter(&self, importance: Importance, deadline: Moment) -> Result<Pass, Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        let pass = self.ask(importance, deadline, sender);
+        let turn = tokio::time::timeout_at(self.clock.instant(deadline), receiver);
+        match turn.await {
+            Ok(Ok(Ok(()))) => Ok(pass),
+            Ok(Ok(Err(refusal))) => Err(refusal),
+            Ok(Err(_)) | Err(_) => Err(Refusal::TooLate),
+        }
+    }
+
+    fn ask(
+        &self,
+        importance: Importance,
+        deadline: Moment,
+        sender: oneshot::Sender<Result<(), Refusal>>,
+    ) -> Pass {
+        let mut state = self.state.lock();
+        let id = state.next;
+        state.next += 1;
+        state.waiters.insert(id, sender);
+        let ticket = Ticket {
+            id,
+            importance,
+            deadline,
+        };
+        let steps = state.admission.enter(self.clock.now(), ticket);
+        state.carry_out(steps);
+        Pass {
+            gate: self.clone(),
+            id,
+        }
+    }
+
+    /// Takes another size.
+    ///
+    /// ```
+    /// # use crank_engine::limit::Size;
+    /// # use crank_node::{clock::Clock, gate::Gate};
+    /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
+    /// gate.resize(Size { slots: 2, queue: 0 });
+    /// assert_eq!(gate.load().slots, 2);
+    /// ```
+    pub fn resize(&self, size: Size) {
+        let mut state = self.state.lock();
+        let steps = state.admission.resize(self.clock.now(), size);
+        state.carry_out(steps);
+    }
+
+    /// What stands behind the gate is at this stage of its life.
+    ///
+    /// ```
+    /// # use crank_engine::limit::Size;
+    /// # use crank_node::{clock::Clock, gate::Gate};
+    /// # use crank_protocol::{Millis, member::Stage};
+    /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
+    /// gate.announce(Stage::Draining, Millis(5_000));
+    /// ```
+    pub fn announce(&self, stage: Stage, grace: Millis) {
+        let mut state = self.state.lock();
+        let steps = state.admission.announce(self.clock.now(), stage, grace);
+        state.carry_out(steps);
+    }
+
+    /// The node begins to leave: new requests are refused, those inside are finished.
+    ///
+    /// ```
+    /// # use crank_engine::{drain::Progress, limit::Size};
+    /// # use crank_node::{clock::Clock, gate::Gate};
+    /// # use crank_protocol::Millis;
+    /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
+    /// gate.drain(Millis(5_000));
+    /// assert_eq!(gate.progress(), Progress::Drained);
+    /// ```
+    pub fn drain(&self, grace: Millis) {
+        self.state.lock().admission.drain(self.clock.now(), grace);
+    }
+
+    /// How far the leaving has come.
+    ///
+    /// ```
+    /// # use crank_engine::{drain::Progress, limit::Size};
+    /// # use crank_node::{clock::Clock, gate::Gate};
+    /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
+    /// assert_eq!(gate.progress(), Progress::Serving);
+    /// ```
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        self.state.lock().admission.progress(self.clock.now())
+    }
+
+    /// How many run and wait now.
+    ///
+    /// ```
+    /// # use crank_engine::limit::Size;
+    /// # use crank_node::{clock::Clock, gate::Gate};
+    /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
+    /// assert_eq!(gate.load().running, 0);
+    /// ```
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.state.lock().admission.load()
+    }
+}
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -1,1 +1,5 @@
 //! The node process: wires the peer packages together as actors.
+
+pub mod clock;
+pub mod gate;
+pub mod target;
--- /dev/null
+++ b/crates/crank-node/src/target.rs
@@ -0,0 +1,278 @@
+//! The target's node: admit, claim, forward, record.
+
+mod once;
+
+use std::future::Future;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use crank_engine::limit::Size;
+use crank_engine::{Moment, drain::Progress, retry};
+use crank_protocol::call::{Answer, Body, Head, Load, Refusal, Refused};
+use crank_protocol::config::{Service, Snapshot};
+use crank_protocol::member::{Endpoint, Stage};
+use crank_protocol::{Millis, Name};
+use futures::StreamExt;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::gate::{Gate, Pass};
+
+pub use once::{Claimed, Claims, Key, RECORDED_BODY_BYTES, Receipt, Record};
+
+/// The grace of a backend server whose service the configuration does not know.
+const DEFAULT_GRACE: Millis = Millis(10_000);
+
+/// The edge to the backend server beside the node.
+pub trait Forwarder: Send + Sync + 'static {
+    /// Gives a request to the backend server; dropping the future cancels it.
+    ///
+    /// # Errors
+    /// [`Refusal::NotSent`] only when the backend server has certainly got nothing of it,
+    /// [`Refusal::Overloaded`] or [`Refusal::Leaving`] when it certainly shed it, otherwise
+    /// [`Refusal::Lost`] or [`Refusal::TimedOut`].
+    fn forward(
+        &self,
+        head: Head,
+        body: Bytes,
+    ) -> impl Future<Output = Result<Answer, Refusal>> + Send;
+}
+
+/// What a target's node is made of.
+#[derive(Debug)]
+pub struct Parts<C, F> {
+    /// The process's clock.
+    pub clock: Clock,
+    /// The configuration in force: `crank_mesh::Handle::config`.
+    pub config: watch::Receiver<Option<Arc<Snapshot>>>,
+    /// What the backend server last announced; absent before the first announcement.
+    pub endpoint: watch::Receiver<Option<Endpoint>>,
+    /// The claims of requests that may run once.
+    pub claims: C,
+    /// The way to the backend server.
+    pub forwarder: F,
+}
+
+/// Runs requests on the backend server beside the node; cloning shares it.
+///
+/// The order is: admission, then the claim where the request may run only once, then the run. A
+/// refusal before the run is certain; one after it says what is known.
+#[derive(Debug)]
+pub struct Target<C, F> {
+    shared: Arc<Shared<C, F>>,
+}
+
+impl<C, F> Clone for Target<C, F> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: self.shared.clone(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Shared<C, F> {
+    parts: Parts<C, F>,
+    gate: Gate,
+    unsettled: Arc<()>,
+}
+
+impl<C: Claims, F: Forwarder> Target<C, F> {
+    /// A target that takes nothing until the backend server has announced that it is ready.
+    ///
+    /// Spawn [`Target::follow`] once, so that announcements take effect between requests too.
+    ///
+    /// ```
+    /// use crank_node::target::{Claims, Forwarder, Parts, Target};
+    /// fn start<C: Claims, F: Forwarder>(parts: Parts<C, F>) -> Target<C, F> {
+    ///     let target = Target::new(parts);
+    ///     tokio::spawn(target.clone().follow());
+    ///     target
+    /// }
+    /// ```
+    #[must_use]
+    pub fn new(parts: Parts<C, F>) -> Self {
+        let gate = Gate::new(parts.clock, Size { slots: 0, queue: 0 });
+        let target = Self {
+            shared: Arc::new(Shared {
+                parts,
+                gate,
+                unsettled: Arc::new(()),
+            }),
+        };
+        target.refresh();
+        target
+    }
+
+    /// Carries announcements and changes of configuration to the gate, until both have no sender.
+    ///
+    /// ```
+    /// # use crank_node::target::{Claims, Forwarder, Target};
+    /// fn spawn<C: Claims, F: Forwarder>(target: &Target<C, F>) {
+    ///     tokio::spawn(target.clone().follow());
+    /// }
+    /// ```
+    pub async fn follow(self) {
+        let mut config = self.shared.parts.config.clone();
+        let mut endpoint = self.shared.parts.endpoint.clone();
+        loop {
+            self.refresh();
+            tokio::select! {
+                Ok(()) = config.changed() => {}
+                Ok(()) = endpoint.changed() => {}
+                else => return,
+            }
+        }
+    }
+
+    fn refresh(&self) -> Option<Endpoint> {
+        let endpoint = self.shared.parts.endpoint.borrow().clone();
+        let service = endpoint
+            .as_ref()
+            .and_then(|endpoint| self.service(&endpoint.service));
+        let stage = endpoint
+            .as_ref()
+            .map_or(Stage::Gone, |endpoint| endpoint.stage);
+        let grace = service
+            .as_ref()
+            .map_or(DEFAULT_GRACE, |service| service.drain_grace);
+        self.shared.gate.announce(stage, grace);
+        if let (Some(endpoint), Some(service)) = (&endpoint, &service) {
+            self.shared.gate.resize(Size {
+                slots: endpoint.slots.min(service.slots),
+                queue: service.queue,
+            });
+        }
+        endpoint
+    }
+
+    fn service(&self, name: &Name) -> Option<Service> {
+        let config = self.shared.parts.config.borrow();
+        config.as_ref()?.config.services.get(name).cloned()
+    }
+
+    /// Runs a request.
+    ///
+    /// Dropping the future cancels the request, unless it is one that may run only once and has
+    /// its claim: that one goes on, so that its outcome is recorded.
+    ///
+    /// # Errors
+    /// Why it got no answer, what is certain about it, and how busy the backend server is.
+    ///
+    /// ```
+    /// # use crank_node::target::{Claims, Forwarder, Target};
+    /// # use crank_protocol::call::{Head, Outcome};
+    /// async fn ran<C: Claims, F: Forwarder>(target: &Target<C, F>, head: Head) -> bool {
+    ///     match target.run(head, "spoons".into()).await {
+    ///         Ok(_) => true,
+    ///         Err(refused) => refused.outcome != Outcome::NotRun,
+    ///     }
+    /// }
+    /// ```
+    pub async fn run(&self, head: Head, body: Bytes) -> Result<Answer, Refused> {
+        let deadline = self.now().after(head.time_left);
+        let pass = self.admit(&head, deadline).await?;
+        match head.once.clone() {
+            Some(key) => self.run_once(key, head, body, pass, deadline).await,
+            None => self.forward(head, body, pass, deadline).await,
+        }
+    }
+
+    async fn admit(&self, head: &Head, deadline: Moment) -> Result<Pass, Refused> {
+        let serves = self
+            .refresh()
+            .is_some_and(|endpoint| endpoint.service == head.service);
+        if !serves {
+            return Err(self.refused(Refusal::Leaving));
+        }
+        let pass = self.shared.gate.enter(head.importance, deadline).await;
+        pass.map_err(|refusal| self.refused(refusal))
+    }
+
+    async fn forward(
+        &self,
+        mut head: Head,
+        body: Bytes,
+        pass: Pass,
+        deadline: Moment,
+    ) -> Result<Answer, Refused> {
+        let clock = self.shared.parts.clock;
+        head.time_left = deadline.since(clock.now());
+        let forwarded = self.shared.parts.forwarder.forward(head, body);
+        let result = tokio::time::timeout_at(clock.instant(deadline), forwarded).await;
+        match result.unwrap_or(Err(Refusal::TimedOut)) {
+            Ok(mut answer) => {
+                answer.head.load = self.load();
+                answer.body = hold(answer.body, pass, clock, deadline);
+                Ok(answer)
+            }
+            Err(refusal) => {
+                drop(pass);
+                Err(self.refused(refusal))
+            }
+        }
+    }
+
+    /// The node begins to leave: new work is refused at once, and what is in flight is finished.
+    ///
+    /// ```
+    /// # use crank_node::target::{Claims, Forwarder, Target};
+    /// # use crank_protocol::Millis;
+    /// fn on_sigterm<C: Claims, F: Forwarder>(target: &Target<C, F>) {
+    ///     target.drain(Millis(30_000));
+    /// }
+    /// ```
+    pub fn drain(&self, grace: Millis) {
+        self.shared.gate.drain(grace);
+    }
+
+    /// How far the leaving has come.
+    ///
+    /// ```
+    /// # use crank_engine::drain::Progress;
+    /// # use crank_node::target::{Claims, Forwarder, Target};
+    /// fn may_go<C: Claims, F: Forwarder>(target: &Target<C, F>) -> bool {
+    ///     target.progress() == Progress::Drained
+    /// }
+    /// ```
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        self.shared.gate.progress()
+    }
+
+    /// How busy the backend server is.
+    ///
+    /// ```
+    /// # use crank_node::target::{Claims, Forwarder, Target};
+    /// fn is_idle<C: Claims, F: Forwarder>(target: &Target<C, F>) -> bool {
+    ///     target.load().running == 0
+    /// }
+    /// ```
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.shared.gate.load()
+    }
+
+    fn refused(&self, refusal: Refusal) -> Refused {
+        retry::refused(refusal, Some(self.load()))
+    }
+
+    fn now(&self) -> Moment {
+        self.shared.parts.clock.now()
+    }
+}
+
+/// A body that holds its place until it has ended, and is cut at the deadline.
+fn hold(body: Body, pass: Pass, clock: Clock, deadline: Moment) -> Body {
+    let end = clock.instant(deadline);
+    let held = futures::stream::unfold(Some((body, pass)), move |held| async move {
+        let (mut body, pass) = held?;
+        match tokio::time::timeout_at(end, body.next()).await {
+            Ok(Some(Ok(data))) => Some((Ok(data), Some((body, pass)))),
+            Ok(Some(Err(refusal))) => Some((Err(refusal), None)),
+            Ok(None) => None,
+            Err(_) => Some((Err(Refusal::Cut), None)),
+        }
+    });
+    Box::pin(held)
+}
