--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -1,5 +1,9 @@
 //! The node process: wires the peer packages together as actors.
 
+pub mod clock;
+pub mod gate;
+pub mod target;
+
 mod error;
 mod settings;
 
