--- a/crates/crank-engine/src/notice.rs
+++ b/crates/crank-engine/src/notice.rs
@@ -1,1 +1,135 @@
-//! The end of a notice period, counted.
+//! The end of a notice period, counted from what the nodes say.
+
+use crank_protocol::Name;
+use crank_protocol::config::{Account, Stamp};
+use crank_protocol::member::{Member, Stage, State};
+use crank_protocol::status::{Answer, Mesh, Node};
+use serde::{Deserialize, Serialize};
+use time::OffsetDateTime;
+
+/// A backend server that has not handed over.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// The node beside it.
+    pub node: Name,
+    /// The service it runs.
+    pub service: Name,
+    /// Its stage of life.
+    pub stage: Stage,
+    /// Requests that it runs or that wait for it.
+    pub in_flight: u32,
+}
+
+/// How far a client account has come towards the end of its notice period.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Notice {
+    /// The client account.
+    pub account: Name,
+    /// When the notice period ends (wall time); absent where no notice is given.
+    #[serde(with = "time::serde::rfc3339::option")]
+    pub ends: Option<OffsetDateTime>,
+    /// Seconds until then; negative afterwards.
+    pub seconds_left: Option<i64>,
+    /// The final version; absent where the store's head row is not known.
+    pub last: Option<Stamp>,
+    /// Nodes that count: all but those that said that they leave.
+    pub proxies: u32,
+    /// Of these, nodes that answered and hold the final version.
+    pub on_last: u32,
+    /// Nodes that answered and hold another version, or none.
+    pub behind: Vec<Name>,
+    /// Nodes that did not answer; nothing is known of them or their backend servers.
+    pub silent: Vec<Name>,
+    /// Backend servers that have handed over.
+    pub handed_over: u32,
+    /// Backend servers that have not.
+    pub not_handed_over: Vec<Server>,
+    /// Whether notice is given, and every proxy and backend server is known to be done.
+    pub complete: bool,
+}
+
+/// Counts who is done; silence is never done.
+///
+/// A node that said that it leaves is done. One that is believed dead is silent until the mesh
+/// forgets it, for nobody knows what became of its backend server.
+///
+/// ```
+/// use crank_engine::notice;
+/// use crank_protocol::{Millis, Name, config::Account, status::Mesh};
+/// use time::OffsetDateTime;
+/// let name = Name::new("sutkent").unwrap();
+/// let ends = Some(OffsetDateTime::from_unix_timestamp(90).unwrap());
+/// let mesh = Mesh {
+///     account: name.clone(), asked: Name::new("n1").unwrap(), head: None, store_up: false,
+///     refused: None, nodes: Vec::new(), in_force: false, highest: None, took: Millis(0),
+/// };
+/// let account = Account { name, notice_ends: ends };
+/// let notice = notice::count(&account, &mesh, OffsetDateTime::UNIX_EPOCH);
+/// assert_eq!((notice.seconds_left, notice.complete), (Some(90), false));
+/// ```
+#[must_use]
+pub fn count(account: &Account, mesh: &Mesh, now: OffsetDateTime) -> Notice {
+    let mut notice = Notice {
+        account: account.name.clone(),
+        ends: account.notice_ends,
+        seconds_left: account.notice_ends.map(|ends| (ends - now).whole_seconds()),
+        last: mesh.head.clone(),
+        proxies: 0,
+        on_last: 0,
+        behind: Vec::new(),
+        silent: Vec::new(),
+        handed_over: 0,
+        not_handed_over: Vec::new(),
+        complete: false,
+    };
+    for answer in &mesh.nodes {
+        notice.add(answer);
+    }
+    notice.complete = notice.ends.is_some()
+        && notice.proxies > 0
+        && notice.on_last == notice.proxies
+        && notice.not_handed_over.is_empty();
+    notice
+}
+
+impl Notice {
+    fn add(&mut self, answer: &Answer) {
+        match answer {
+            Answer::Node(node) => self.add_node(node),
+            Answer::Silent(member) => self.add_silent(member),
+        }
+    }
+
+    fn add_silent(&mut self, member: &Member) {
+        if member.state == State::Left {
+            return;
+        }
+        self.proxies += 1;
+        self.silent.push(member.id.clone());
+    }
+
+    fn add_node(&mut self, node: &Node) {
+        self.proxies += 1;
+        if self.last.is_some() && node.applied == self.last {
+            self.on_last += 1;
+        } else {
+            self.behind.push(node.member.id.clone());
+        }
+        let Some(endpoint) = &node.member.endpoint else {
+            return;
+        };
+        let is_leaving = matches!(endpoint.stage, Stage::Draining | Stage::Gone);
+        if is_leaving && node.in_flight == 0 {
+            self.handed_over += 1;
+            return;
+        }
+        self.not_handed_over.push(Server {
+            node: node.member.id.clone(),
+            service: endpoint.service.clone(),
+            stage: endpoint.stage,
+            in_flight: node.in_flight,
+        });
+    }
+}
--- /dev/null
+++ b/crates/crank-engine/tests/folder_merges_in_order.rs
@@ -0,0 +1,85 @@
+//! What the merge of a good folder gives.
+
+use crank_engine::folder::{File, merge};
+use crank_protocol::config::Method;
+use crank_protocol::{Millis, Permille};
+
+fn file(name: &str, content: &str) -> File {
+    File {
+        name: name.into(),
+        content: content.into(),
+    }
+}
+
+#[test]
+fn sections_unite_in_byte_order_of_names_and_a_later_key_wins() {
+    let files = [
+        file("9-last.ini", "[service recipes]\nslots = 9\n"),
+        file(
+            "10-first.ini",
+            "[account]\nname = a\n[service recipes]\nslots = 6\nqueue = 4\n",
+        ),
+        file("B.ini", "[account]\nname = b\n"),
+        file("a.ini", "[account]\nname = c\n"),
+    ];
+    let config = merge(&files).unwrap().config;
+    let recipes = &config.services["recipes"];
+    assert_eq!((recipes.slots, recipes.queue), (9, 4));
+    assert_eq!(config.account.name.as_str(), "c");
+}
+
+#[test]
+fn a_removed_or_emptied_file_takes_its_keys_with_it() {
+    let base = file(
+        "10.ini",
+        "[account]\nname = a\n[service recipes]\nslots = 6\n",
+    );
+    let more = file("20.ini", "[service panels]\nslots = 6\n");
+    let alone = merge(std::slice::from_ref(&base)).unwrap();
+    assert_eq!(
+        merge(&[base.clone(), more]).unwrap().config.services.len(),
+        2
+    );
+    assert_eq!(merge(&[base, file("20.ini", "")]).unwrap(), alone);
+}
+
+#[test]
+fn editors_leavings_are_passed_over_and_named() {
+    let files = [
+        file(
+            "10.ini",
+            "\u{feff}[ account ]\r\nname = a\r\n# x = y\r\n; z\r\n",
+        ),
+        file("10.ini~", "nonsense"),
+        file(".10.ini.swp", "nonsense"),
+        file(".crank-pulled.json", "{}"),
+        file("#10.ini#", "nonsense"),
+    ];
+    let merged = merge(&files).unwrap();
+    let passed_over: Vec<&str> = merged.passed_over.iter().map(|name| &**name).collect();
+    let leavings = ["#10.ini#", ".10.ini.swp", ".crank-pulled.json", "10.ini~"];
+    assert_eq!(passed_over, leavings);
+}
+
+#[test]
+fn values_carry_their_units_and_defaults_fill_what_is_absent() {
+    let text = "[account]\nname = a\nnotice_ends = 2026-12-06T23:59:59+05:00\n\
+        [service batches]\nslots = 6\ntimeout = 2m\nretry_budget = 12.5%\n\
+        objective_good = 99.9%\nobjective_latency = 250ms\n\
+        [route release]\npath = /batches\nmethods = POST, PUT\nservice = batches\nonce = yes\n";
+    let config = merge(&[file("all.ini", text)]).unwrap().config;
+    let batches = &config.services["batches"];
+    assert_eq!(
+        (batches.timeout, batches.retry_budget),
+        (Millis(120_000), Permille(125))
+    );
+    assert_eq!(
+        (batches.connections, batches.warm_up),
+        (100, Millis(10_000))
+    );
+    assert_eq!(batches.objective.unwrap().latency, Millis(250));
+    let release = &config.routes["release"];
+    assert_eq!(release.methods, [Method::Post, Method::Put].into());
+    assert!(release.once && !release.idempotent);
+    assert!(config.account.notice_ends.is_some());
+}
--- /dev/null
+++ b/crates/crank-engine/tests/notice_never_counts_silence_as_done.rs
@@ -0,0 +1,108 @@
+//! Counting towards the end of a notice period.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use crank_engine::notice::{Notice, count};
+use crank_protocol::config::{Account, Digest, Stamp, Version};
+use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
+use crank_protocol::status::{Answer, Mesh, Node};
+use crank_protocol::{Millis, Name};
+use time::OffsetDateTime;
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn stamp(version: u64) -> Stamp {
+    Stamp {
+        version: Version(version),
+        digest: Digest::new(&"0a".repeat(32)).unwrap(),
+    }
+}
+
+fn member(id: &str, state: State, stage: Option<Stage>) -> Member {
+    Member {
+        id: name(id),
+        place: Place {
+            region: name("almaty"),
+            data_centre: name("almaty-1"),
+        },
+        address: "127.0.0.1:7000".parse().unwrap(),
+        incarnation: 1,
+        state,
+        endpoint: stage.map(|stage| Endpoint {
+            service: name("recipes"),
+            stage,
+            slots: 6,
+        }),
+    }
+}
+
+fn node(id: &str, version: u64, stage: Option<Stage>, in_flight: u32) -> Answer {
+    Answer::Node(Node {
+        member: member(id, State::Alive, stage),
+        applied: Some(stamp(version)),
+        ready: true,
+        in_flight,
+    })
+}
+
+fn counted(head: Option<Stamp>, nodes: Vec<Answer>, ends: bool) -> Notice {
+    let mesh = Mesh {
+        account: name("sutkent"),
+        asked: name("n1"),
+        store_up: head.is_some(),
+        head,
+        refused: None,
+        nodes,
+        in_force: true,
+        highest: Some(Version(3)),
+        took: Millis(1),
+    };
+    let account = Account {
+        name: name("sutkent"),
+        notice_ends: ends.then_some(OffsetDateTime::UNIX_EPOCH),
+    };
+    count(
+        &account,
+        &mesh,
+        OffsetDateTime::from_unix_timestamp(60).unwrap(),
+    )
+}
+
+#[test]
+fn it_is_complete_when_all_hold_the_final_version_and_have_handed_over() {
+    let nodes = vec![
+        node("n1", 3, Some(Stage::Gone), 0),
+        node("n2", 3, Some(Stage::Draining), 0),
+        node("n3", 3, None, 0),
+        Answer::Silent(member("n4", State::Left, Some(Stage::Ready))),
+    ];
+    let notice = counted(Some(stamp(3)), nodes, true);
+    assert!(notice.complete);
+    assert_eq!((notice.proxies, notice.handed_over), (3, 2));
+    assert_eq!(notice.seconds_left, Some(-60));
+}
+
+#[test]
+fn whatever_is_not_known_to_be_done_holds_it_up() {
+    let done = || node("n1", 3, Some(Stage::Gone), 0);
+    let head = || Some(stamp(3));
+    let held_up_by = [
+        node("n2", 2, Some(Stage::Gone), 0),
+        node("n2", 3, Some(Stage::Ready), 0),
+        node("n2", 3, Some(Stage::Starting), 0),
+        node("n2", 3, Some(Stage::Draining), 1),
+        Answer::Silent(member("n2", State::Alive, None)),
+        Answer::Silent(member("n2", State::Suspect, Some(Stage::Gone))),
+        Answer::Silent(member("n2", State::Dead, Some(Stage::Gone))),
+    ];
+    assert!(counted(head(), vec![done()], true).complete);
+    for other in held_up_by {
+        let notice = counted(head(), vec![done(), other.clone()], true);
+        assert!(!notice.complete, "{other:?}");
+    }
+    assert!(!counted(None, vec![done()], true).complete);
+    assert!(!counted(head(), vec![done()], false).complete);
+    assert!(!counted(head(), Vec::new(), true).complete);
+}
