--- /dev/null
+++ b/crates/crank-operator/src/error.rs
@@ -0,0 +1,116 @@
+//! The one error type of this package.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use thiserror::Error as ThisError;
+
+/// What may go wrong between an operator, a folder and a node.
+#[derive(Debug, ThisError)]
+pub enum Error {
+    /// A node cannot be reached.
+    #[error("cannot reach the node at {address} ({}): check the address, or ask another node", deepest(.source))]
+    Unreachable {
+        /// The address that was asked.
+        address: Arc<str>,
+        /// What the HTTP library said.
+        source: reqwest::Error,
+    },
+    /// A node cannot answer now.
+    #[error("the node at {address} cannot answer: {detail}")]
+    Refused {
+        /// The address that was asked.
+        address: Arc<str>,
+        /// What it said.
+        detail: Arc<str>,
+    },
+    /// An answer cannot be read.
+    #[error(
+        "the answer of {address} is not readable ({detail}): check that it is a node's operators' address and of this release"
+    )]
+    Malformed {
+        /// The address that was asked.
+        address: Arc<str>,
+        /// What is wrong with it.
+        detail: Arc<str>,
+    },
+    /// A local file or folder cannot be read or written.
+    #[error("{}: {source}", .path.display())]
+    File {
+        /// The file or folder.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// What was noted at the last pull cannot be read.
+    #[error("{} is not readable ({detail}): pull into a fresh folder and bring your changes over", .path.display())]
+    Pulled {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong with it.
+        detail: Arc<str>,
+    },
+    /// Files in the store are not those that were read; nothing was written.
+    #[error("changed in the store since they were read: {}; nothing was written: pull into a fresh folder and bring your changes over", .names.join(", "))]
+    Changed {
+        /// The names of the files.
+        names: Vec<Arc<str>>,
+    },
+    /// Another operator came first in the middle of a push.
+    #[error("another operator changed {name} at this moment; written before that: {}; pull into a fresh folder and bring the rest over", listed(.written))]
+    Overtaken {
+        /// The file that was not written.
+        name: Arc<str>,
+        /// The files that were written or removed before.
+        written: Vec<Arc<str>>,
+    },
+    /// Writing stopped part way.
+    #[error("{name} may not have been written: {source}; written before that: {}; push again", listed(.written))]
+    Stopped {
+        /// The file whose fate is not known, or that was not written.
+        name: Arc<str>,
+        /// The files that were written or removed before.
+        written: Vec<Arc<str>>,
+        /// What the platform said.
+        source: crank_platform_client::Error,
+    },
+    /// There is no such file in the folder in the store.
+    #[error("there is no file {name} in the store: see 'crankctl pull'")]
+    Absent {
+        /// Its name.
+        name: Arc<str>,
+    },
+    /// A local folder has files that the pull would overwrite.
+    #[error("{} has files that differ from the store's: {}; pull into a fresh folder", .path.display(), .names.join(", "))]
+    WouldOverwrite {
+        /// The local folder.
+        path: PathBuf,
+        /// The names of the files.
+        names: Vec<Arc<str>>,
+    },
+    /// A file's name in the store cannot be a file's name here.
+    #[error("'{name}' in the store cannot be a local file's name: remove it with 'crankctl rm'")]
+    BadName {
+        /// The name.
+        name: Arc<str>,
+    },
+    /// The platform's store failed.
+    #[error(transparent)]
+    Store(#[from] crank_platform_client::Error),
+}
+
+fn listed(names: &[Arc<str>]) -> String {
+    if names.is_empty() {
+        "nothing".to_owned()
+    } else {
+        names.join(", ")
+    }
+}
+
+fn deepest(error: &reqwest::Error) -> String {
+    let mut deepest: &dyn std::error::Error = error;
+    while let Some(source) = deepest.source() {
+        deepest = source;
+    }
+    deepest.to_string()
+}
