--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limit;
 pub mod member;
 pub mod notice;
+pub mod once;
 pub mod overlay;
 pub mod publish;
 pub mod retry;
@@ -23,6 +24,8 @@
 mod error;
 mod hash;
 mod moment;
+mod nonce;
 
 pub use error::Error;
 pub use moment::Moment;
+pub use nonce::Nonce;
