thin: take callers' HTTP, forward to a backend server, and carry calls between nodes

Callers' edge, announcements, forwarder, call connections and the backend stand-in, each in its first working form. The frame that refuses an attempt now says what is certain about it (outcome), because one refusal can have several: a late request was not run, or its fate is unknown.

--- /dev/null
+++ b/crates/crank-caller/src/request.rs
@@ -0,0 +1,126 @@
+//! From an HTTP request to a [`Request`].
+
+use std::sync::Arc;
+
+use bytes::{Buf, Bytes, BytesMut};
+use crank_protocol::call::{Header, Outcome, Refusal, Refused, Request};
+use crank_protocol::config::Method;
+use futures::{Stream, StreamExt};
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
+
+use crate::LARGEST_BODY_BYTES;
+
+const ONE_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Why an HTTP request cannot become a [`Request`].
+pub(crate) enum Fault {
+    Method,
+    TooLarge,
+    Body,
+}
+
+impl Fault {
+    pub(crate) fn refused(&self) -> Refused {
+        let detail = match self {
+            Self::Method => "the method is not one of GET, HEAD, POST, PUT, PATCH and DELETE",
+            Self::TooLarge => "the body is larger than 1048576 bytes: send less at once",
+            Self::Body => "the body broke off: send the request again",
+        };
+        Refused {
+            refusal: Refusal::BadRequest {
+                detail: Arc::from(detail),
+            },
+            outcome: Outcome::NotRun,
+            load: None,
+        }
+    }
+}
+
+pub(crate) fn method(method: &http::Method) -> Result<Method, Fault> {
+    match method.as_str() {
+        "GET" => Ok(Method::Get),
+        "HEAD" => Ok(Method::Head),
+        "POST" => Ok(Method::Post),
+        "PUT" => Ok(Method::Put),
+        "PATCH" => Ok(Method::Patch),
+        "DELETE" => Ok(Method::Delete),
+        _ => Err(Fault::Method),
+    }
+}
+
+pub(crate) async fn read<S, B, E>(
+    method: http::Method,
+    path: Arc<str>,
+    headers: HeaderMap,
+    body: S,
+) -> Result<Request, Fault>
+where
+    S: Stream<Item = Result<B, E>>,
+    B: Buf,
+{
+    let method = self::method(&method)?;
+    let length = stated_length(&headers);
+    if length.is_some_and(|length| length > LARGEST_BODY_BYTES as u64) {
+        return Err(Fault::TooLarge);
+    }
+    Ok(Request {
+        method,
+        path,
+        headers: end_to_end(&headers),
+        body: whole(body).await?,
+    })
+}
+
+fn stated_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+async fn whole<S, B, E>(body: S) -> Result<Bytes, Fault>
+where
+    S: Stream<Item = Result<B, E>>,
+    B: Buf,
+{
+    let mut body = std::pin::pin!(body);
+    let mut whole = BytesMut::new();
+    while let Some(piece) = body.next().await {
+        let mut piece = piece.map_err(|_| Fault::Body)?;
+        if whole.len() + piece.remaining() > LARGEST_BODY_BYTES {
+            return Err(Fault::TooLarge);
+        }
+        whole.extend_from_slice(&piece.copy_to_bytes(piece.remaining()));
+    }
+    Ok(whole.freeze())
+}
+
+fn end_to_end(headers: &HeaderMap) -> Vec<Header> {
+    let named = named_by_connection(headers);
+    let kept = headers
+        .iter()
+        .filter(|(name, _)| !is_one_hop(name) && !named.iter().any(|other| other == name.as_str()));
+    kept.map(|(name, value)| Header {
+        name: Arc::from(name.as_str()),
+        value: value.as_bytes().to_vec(),
+    })
+    .collect()
+}
+
+fn named_by_connection(headers: &HeaderMap) -> Vec<String> {
+    let values = headers.get_all(CONNECTION).into_iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    let names = texts.flat_map(|text| text.split(','));
+    names.map(|name| name.trim().to_ascii_lowercase()).collect()
+}
+
+fn is_one_hop(name: &HeaderName) -> bool {
+    let is_made_anew = *name == HOST || *name == CONTENT_LENGTH || *name == EXPECT;
+    is_made_anew || ONE_HOP.contains(&name.as_str())
+}
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -4,6 +4,8 @@
 //! it draws. The processes only carry out what is decided here.
 
 pub mod admit;
+pub mod announce;
+pub mod backoff;
 pub mod balance;
 pub mod burn;
 pub mod claim;
--- /dev/null
+++ b/crates/crank-mesh/src/call/frame.rs
@@ -0,0 +1,156 @@
+//! Call frames on a WebSocket.
+
+use std::sync::Arc;
+
+use crank_protocol::wire::{Call, Hello, LARGEST_CALL_BYTES, PROTOCOL};
+use futures::{Sink, SinkExt, Stream, StreamExt};
+use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{Error as SocketError, Message};
+
+use super::HELLO_LIMIT;
+use crate::Error;
+
+const BUFFER_BYTES: usize = 16 * 1_024;
+const USUAL_FRAME_BYTES: usize = 512;
+
+/// The limits and buffers of a call connection.
+///
+/// ```
+/// let config = crank_mesh::call::socket_config();
+/// assert_eq!(config.max_frame_size, Some(crank_protocol::wire::LARGEST_CALL_BYTES));
+/// ```
+#[must_use]
+pub fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
+        .max_message_size(Some(LARGEST_CALL_BYTES))
+        .max_frame_size(Some(LARGEST_CALL_BYTES))
+}
+
+pub(super) fn socket_error(error: &SocketError) -> Error {
+    match error {
+        SocketError::Capacity(capacity) => Error::Malformed {
+            detail: Arc::from(capacity.to_string()),
+        },
+        other => Error::Socket {
+            detail: Arc::from(other.to_string()),
+        },
+    }
+}
+
+pub(super) fn encode(frame: &Call) -> Result<Message, Error> {
+    let mut bytes = Vec::with_capacity(USUAL_FRAME_BYTES);
+    ciborium::into_writer(frame, &mut bytes).map_err(|error| Error::Malformed {
+        detail: Arc::from(error.to_string()),
+    })?;
+    check_size(bytes.len())?;
+    Ok(Message::Binary(bytes.into()))
+}
+
+fn decode(bytes: &[u8]) -> Result<Call, Error> {
+    check_size(bytes.len())?;
+    ciborium::from_reader(bytes).map_err(|error| Error::Malformed {
+        detail: Arc::from(error.to_string()),
+    })
+}
+
+fn check_size(size: usize) -> Result<(), Error> {
+    if size > LARGEST_CALL_BYTES {
+        return Err(Error::Oversized {
+            size,
+            limit: LARGEST_CALL_BYTES,
+        });
+    }
+    Ok(())
+}
+
+/// What was read from a connection.
+pub(super) enum Heard {
+    Frame(Call),
+    /// A ping or a pong.
+    Sign,
+    Close,
+}
+
+pub(super) async fn read<S>(stream: &mut S) -> Result<Heard, Error>
+where
+    S: Stream<Item = Result<Message, SocketError>> + Unpin,
+{
+    match stream.next().await {
+        None | Some(Ok(Message::Close(_))) => Ok(Heard::Close),
+        Some(Ok(Message::Binary(bytes))) => decode(&bytes).map(Heard::Frame),
+        Some(Ok(Message::Text(_))) => Err(Error::Unexpected { frame: "text" }),
+        Some(Ok(_)) => Ok(Heard::Sign),
+        Some(Err(error)) => Err(socket_error(&error)),
+    }
+}
+
+pub(super) async fn write<S>(sink: &mut S, frame: &Call) -> Result<(), Error>
+where
+    S: Sink<Message, Error = SocketError> + Unpin,
+{
+    let message = encode(frame)?;
+    sink.send(message)
+        .await
+        .map_err(|error| socket_error(&error))
+}
+
+/// Sends our hello and checks theirs.
+pub(super) async fn greet<S>(socket: &mut S, ours: &Hello) -> Result<Hello, Error>
+where
+    S: Stream<Item = Result<Message, SocketError>> + Sink<Message, Error = SocketError> + Unpin,
+{
+    write(socket, &Call::Hello(Box::new(ours.clone()))).await?;
+    let theirs = timeout(HELLO_LIMIT, first_frame(socket))
+        .await
+        .map_err(|_| Error::Silent)??;
+    check_hello(ours, &theirs)?;
+    Ok(theirs)
+}
+
+async fn first_frame<S>(socket: &mut S) -> Result<Hello, Error>
+where
+    S: Stream<Item = Result<Message, SocketError>> + Unpin,
+{
+    loop {
+        match read(socket).await? {
+            Heard::Frame(Call::Hello(hello)) => return Ok(*hello),
+            Heard::Frame(other) => {
+                return Err(Error::Unexpected {
+                    frame: kind(&other),
+                });
+            }
+            Heard::Sign => {}
+            Heard::Close => return Err(Error::Silent),
+        }
+    }
+}
+
+fn check_hello(ours: &Hello, theirs: &Hello) -> Result<(), Error> {
+    if theirs.protocol != PROTOCOL {
+        return Err(Error::WrongProtocol {
+            theirs: theirs.protocol,
+        });
+    }
+    if theirs.account != ours.account {
+        return Err(Error::WrongAccount {
+            theirs: theirs.account.clone(),
+        });
+    }
+    Ok(())
+}
+
+pub(super) fn kind(frame: &Call) -> &'static str {
+    match frame {
+        Call::Hello(_) => "hello",
+        Call::Request { .. } => "request",
+        Call::Answer { .. } => "answer",
+        Call::Body { .. } => "body",
+        Call::End { .. } => "end",
+        Call::Refused { .. } => "refused",
+        Call::Cancel { .. } => "cancel",
+        Call::Credit { .. } => "credit",
+    }
+}
--- /dev/null
+++ b/crates/crank-mesh/src/call/link.rs
@@ -0,0 +1,458 @@
+//! The client's side of a call connection.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use crank_protocol::Name;
+use crank_protocol::call::{Answer, Body, Head, Outcome, Refusal, Refused};
+use crank_protocol::config::Method;
+use crank_protocol::wire::{Call, Hello};
+use futures::stream::{SplitSink, SplitStream};
+use futures::{SinkExt, StreamExt};
+use parking_lot::Mutex;
+use serde_bytes::ByteBuf;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, Sleep, sleep_until, timeout, timeout_at};
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::{WebSocketStream, client_async_with_config};
+
+use super::attempt::{Attempts, Event, lost, not_sent, refused};
+use super::frame::{self, Heard};
+use super::{CLIENT_IDLE_LIMIT, CREDIT_BYTES, PING_AFTER, SILENCE_LIMIT};
+use crate::Error;
+
+type Socket = WebSocketStream<TcpStream>;
+
+/// An open connection to a target's node; clones share it.
+///
+/// It closes when the last clone is dropped, when it was idle for a while, and when it breaks.
+#[derive(Clone)]
+pub struct Link {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    attempts: Arc<Mutex<Attempts>>,
+    outgoing: mpsc::UnboundedSender<Outgoing>,
+}
+
+enum Outgoing {
+    Request(Box<Waiting>),
+    Frame(Call),
+    Ping,
+}
+
+struct Waiting {
+    attempt: u64,
+    head: Box<Head>,
+    body: Bytes,
+    deadline: Instant,
+}
+
+impl Link {
+    /// Connects to a node and checks that it is the expected one of our client account.
+    ///
+    /// # Errors
+    /// [`Error::Connect`], [`Error::WrongAccount`], [`Error::WrongNode`], or what else the
+    /// handshake met.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use crank_protocol::{Name, wire::Hello};
+    /// # async fn example(hello: Hello) -> Result<(), crank_mesh::Error> {
+    /// use crank_mesh::call::Link;
+    /// let (node, address) = (Name::new("node-2").unwrap(), ([127, 0, 0, 1], 7_000).into());
+    /// let link = Link::connect(&hello, &node, address, Duration::from_secs(1)).await?;
+    /// assert!(!link.is_closed());
+    /// # Ok(()) }
+    /// ```
+    pub async fn connect(
+        hello: &Hello,
+        node: &Name,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Self, Error> {
+        let opened = timeout(limit, open(hello, node, address)).await;
+        let socket = opened.map_err(|_| connect_error(address, "no answer in time"))??;
+        Ok(Self::start(socket))
+    }
+
+    fn start(socket: Socket) -> Self {
+        let (sink, stream) = socket.split();
+        let (outgoing, queue) = mpsc::unbounded_channel();
+        let attempts = Arc::new(Mutex::new(Attempts::default()));
+        let pings = outgoing.downgrade();
+        let shared = Arc::new(Shared {
+            attempts: attempts.clone(),
+            outgoing,
+        });
+        tokio::spawn(async move {
+            let ended = tokio::select! {
+                ended = write_all(sink, queue, &attempts) => ended,
+                ended = read_all(stream, pings, &attempts) => ended,
+            };
+            attempts.lock().close();
+            if let Err(error) = ended {
+                log::debug!(error:% = error; "call connection closed");
+            }
+        });
+        Self { shared }
+    }
+
+    /// Whether no more requests can be sent on it.
+    ///
+    /// ```
+    /// # fn example(link: &crank_mesh::call::Link) {
+    /// assert!(!link.is_closed());
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.shared.attempts.lock().is_closed()
+    }
+
+    /// The number of attempts that wait for their answers or read them.
+    ///
+    /// ```
+    /// # fn example(link: &crank_mesh::call::Link) {
+    /// assert_eq!(link.in_flight(), 0);
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.shared.attempts.lock().len()
+    }
+
+    /// The number of frames dropped because nobody waited for them.
+    ///
+    /// ```
+    /// # fn example(link: &crank_mesh::call::Link) {
+    /// assert_eq!(link.dropped(), 0);
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.shared.attempts.lock().dropped()
+    }
+
+    /// Sends a request and waits for the start of its answer.
+    ///
+    /// Dropping the future, or the answer before its end, cancels the request at the target.
+    ///
+    /// # Errors
+    /// What the target refused, or [`Refusal::NotSent`], [`Refusal::TooLate`] (certainly not run),
+    /// [`Refusal::Lost`] or [`Refusal::TimedOut`] (unknown).
+    ///
+    /// ```
+    /// # use crank_protocol::call::{Answer, Head, Refused};
+    /// # async fn example(link: &crank_mesh::call::Link, head: Head) -> Result<Answer, Refused> {
+    /// link.run(head, bytes::Bytes::new()).await
+    /// # }
+    /// ```
+    pub async fn run(&self, head: Head, body: Bytes) -> Result<Answer, Refused> {
+        let attempt = rand::random();
+        let deadline = Instant::now() + Duration::from(head.time_left);
+        let is_head = head.method == Method::Head;
+        let added = self.shared.attempts.lock().add(attempt, is_head);
+        let events = added.ok_or_else(not_sent)?;
+        let mut reader = Reader::new(attempt, self.shared.clone(), events, deadline);
+        let waiting = Waiting {
+            attempt,
+            head: Box::new(head),
+            body,
+            deadline,
+        };
+        let request = Outgoing::Request(Box::new(waiting));
+        self.shared.outgoing.send(request).map_err(|_| not_sent())?;
+        let head = reader.head().await?;
+        Ok(Answer {
+            head,
+            body: reader.into_body(),
+        })
+    }
+}
+
+async fn open(hello: &Hello, node: &Name, address: SocketAddr) -> Result<Socket, Error> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| connect_error(address, &error.to_string()))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| connect_error(address, &error.to_string()))?;
+    let url = format!("ws://{address}/call");
+    let (mut socket, _) = client_async_with_config(url, stream, Some(frame::socket_config()))
+        .await
+        .map_err(|error| connect_error(address, &error.to_string()))?;
+    let theirs = frame::greet(&mut socket, hello).await?;
+    if theirs.member.id != *node {
+        return Err(Error::WrongNode {
+            wanted: node.clone(),
+            found: theirs.member.id,
+        });
+    }
+    Ok(socket)
+}
+
+fn connect_error(address: SocketAddr, detail: &str) -> Error {
+    Error::Connect {
+        address,
+        detail: Arc::from(detail),
+    }
+}
+
+async fn write_all(
+    mut sink: SplitSink<Socket, Message>,
+    mut queue: mpsc::UnboundedReceiver<Outgoing>,
+    attempts: &Mutex<Attempts>,
+) -> Result<(), Error> {
+    while let Some(first) = queue.recv().await {
+        let mut next = Some(first);
+        while let Some(outgoing) = next {
+            if let Some(message) = message(outgoing, attempts)? {
+                let fed = sink.feed(message).await;
+                fed.map_err(|error| frame::socket_error(&error))?;
+            }
+            next = queue.try_recv().ok();
+        }
+        let flushed = sink.flush().await;
+        flushed.map_err(|error| frame::socket_error(&error))?;
+    }
+    let _ = sink.close().await;
+    Ok(())
+}
+
+fn message(outgoing: Outgoing, attempts: &Mutex<Attempts>) -> Result<Option<Message>, Error> {
+    match outgoing {
+        Outgoing::Request(waiting) => Ok(request(*waiting, attempts)),
+        Outgoing::Frame(call) => frame::encode(&call).map(Some),
+        Outgoing::Ping => Ok(Some(Message::Ping(Bytes::new()))),
+    }
+}
+
+/// The frame of a request, unless it is too late or too large for one.
+fn request(waiting: Waiting, attempts: &Mutex<Attempts>) -> Option<Message> {
+    let Waiting {
+        attempt,
+        mut head,
+        body,
+        deadline,
+    } = waiting;
+    head.time_left = deadline.saturating_duration_since(Instant::now()).into();
+    if head.time_left.0 == 0 {
+        let too_late = refused(Refusal::TooLate, Outcome::NotRun);
+        attempts.lock().refuse(attempt, too_late);
+        return None;
+    }
+    let call = Call::Request {
+        attempt,
+        head,
+        body: ByteBuf::from(Vec::from(body)),
+    };
+    match frame::encode(&call) {
+        Ok(message) => attempts.lock().write(attempt).then_some(message),
+        Err(error) => {
+            let detail = Arc::from(error.to_string());
+            let bad = refused(Refusal::BadRequest { detail }, Outcome::NotRun);
+            attempts.lock().refuse(attempt, bad);
+            None
+        }
+    }
+}
+
+async fn read_all(
+    mut stream: SplitStream<Socket>,
+    pings: mpsc::WeakUnboundedSender<Outgoing>,
+    attempts: &Mutex<Attempts>,
+) -> Result<(), Error> {
+    let mut heard_at = Instant::now();
+    loop {
+        match timeout(PING_AFTER, frame::read(&mut stream)).await {
+            Ok(Ok(Heard::Frame(call))) => {
+                heard_at = Instant::now();
+                take(call, attempts)?;
+            }
+            Ok(Ok(Heard::Sign)) => heard_at = Instant::now(),
+            Ok(Ok(Heard::Close)) => return Ok(()),
+            Ok(Err(error)) => return Err(error),
+            Err(_) => {
+                if is_finished(heard_at, attempts)? {
+                    return Ok(());
+                }
+                ping(&pings, attempts);
+            }
+        }
+    }
+}
+
+fn is_finished(heard_at: Instant, attempts: &Mutex<Attempts>) -> Result<bool, Error> {
+    let mut attempts = attempts.lock();
+    let silence = heard_at.elapsed();
+    if attempts.len() > 0 {
+        let is_silent = silence >= SILENCE_LIMIT;
+        return if is_silent {
+            Err(Error::Silent)
+        } else {
+            Ok(false)
+        };
+    }
+    if silence >= CLIENT_IDLE_LIMIT {
+        attempts.close();
+    }
+    Ok(attempts.is_closed())
+}
+
+fn ping(pings: &mpsc::WeakUnboundedSender<Outgoing>, attempts: &Mutex<Attempts>) {
+    if attempts.lock().len() == 0 {
+        return;
+    }
+    if let Some(outgoing) = pings.upgrade() {
+        let _ = outgoing.send(Outgoing::Ping);
+    }
+}
+
+fn take(call: Call, attempts: &Mutex<Attempts>) -> Result<(), Error> {
+    let mut attempts = attempts.lock();
+    match call {
+        Call::Answer { attempt, head } => attempts.answer(attempt, *head),
+        Call::Body { attempt, data } => attempts.data(attempt, data.into_vec())?,
+        Call::End { attempt, length } => attempts.end(attempt, length),
+        Call::Refused {
+            attempt,
+            refusal,
+            outcome,
+            load,
+        } => {
+            let refused = Refused {
+                refusal,
+                outcome,
+                load,
+            };
+            attempts.refuse(attempt, refused);
+        }
+        other => {
+            return Err(Error::Unexpected {
+                frame: frame::kind(&other),
+            });
+        }
+    }
+    Ok(())
+}
+
+/// Reads the answer of one attempt; cancels it when dropped before its end.
+struct Reader {
+    attempt: u64,
+    shared: Arc<Shared>,
+    events: mpsc::UnboundedReceiver<Event>,
+    deadline: Instant,
+    late: Pin<Box<Sleep>>,
+    taken: u64,
+    is_ended: bool,
+}
+
+impl Reader {
+    fn new(
+        attempt: u64,
+        shared: Arc<Shared>,
+        events: mpsc::UnboundedReceiver<Event>,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            attempt,
+            shared,
+            events,
+            deadline,
+            late: Box::pin(sleep_until(deadline)),
+            taken: 0,
+            is_ended: false,
+        }
+    }
+
+    async fn head(&mut self) -> Result<crank_protocol::call::AnswerHead, Refused> {
+        match timeout_at(self.deadline, self.events.recv()).await {
+            Ok(Some(Event::Head(head))) => Ok(head),
+            Ok(Some(Event::Refused(refused))) => {
+                self.is_ended = true;
+                Err(refused)
+            }
+            Ok(_) => Err(lost()),
+            Err(_) => Err(self.too_late()),
+        }
+    }
+
+    fn too_late(&self) -> Refused {
+        if self.shared.attempts.lock().is_written(self.attempt) {
+            refused(Refusal::TimedOut, Outcome::Unknown)
+        } else {
+            refused(Refusal::TooLate, Outcome::NotRun)
+        }
+    }
+
+    fn into_body(self) -> Body {
+        Box::pin(futures::stream::unfold(self, |mut reader| async move {
+            let piece = reader.piece().await?;
+            Some((piece, reader))
+        }))
+    }
+
+    async fn piece(&mut self) -> Option<Result<Bytes, Refusal>> {
+        if self.is_ended {
+            return None;
+        }
+        let event = tokio::select! {
+            biased;
+            event = self.events.recv() => event,
+            () = &mut self.late => Some(Event::Refused(refused(Refusal::TimedOut, Outcome::Ran))),
+        };
+        match event {
+            Some(Event::Data(data)) => {
+                self.give_credit(data.len() as u64);
+                Some(Ok(data))
+            }
+            Some(Event::End) => {
+                self.is_ended = true;
+                None
+            }
+            Some(Event::Refused(refused)) => Some(Err(self.fail(refused.refusal))),
+            Some(Event::Head(_)) | None => Some(Err(self.fail(Refusal::Cut))),
+        }
+    }
+
+    fn fail(&mut self, refusal: Refusal) -> Refusal {
+        self.is_ended = true;
+        self.cancel();
+        refusal
+    }
+
+    fn give_credit(&mut self, bytes: u64) {
+        self.taken += bytes;
+        if self.taken < CREDIT_BYTES / 2 {
+            return;
+        }
+        let bytes = std::mem::take(&mut self.taken);
+        if self.shared.attempts.lock().credit(self.attempt, bytes) {
+            let credit = Call::Credit {
+                attempt: self.attempt,
+                bytes,
+            };
+            let _ = self.shared.outgoing.send(Outgoing::Frame(credit));
+        }
+    }
+
+    fn cancel(&self) {
+        let attempt = self.attempt;
+        if self.shared.attempts.lock().forget(attempt) {
+            let cancel = Outgoing::Frame(Call::Cancel { attempt });
+            let _ = self.shared.outgoing.send(cancel);
+        }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.cancel();
+    }
+}
--- /dev/null
+++ b/crates/crank-mesh/tests/common/mod.rs
@@ -0,0 +1,93 @@
+//! Nodes on loopback that talk over call connections.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crank_mesh::call::{self, Link, Target};
+use crank_protocol::call::{Answer, AnswerHead, Body, Head, Load};
+use crank_protocol::config::{Importance, Method, Version};
+use crank_protocol::member::{Member, Place, State};
+use crank_protocol::wire::{Hello, PROTOCOL};
+use crank_protocol::{Millis, Name};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_tungstenite::{WebSocketStream, accept_async};
+use tokio_util::sync::CancellationToken;
+
+pub(crate) const LIMIT: Duration = Duration::from_secs(20);
+
+pub(crate) fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+pub(crate) fn hello(id: &str, account: &str) -> Hello {
+    let member = Member {
+        id: name(id),
+        place: Place {
+            region: name("bahia"),
+            data_centre: name("bahia-1"),
+        },
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: 1,
+        state: State::Alive,
+        endpoint: None,
+    };
+    Hello {
+        protocol: PROTOCOL,
+        account: name(account),
+        member,
+    }
+}
+
+pub(crate) fn head(path: &str) -> Head {
+    Head {
+        request: 7,
+        service: name("recipes"),
+        method: Method::Post,
+        path: path.into(),
+        headers: Vec::new(),
+        time_left: Millis(15_000),
+        importance: Importance::Normal,
+        idempotent: false,
+        once: None,
+        depth: 0,
+        version: Version(1),
+    }
+}
+
+pub(crate) fn answer(length: Option<u64>, body: Body) -> Answer {
+    let head = AnswerHead {
+        status: 200,
+        headers: Vec::new(),
+        length,
+        load: Load::default(),
+    };
+    Answer { head, body }
+}
+
+/// Takes the next connection of a listener.
+pub(crate) async fn accept(listener: &TcpListener) -> WebSocketStream<TcpStream> {
+    let (stream, _) = listener.accept().await.unwrap();
+    accept_async(stream).await.unwrap()
+}
+
+/// A node that serves all its connections.
+pub(crate) async fn node(target: impl Target, leaving: CancellationToken) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let socket = accept(&listener).await;
+            let (target, leaving) = (target.clone(), leaving.clone());
+            tokio::spawn(async move {
+                call::serve(socket, &hello("target", "sutkent"), target, leaving).await
+            });
+        }
+    });
+    address
+}
+
+pub(crate) async fn link(address: SocketAddr) -> Link {
+    let ours = hello("entry", "sutkent");
+    let link = Link::connect(&ours, &name("target"), address, LIMIT).await;
+    link.unwrap()
+}
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
-use crate::call::{AnswerHead, Head, Load, Refusal};
+use crate::call::{AnswerHead, Head, Load, Outcome, Refusal};
 use crate::config::{Delta, Snapshot, Stamp};
 use crate::member::Member;
 use crate::{Millis, Name};
@@ -133,8 +133,10 @@
         attempt: u64,
         /// Why.
         refusal: Refusal,
-        /// How busy the target is.
-        load: Load,
+        /// What is certain about it.
+        outcome: Outcome,
+        /// How busy the target is, where it said so.
+        load: Option<Load>,
     },
     /// The caller left.
     Cancel {
--- /dev/null
+++ b/standins/crank-backend/src/announcer.rs
@@ -0,0 +1,57 @@
+//! Announces the stand-in to its node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crank_protocol::Name;
+use crank_protocol::member::Stage;
+use serde::Serialize;
+use tokio::time::timeout;
+
+use crate::state::State;
+
+const POST_LIMIT: Duration = Duration::from_secs(1);
+
+#[derive(Serialize)]
+struct Report<'a> {
+    service: &'a Name,
+    stage: Stage,
+    slots: u32,
+    address: SocketAddr,
+}
+
+/// Announces at once, at each change, and as a heartbeat.
+pub(crate) async fn run(state: State, address: SocketAddr) {
+    let client = reqwest::Client::new();
+    let every = Duration::from_millis(state.options.announce_ms);
+    loop {
+        post(&state, &client, address).await;
+        let _ = timeout(every, state.news.notified()).await;
+    }
+}
+
+/// Announces once.
+pub(crate) async fn post(state: &State, client: &reqwest::Client, address: SocketAddr) {
+    let (is_silent, is_lying) = {
+        let control = state.control.lock();
+        (control.silent == Some(true), control.lie == Some(true))
+    };
+    let Some(node) = state.options.node.filter(|_| !is_silent) else {
+        return;
+    };
+    let report = Report {
+        service: &state.options.service,
+        stage: if is_lying {
+            Stage::Ready
+        } else {
+            state.stage()
+        },
+        slots: state.options.slots,
+        address,
+    };
+    let request = client.post(format!("http://{node}/announce"));
+    let sent = request.json(&report).timeout(POST_LIMIT).send().await;
+    if let Err(error) = sent {
+        log::debug!(error:% = error; "node not reached");
+    }
+}
