--- a/crates/crank-mesh/src/error.rs
+++ b/crates/crank-mesh/src/error.rs
@@ -79,6 +79,26 @@
     /// The other side does not read what it is sent.
     #[error("the other side does not keep up; the connection is opened again if it is needed")]
     Slow,
+    /// Nothing was heard from the other side for too long.
+    #[error("the other side is silent; it is tried again when it is needed")]
+    Silent,
+    /// A frame came that has no place there.
+    #[error("a frame '{frame}' came out of turn; run the same release on all nodes")]
+    Unexpected {
+        /// Its kind.
+        frame: &'static str,
+    },
+    /// More of an answer's body came than there was credit for.
+    #[error("a body overran its credit; run the same release on all nodes")]
+    Overrun,
+    /// Another node than the expected one answers at an address.
+    #[error("node {found} answers where {wanted} was expected; it was replaced, wait for the news")]
+    WrongNode {
+        /// The expected node.
+        wanted: Name,
+        /// The node that answers.
+        found: Name,
+    },
     /// The mesh of this process has stopped.
     #[error("this node has left the mesh; start it again")]
     Stopped,
