--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -3,3 +3,9 @@
 pub mod clock;
 pub mod gate;
 pub mod target;
+
+mod error;
+mod settings;
+
+pub use error::Error;
+pub use settings::{Listen, Settings};
