thin: the entry routes, chooses, calls and tries again

What is certain about a request is combined over all its attempts: an idempotent request that was lost once and then refused is answered unknown, not not-run. A leaving node still takes what the backend server beside it asks of others (depth above zero): its work in flight may need it.

--- a/crates/crank-engine/src/retry.rs
+++ b/crates/crank-engine/src/retry.rs
@@ -176,16 +176,18 @@
 /// use crank_protocol::{Permille, call::Refusal};
 /// let mut budget = retry::Budget::new(Permille(100));
 /// let order = retry::Attempt { idempotent: false, depth: 0, made: 1, deadline: Moment(900) };
-/// assert!(retry::again(Moment(0), order, &Refusal::Leaving, &mut budget));
-/// assert!(!retry::again(Moment(0), order, &Refusal::Lost, &mut budget));
+/// let leaving = retry::refused(Refusal::Leaving, None);
+/// assert!(retry::again(Moment(0), order, &leaving, &mut budget));
+/// let lost = retry::refused(Refusal::Lost, None);
+/// assert!(!retry::again(Moment(0), order, &lost, &mut budget));
 /// ```
-pub fn again(now: Moment, attempt: Attempt, refusal: &Refusal, budget: &mut Budget) -> bool {
-    let safe = match outcome(refusal) {
+pub fn again(now: Moment, attempt: Attempt, refused: &Refused, budget: &mut Budget) -> bool {
+    let safe = match combine(refused.outcome, outcome(&refused.refusal)) {
         Outcome::NotRun => true,
         Outcome::Unknown => attempt.idempotent,
         Outcome::Ran => false,
     };
-    safe && another_may_differ(refusal)
+    safe && another_may_differ(&refused.refusal)
         && attempt.depth == 0
         && attempt.made < MOST_ATTEMPTS
         && now < attempt.deadline
--- /dev/null
+++ b/crates/crank-node/src/entry.rs
@@ -0,0 +1,385 @@
+//! The entry node: route, choose, call, and try again where that is safe.
+
+mod asked;
+mod lane;
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use crank_engine::balance::Choice;
+use crank_engine::drain::{Drain, Progress};
+use crank_engine::route::{Rule, Table};
+use crank_engine::{Moment, burn, retry};
+use crank_protocol::call::{Answer, Body, Head, Load, Outcome, Refusal, Refused, Request};
+use crank_protocol::config::{Snapshot, Version};
+use crank_protocol::member::{Member, Place, Stage};
+use crank_protocol::{Millis, Name};
+use futures::StreamExt;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::gate::Pass;
+use asked::Asked;
+use lane::Lane;
+
+/// The edge to the targets' nodes, this one included.
+pub trait Links: Send + Sync + 'static {
+    /// Sends one attempt to a target's node; dropping the future cancels it.
+    ///
+    /// # Errors
+    /// What the target's node refused with; [`Refusal::NotSent`] only when that node has certainly
+    /// got nothing of it; otherwise [`Refusal::Lost`], [`Refusal::TimedOut`] or [`Refusal::Cut`].
+    fn call(
+        &self,
+        target: &Choice,
+        head: Head,
+        body: Bytes,
+    ) -> impl Future<Output = Result<Answer, Refused>> + Send;
+}
+
+/// What an entry is made of.
+#[derive(Debug)]
+pub struct Parts<L> {
+    /// The process's clock.
+    pub clock: Clock,
+    /// The node's name, from its settings.
+    pub own: Name,
+    /// Where the node stands, from its settings.
+    pub place: Place,
+    /// The configuration in force: `crank_mesh::Handle::config`.
+    pub config: watch::Receiver<Option<Arc<Snapshot>>>,
+    /// All members, this node included.
+    pub members: watch::Receiver<Arc<Vec<Member>>>,
+    /// Whether the node may serve: `crank_mesh::Handle::ready`.
+    pub ready: watch::Receiver<bool>,
+    /// The way to the targets' nodes.
+    pub links: L,
+    /// Where every finished request is counted.
+    pub burn: Arc<Mutex<burn::Burn>>,
+}
+
+/// Takes callers' requests; cloning shares it.
+///
+/// A request keeps the configuration that it began with. Its deadline covers everything, waiting
+/// and retries included. Dropping the future of a request cancels what it has begun.
+#[derive(Debug)]
+pub struct Entry<L> {
+    shared: Arc<Shared<L>>,
+}
+
+impl<L> Clone for Entry<L> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: self.shared.clone(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Shared<L> {
+    parts: Parts<L>,
+    table: ArcSwapOption<Table>,
+    lanes: Mutex<BTreeMap<Name, Arc<Lane>>>,
+    drain: Mutex<Drain>,
+}
+
+/// A request on its way.
+struct Journey {
+    rule: Arc<Rule>,
+    lane: Arc<Lane>,
+    head: Head,
+    body: Bytes,
+    began: Moment,
+    deadline: Moment,
+}
+
+impl<L: Links> Entry<L> {
+    /// An entry.
+    ///
+    /// ```
+    /// use crank_node::entry::{Entry, Links, Parts};
+    /// fn start<L: Links>(parts: Parts<L>) -> Entry<L> {
+    ///     Entry::new(parts)
+    /// }
+    /// ```
+    #[must_use]
+    pub fn new(parts: Parts<L>) -> Self {
+        let mut drain = Drain::new();
+        drain.announce(parts.clock.now(), Stage::Ready, Millis(0));
+        Self {
+            shared: Arc::new(Shared {
+                parts,
+                table: ArcSwapOption::empty(),
+                lanes: Mutex::new(BTreeMap::new()),
+                drain: Mutex::new(drain),
+            }),
+        }
+    }
+
+    /// Brings a request to a backend server that can serve it, and its answer back.
+    ///
+    /// # Errors
+    /// Why it got no answer, and what is certain about it over all attempts.
+    ///
+    /// ```
+    /// # use crank_node::entry::{Entry, Links};
+    /// # use crank_protocol::call::Request;
+    /// async fn status<L: Links>(entry: &Entry<L>, request: Request) -> Option<u16> {
+    ///     entry.call(request).await.ok().map(|answer| answer.head.status)
+    /// }
+    /// ```
+    pub async fn call(&self, request: Request) -> Result<Answer, Refused> {
+        let began = self.now();
+        let (journey, pass) = self
+            .depart(request, began)
+            .await
+            .map_err(|refusal| retry::refused(refusal, None))?;
+        let result = self.travel(&journey).await;
+        match result {
+            Ok(answer) => Ok(self.arrive(journey, pass, answer)),
+            Err(refused) => {
+                self.count(&journey.rule, &refused, began);
+                Err(refused)
+            }
+        }
+    }
+
+    async fn depart(&self, request: Request, began: Moment) -> Result<(Journey, Pass), Refusal> {
+        let table = self.table()?;
+        let rule = table.find(request.method, &request.path)?.clone();
+        let asked = Asked::read(&request, &rule)?;
+        if asked.depth == 0 {
+            self.shared.drain.lock().admit()?;
+        }
+        let deadline = began.after(asked.timeout);
+        let lane = self.lane(&rule);
+        self.refresh(&lane, table.version(), &rule);
+        let turn = lane.gate().enter(rule.service.importance, deadline).await;
+        let pass = turn.inspect_err(|_| self.record(&rule, false, began))?;
+        let journey = Journey {
+            head: asked.head(&request, &rule, table.version()),
+            body: request.body,
+            rule,
+            lane,
+            began,
+            deadline,
+        };
+        Ok((journey, pass))
+    }
+
+    /// Tries one target after another, as long as that is safe and worth it.
+    async fn travel(&self, journey: &Journey) -> Result<Answer, Refused> {
+        let mut tried: Vec<Name> = Vec::new();
+        let mut certain = Outcome::NotRun;
+        let mut last = Refusal::NoServer;
+        journey.lane.earn();
+        loop {
+            self.refresh(&journey.lane, journey.head.version, &journey.rule);
+            let choice = journey.lane.choose(self.now(), &tried);
+            let Some(choice) = choice else {
+                break;
+            };
+            let refused = match self.attempt(journey, &choice).await {
+                Ok(answer) => return Ok(answer),
+                Err(refused) => refused,
+            };
+            certain = retry::combine(certain, refused.outcome);
+            tried.push(choice.id);
+            let attempt = retry::Attempt {
+                idempotent: journey.head.idempotent,
+                depth: journey.head.depth,
+                made: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+                deadline: journey.deadline,
+            };
+            let again = journey.lane.again(self.now(), attempt, &refused);
+            last = refused.refusal;
+            if !again {
+                break;
+            }
+        }
+        Err(Refused {
+            refusal: last,
+            outcome: certain,
+            load: None,
+        })
+    }
+
+    async fn attempt(&self, journey: &Journey, choice: &Choice) -> Result<Answer, Refused> {
+        let began = self.now();
+        let mut head = journey.head.clone();
+        head.time_left = journey.deadline.since(began);
+        let flight = lane::Flight::new(&journey.lane, self.shared.parts.clock, choice, began);
+        let call = self
+            .shared
+            .parts
+            .links
+            .call(choice, head, journey.body.clone());
+        let end = self.shared.parts.clock.instant(journey.deadline);
+        let result = tokio::time::timeout_at(end, call)
+            .await
+            .unwrap_or_else(|_| Err(retry::refused(Refusal::TimedOut, None)));
+        flight.land(&result);
+        result
+    }
+
+    /// Hands the answer over; the place is held and the request counted until its body has ended.
+    fn arrive(&self, journey: Journey, pass: Pass, mut answer: Answer) -> Answer {
+        let arrival = Arrival {
+            burn: self.shared.parts.burn.clone(),
+            clock: self.shared.parts.clock,
+            served: answer.head.status < FIRST_SERVER_FAULT,
+            whole: false,
+            rule: journey.rule,
+            began: journey.began,
+            _pass: pass,
+        };
+        let end = self.shared.parts.clock.instant(journey.deadline);
+        let body = (answer.body, arrival);
+        let held = futures::stream::unfold(Some(body), move |held| async move {
+            let (mut body, mut arrival) = held?;
+            match tokio::time::timeout_at(end, body.next()).await {
+                Ok(Some(Ok(data))) => Some((Ok(data), Some((body, arrival)))),
+                Ok(Some(Err(refusal))) => Some((Err(refusal), None)),
+                Ok(None) => {
+                    arrival.whole = true;
+                    None
+                }
+                Err(_) => Some((Err(Refusal::Cut), None)),
+            }
+        });
+        answer.body = Box::pin(held) as Body;
+        answer
+    }
+
+    fn table(&self) -> Result<Arc<Table>, Refusal> {
+        if !*self.shared.parts.ready.borrow() {
+            return Err(Refusal::NotReady);
+        }
+        let snapshot = self.shared.parts.config.borrow().clone();
+        let snapshot = snapshot.ok_or(Refusal::NotReady)?;
+        let held = self.shared.table.load_full();
+        match held {
+            Some(table) if table.version() >= snapshot.stamp.version => Ok(table),
+            Some(_) | None => {
+                let table = Arc::new(Table::new(&snapshot));
+                self.shared.table.store(Some(table.clone()));
+                Ok(table)
+            }
+        }
+    }
+
+    fn lane(&self, rule: &Rule) -> Arc<Lane> {
+        let name = &rule.route.service;
+        let mut lanes = self.shared.lanes.lock();
+        if let Some(lane) = lanes.get(name) {
+            return lane.clone();
+        }
+        let parts = &self.shared.parts;
+        let lane = Arc::new(Lane::new(parts.clock, &parts.own, &parts.place, rule));
+        lanes.insert(name.clone(), lane.clone());
+        lane
+    }
+
+    fn refresh(&self, lane: &Lane, version: Version, rule: &Rule) {
+        let members = self.shared.parts.members.borrow().clone();
+        lane.refresh(self.now(), version, rule, &members);
+    }
+
+    /// The node begins to leave: callers' new requests are refused, those under way are finished.
+    ///
+    /// What the backend server beside the node asks of other services is still taken, because its
+    /// own work in flight may need it.
+    ///
+    /// ```
+    /// # use crank_node::entry::{Entry, Links};
+    /// # use crank_protocol::Millis;
+    /// fn on_sigterm<L: Links>(entry: &Entry<L>) {
+    ///     entry.drain(Millis(30_000));
+    /// }
+    /// ```
+    pub fn drain(&self, grace: Millis) {
+        self.shared.drain.lock().leave(self.now(), grace);
+    }
+
+    /// How far the leaving has come.
+    ///
+    /// ```
+    /// # use crank_engine::drain::{Drain, Progress};
+    /// # use crank_node::entry::{Entry, Links};
+    /// fn may_go<L: Links>(entry: &Entry<L>) -> bool {
+    ///     entry.progress() == Progress::Drained
+    /// }
+    /// ```
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        let in_flight = self.load().values().map(under_way).sum();
+        self.shared.drain.lock().progress(self.now(), in_flight)
+    }
+
+    /// The requests under way, service by service.
+    ///
+    /// ```
+    /// # use crank_node::entry::{Entry, Links};
+    /// fn is_idle<L: Links>(entry: &Entry<L>) -> bool {
+    ///     entry.load().values().all(|load| load.running == 0)
+    /// }
+    /// ```
+    #[must_use]
+    pub fn load(&self) -> BTreeMap<Name, Load> {
+        let lanes = self.shared.lanes.lock();
+        lanes
+            .iter()
+            .map(|(name, lane)| (name.clone(), lane.gate().load()))
+            .collect()
+    }
+
+    fn count(&self, rule: &Rule, refused: &Refused, began: Moment) {
+        if refused.refusal != Refusal::Cancelled {
+            self.record(rule, false, began);
+        }
+    }
+
+    fn record(&self, rule: &Rule, answered: bool, began: Moment) {
+        record(&self.shared.parts.burn, rule, answered, began, self.now());
+    }
+
+    fn now(&self) -> Moment {
+        self.shared.parts.clock.now()
+    }
+}
+
+fn under_way(load: &Load) -> u32 {
+    load.running.saturating_add(load.waiting)
+}
+
+/// The first HTTP status by which a backend server says that the fault is its own.
+const FIRST_SERVER_FAULT: u16 = 500;
+
+/// An answer that is being handed over.
+struct Arrival {
+    burn: Arc<Mutex<burn::Burn>>,
+    clock: Clock,
+    rule: Arc<Rule>,
+    began: Moment,
+    served: bool,
+    whole: bool,
+    _pass: Pass,
+}
+
+impl Drop for Arrival {
+    fn drop(&mut self) {
+        let answered = self.served && self.whole;
+        let now = self.clock.now();
+        record(&self.burn, &self.rule, answered, self.began, now);
+    }
+}
+
+fn record(burn: &Mutex<burn::Burn>, rule: &Rule, answered: bool, began: Moment, now: Moment) {
+    let objective = rule.service.objective.as_ref();
+    let good = burn::is_good(objective, answered, now.since(began));
+    burn.lock().record(&rule.route.service, good, now);
+}
--- /dev/null
+++ b/crates/crank-node/src/entry/lane.rs
@@ -0,0 +1,165 @@
+use std::sync::Arc;
+
+use crank_engine::Moment;
+use crank_engine::balance::{Choice, End, Pool};
+use crank_engine::limit::Size;
+use crank_engine::retry::{self, Budget};
+use crank_engine::route::Rule;
+use crank_protocol::call::{Answer, Refusal, Refused};
+use crank_protocol::config::{Service, Version};
+use crank_protocol::member::{Member, Place, Stage};
+use crank_protocol::{Millis, Name};
+use parking_lot::Mutex;
+
+use super::FIRST_SERVER_FAULT;
+use crate::clock::Clock;
+use crate::gate::Gate;
+
+/// Requests of one service that a node has under way at most.
+const MOST_UNDER_WAY: u32 = 1_024;
+
+/// What the entry holds for one service, apart from all others: places, targets, retry budget.
+#[derive(Debug)]
+pub(super) struct Lane {
+    gate: Gate,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    pool: Pool,
+    budget: Budget,
+    version: Version,
+    members: Option<Arc<Vec<Member>>>,
+}
+
+impl Lane {
+    pub(super) fn new(clock: Clock, own: &Name, place: &Place, rule: &Rule) -> Self {
+        let gate = Gate::new(clock, size(&rule.service, 0));
+        gate.announce(Stage::Ready, Millis(0));
+        let state = State {
+            pool: Pool::new(own.clone(), place.clone()),
+            budget: Budget::new(rule.service.retry_budget),
+            version: Version::default(),
+            members: None,
+        };
+        Self {
+            gate,
+            state: Mutex::new(state),
+        }
+    }
+
+    pub(super) fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// Takes a newer policy and other members; older ones are passed over.
+    pub(super) fn refresh(
+        &self,
+        now: Moment,
+        version: Version,
+        rule: &Rule,
+        members: &Arc<Vec<Member>>,
+    ) {
+        let mut state = self.state.lock();
+        let same_members = state
+            .members
+            .as_ref()
+            .is_some_and(|held| Arc::ptr_eq(held, members));
+        if version < state.version || (version == state.version && same_members) {
+            return;
+        }
+        state.version = version;
+        state.members = Some(members.clone());
+        state.budget.set_share(rule.service.retry_budget);
+        let name = &rule.route.service;
+        state.pool.update(now, name, &rule.service, members);
+        self.gate.resize(size(&rule.service, state.pool.slots()));
+    }
+
+    pub(super) fn earn(&self) {
+        self.state.lock().budget.earn();
+    }
+
+    pub(super) fn choose(&self, now: Moment, tried: &[Name]) -> Option<Choice> {
+        let mut state = self.state.lock();
+        state.pool.choose(now, tried, &mut rand::rng())
+    }
+
+    pub(super) fn again(&self, now: Moment, attempt: retry::Attempt, refused: &Refused) -> bool {
+        let mut state = self.state.lock();
+        retry::again(now, attempt, refused, &mut state.budget)
+    }
+}
+
+/// Room for all that the targets can run and let wait.
+fn size(service: &Service, slots: u32) -> Size {
+    let targets = slots.div_ceil(service.slots.max(1)).max(1);
+    let useful = targets.saturating_mul(service.slots.saturating_add(service.queue));
+    Size {
+        slots: useful.min(MOST_UNDER_WAY),
+        queue: service.queue,
+    }
+}
+
+/// One attempt, in flight at its target until it lands or is dropped.
+pub(super) struct Flight<'a> {
+    lane: &'a Lane,
+    clock: Clock,
+    target: &'a Name,
+    began: Moment,
+    landed: bool,
+}
+
+impl<'a> Flight<'a> {
+    pub(super) fn new(lane: &'a Lane, clock: Clock, choice: &'a Choice, began: Moment) -> Self {
+        Self {
+            lane,
+            clock,
+            target: &choice.id,
+            began,
+            landed: false,
+        }
+    }
+
+    pub(super) fn land(mut self, result: &Result<Answer, Refused>) {
+        self.landed = true;
+        let now = self.clock.now();
+        let micros = now.0.saturating_sub(self.began.0);
+        let (end, load) = match result {
+            Ok(answer) if answer.head.status < FIRST_SERVER_FAULT => {
+                (End::Answered { micros }, Some(answer.head.load))
+            }
+            Ok(answer) => (End::Failed, Some(answer.head.load)),
+            Err(refused) => (end(&refused.refusal, micros), refused.load),
+        };
+        let mut state = self.lane.state.lock();
+        state.pool.finish(now, self.target, end, load);
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        if !self.landed {
+            let now = self.clock.now();
+            let mut state = self.lane.state.lock();
+            state.pool.finish(now, self.target, End::Unrelated, None);
+        }
+    }
+}
+
+fn end(refusal: &Refusal, micros: u64) -> End {
+    match refusal {
+        Refusal::Overloaded { .. } => End::Full,
+        Refusal::Leaving | Refusal::NotReady | Refusal::NoServer => End::Leaving,
+        Refusal::NotSent | Refusal::Lost | Refusal::Cut => End::Failed,
+        Refusal::TimedOut => End::Slow { micros },
+        Refusal::NoRoute
+        | Refusal::BadRequest { .. }
+        | Refusal::TooLate
+        | Refusal::StoreDown
+        | Refusal::KeyInUse
+        | Refusal::KeyMismatch
+        | Refusal::Cancelled => End::Unrelated,
+    }
+}
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The node process: wires the peer packages together as actors.
 
 pub mod clock;
+pub mod entry;
 pub mod gate;
 pub mod target;
 
