--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -4,6 +4,8 @@
 //! it draws. The processes only carry out what is decided here.
 
 pub mod admit;
+pub mod announce;
+pub mod backoff;
 pub mod balance;
 pub mod burn;
 pub mod claim;
@@ -14,6 +16,7 @@
 pub mod limit;
 pub mod member;
 pub mod notice;
+pub mod once;
 pub mod overlay;
 pub mod publish;
 pub mod retry;
@@ -21,6 +24,7 @@
 pub mod spread;
 
 mod error;
+mod hash;
 mod moment;
 mod nonce;
 
--- a/crates/crank-platform-client/src/lib.rs
+++ b/crates/crank-platform-client/src/lib.rs
@@ -16,11 +16,13 @@
 mod memory;
 mod platform;
 mod remote;
+mod settings;
 mod table;
 mod value;
 
 pub use error::Error;
 pub use memory::{Counts, Memory};
 pub use platform::Platform;
-pub use remote::{Remote, Settings};
+pub use remote::{Access, Remote};
+pub use settings::Settings;
 pub use value::{Condition, Etag, Key, Listing, Object, Row, RowCondition, RowWrite, Value};
--- a/crates/crank-platform-client/src/remote.rs
+++ b/crates/crank-platform-client/src/remote.rs
@@ -16,7 +16,7 @@
 
 /// Where the platform's services are, and how long a request to them may take.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Settings {
+pub struct Access {
     /// The URL of the object store.
     pub objects: Arc<str>,
     /// The URL of the table service.
@@ -49,8 +49,8 @@
     /// [`Error::Malformed`] where a setting cannot be used.
     ///
     /// ```
-    /// use crank_platform_client::{Remote, Settings};
-    /// let remote = Remote::new(&Settings {
+    /// use crank_platform_client::{Remote, Access};
+    /// let remote = Remote::new(&Access {
     ///     objects: "http://127.0.0.1:7001".into(),
     ///     rows: "http://127.0.0.1:7001".into(),
     ///     region: "almaty".into(),
@@ -62,7 +62,7 @@
     /// });
     /// assert!(remote.is_ok());
     /// ```
-    pub fn new(settings: &Settings) -> Result<Self, Error> {
+    pub fn new(settings: &Access) -> Result<Self, Error> {
         Ok(Self {
             objects: objects::Client::new(settings)?,
             rows: rows::Client::new(settings),
@@ -96,7 +96,7 @@
     }
 }
 
-fn timeout(settings: &Settings) -> Duration {
+fn timeout(settings: &Access) -> Duration {
     settings.timeout.into()
 }
 
--- a/crates/crank-platform-client/src/remote/objects.rs
+++ b/crates/crank-platform-client/src/remote/objects.rs
@@ -12,7 +12,7 @@
     ClientOptions, ObjectMeta, ObjectStore, ObjectStoreExt, PutMode, RetryConfig, UpdateVersion,
 };
 
-use super::{Settings, answer_lost, timeout, unavailable};
+use super::{Access, answer_lost, timeout, unavailable};
 use crate::{Condition, Error, Etag, Listing, Object};
 
 #[derive(Debug, Clone)]
@@ -21,7 +21,7 @@
 }
 
 impl Client {
-    pub(super) fn new(settings: &Settings) -> Result<Self, Error> {
+    pub(super) fn new(settings: &Access) -> Result<Self, Error> {
         let options = ClientOptions::new()
             .with_allow_http(true)
             .with_timeout(timeout(settings))
--- a/crates/crank-platform-client/src/remote/rows.rs
+++ b/crates/crank-platform-client/src/remote/rows.rs
@@ -11,7 +11,7 @@
 use aws_sdk_dynamodb::primitives::Blob;
 use aws_sdk_dynamodb::types::{AttributeValue, Put, TransactWriteItem};
 
-use super::{Settings, answer_lost, timeout, unavailable};
+use super::{Access, answer_lost, timeout, unavailable};
 use crate::{Error, Key, Row, RowCondition, RowWrite, Value};
 
 const PARTITION: &str = "partition";
@@ -28,7 +28,7 @@
 }
 
 impl Client {
-    pub(super) fn new(settings: &Settings) -> Self {
+    pub(super) fn new(settings: &Access) -> Self {
         let credentials = Credentials::new(
             &*settings.access_key,
             &*settings.secret_key,
