--- a/crates/crank-platform-client/tests/common/mod.rs
+++ b/crates/crank-platform-client/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crank_platform_client::{Remote, Settings};
+use crank_platform_client::{Access, Remote};
 use crank_protocol::{Millis, Name};
 
 pub(crate) struct Standin {
@@ -22,7 +22,7 @@
 
     pub(crate) fn client(&self, timeout: Millis) -> Remote {
         let url: std::sync::Arc<str> = format!("http://{}", self.address).into();
-        Remote::new(&Settings {
+        Remote::new(&Access {
             objects: url.clone(),
             rows: url,
             region: "almaty".into(),
