--- a/crates/crank-engine/src/balance.rs
+++ b/crates/crank-engine/src/balance.rs
@@ -158,7 +158,13 @@
     ///     pool.update(now, name, service, all);
     /// }
     /// ```
-    pub fn update(&mut self, now: Moment, name: &Name, service: &Service, members: &[Member]) {
+    pub fn update<'a>(
+        &mut self,
+        now: Moment,
+        name: &Name,
+        service: &Service,
+        members: impl IntoIterator<Item = &'a Member>,
+    ) {
         self.warm_up = service.warm_up;
         let mut old = std::mem::take(&mut self.known);
         let mut nodes = 0;
--- a/crates/crank-engine/src/claim.rs
+++ b/crates/crank-engine/src/claim.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 
 use crank_protocol::call::AnswerHead;
+use crank_protocol::config::Method;
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
+use sha2::{Digest, Sha256};
 
 use crate::Nonce;
 
@@ -16,6 +18,28 @@
 #[serde(transparent)]
 pub struct Fingerprint(pub Arc<str>);
 
+impl Fingerprint {
+    /// The SHA-256 of a request's method, path and body, in hexadecimal.
+    ///
+    /// ```
+    /// use crank_engine::claim::Fingerprint;
+    /// use crank_protocol::config::Method;
+    /// let one = Fingerprint::new(Method::Post, "/tickets", b"12 t");
+    /// assert_eq!(one, Fingerprint::new(Method::Post, "/tickets", b"12 t"));
+    /// assert_ne!(one, Fingerprint::new(Method::Post, "/tickets", b"13 t"));
+    /// assert_ne!(one, Fingerprint::new(Method::Post, "/tickets1", b"2 t"));
+    /// ```
+    #[must_use]
+    pub fn new(method: Method, path: &str, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update([method as u8]);
+        hasher.update((path.len() as u64).to_be_bytes());
+        hasher.update(path);
+        hasher.update(body);
+        Self(Arc::from(hex::encode(hasher.finalize())))
+    }
+}
+
 /// The answer of a request that ran.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod limit;
 pub mod member;
 pub mod notice;
-pub mod once;
 pub mod overlay;
 pub mod publish;
 pub mod retry;
--- a/crates/crank-node/src/entry/lane.rs
+++ b/crates/crank-node/src/entry/lane.rs
@@ -73,7 +73,7 @@
         state.members = Some(members.clone());
         state.budget.set_share(rule.service.retry_budget);
         let name = &rule.route.service;
-        state.pool.update(now, name, &rule.service, members);
+        state.pool.update(now, name, &rule.service, members.iter());
         self.gate.resize(size(&rule.service, state.pool.slots()));
     }
 
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use crank_engine::limit::Size;
 use crank_engine::{Moment, drain::Progress, retry};
+use crank_platform_client::Platform;
 use crank_protocol::call::{Answer, Body, Head, Load, Refusal, Refused};
 use crank_protocol::config::{Service, Snapshot};
 use crank_protocol::member::{Endpoint, Stage};
@@ -18,7 +19,7 @@
 use crate::clock::Clock;
 use crate::gate::{Gate, Pass};
 
-pub use once::{Claimed, Claims, Key, RECORDED_BODY_BYTES, Receipt, Record};
+pub use once::RECORDED_BODY_BYTES;
 
 /// The grace of a backend server whose service the configuration does not know.
 const DEFAULT_GRACE: Millis = Millis(10_000);
@@ -40,15 +41,17 @@
 
 /// What a target's node is made of.
 #[derive(Debug)]
-pub struct Parts<C, F> {
+pub struct Parts<P, F> {
     /// The process's clock.
     pub clock: Clock,
     /// The configuration in force: `crank_mesh::Handle::config`.
     pub config: watch::Receiver<Option<Arc<Snapshot>>>,
     /// What the backend server last announced; absent before the first announcement.
     pub endpoint: watch::Receiver<Option<Endpoint>>,
-    /// The claims of requests that may run once.
-    pub claims: C,
+    /// The client account, from the node's settings.
+    pub account: Name,
+    /// Where requests that may run only once are claimed.
+    pub platform: P,
     /// The way to the backend server.
     pub forwarder: F,
 }
@@ -58,11 +61,11 @@
 /// The order is: admission, then the claim where the request may run only once, then the run. A
 /// refusal before the run is certain; one after it says what is known.
 #[derive(Debug)]
-pub struct Target<C, F> {
-    shared: Arc<Shared<C, F>>,
+pub struct Target<P, F> {
+    shared: Arc<Shared<P, F>>,
 }
 
-impl<C, F> Clone for Target<C, F> {
+impl<P, F> Clone for Target<P, F> {
     fn clone(&self) -> Self {
         Self {
             shared: self.shared.clone(),
@@ -71,27 +74,28 @@
 }
 
 #[derive(Debug)]
-struct Shared<C, F> {
-    parts: Parts<C, F>,
+struct Shared<P, F> {
+    parts: Parts<P, F>,
     gate: Gate,
     unsettled: Arc<()>,
 }
 
-impl<C: Claims, F: Forwarder> Target<C, F> {
+impl<P: Platform, F: Forwarder> Target<P, F> {
     /// A target that takes nothing until the backend server has announced that it is ready.
     ///
     /// Spawn [`Target::follow`] once, so that announcements take effect between requests too.
     ///
     /// ```
-    /// use crank_node::target::{Claims, Forwarder, Parts, Target};
-    /// fn start<C: Claims, F: Forwarder>(parts: Parts<C, F>) -> Target<C, F> {
+    /// use crank_node::target::{Forwarder, Parts, Target};
+    /// use crank_platform_client::Platform;
+    /// fn start<P: Platform, F: Forwarder>(parts: Parts<P, F>) -> Target<P, F> {
     ///     let target = Target::new(parts);
     ///     tokio::spawn(target.clone().follow());
     ///     target
     /// }
     /// ```
     #[must_use]
-    pub fn new(parts: Parts<C, F>) -> Self {
+    pub fn new(parts: Parts<P, F>) -> Self {
         let gate = Gate::new(parts.clock, Size { slots: 0, queue: 0 });
         let target = Self {
             shared: Arc::new(Shared {
@@ -107,8 +111,9 @@
     /// Carries announcements and changes of configuration to the gate, until both have no sender.
     ///
     /// ```
-    /// # use crank_node::target::{Claims, Forwarder, Target};
-    /// fn spawn<C: Claims, F: Forwarder>(target: &Target<C, F>) {
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Platform;
+    /// fn spawn<P: Platform, F: Forwarder>(target: &Target<P, F>) {
     ///     tokio::spawn(target.clone().follow());
     /// }
     /// ```
@@ -160,9 +165,10 @@
     /// Why it got no answer, what is certain about it, and how busy the backend server is.
     ///
     /// ```
-    /// # use crank_node::target::{Claims, Forwarder, Target};
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Platform;
     /// # use crank_protocol::call::{Head, Outcome};
-    /// async fn ran<C: Claims, F: Forwarder>(target: &Target<C, F>, head: Head) -> bool {
+    /// async fn ran<P: Platform, F: Forwarder>(target: &Target<P, F>, head: Head) -> bool {
     ///     match target.run(head, "spoons".into()).await {
     ///         Ok(_) => true,
     ///         Err(refused) => refused.outcome != Outcome::NotRun,
@@ -216,9 +222,10 @@
     /// The node begins to leave: new work is refused at once, and what is in flight is finished.
     ///
     /// ```
-    /// # use crank_node::target::{Claims, Forwarder, Target};
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Platform;
     /// # use crank_protocol::Millis;
-    /// fn on_sigterm<C: Claims, F: Forwarder>(target: &Target<C, F>) {
+    /// fn on_sigterm<P: Platform, F: Forwarder>(target: &Target<P, F>) {
     ///     target.drain(Millis(30_000));
     /// }
     /// ```
@@ -230,8 +237,9 @@
     ///
     /// ```
     /// # use crank_engine::drain::Progress;
-    /// # use crank_node::target::{Claims, Forwarder, Target};
-    /// fn may_go<C: Claims, F: Forwarder>(target: &Target<C, F>) -> bool {
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Platform;
+    /// fn may_go<P: Platform, F: Forwarder>(target: &Target<P, F>) -> bool {
     ///     target.progress() == Progress::Drained
     /// }
     /// ```
@@ -243,8 +251,9 @@
     /// How busy the backend server is.
     ///
     /// ```
-    /// # use crank_node::target::{Claims, Forwarder, Target};
-    /// fn is_idle<C: Claims, F: Forwarder>(target: &Target<C, F>) -> bool {
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Platform;
+    /// fn is_idle<P: Platform, F: Forwarder>(target: &Target<P, F>) -> bool {
     ///     target.load().running == 0
     /// }
     /// ```
--- a/crates/crank-node/src/target/once.rs
+++ b/crates/crank-node/src/target/once.rs
@@ -1,14 +1,16 @@
 //! Requests that may run only once.
 
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use crank_engine::{Moment, once};
-use crank_protocol::Name;
-use crank_protocol::call::{Answer, AnswerHead, Body, Head, Header, Outcome, Refusal, Refused};
+use crank_engine::claim::{Fingerprint, Recorded, Verdict};
+use crank_engine::{Moment, Nonce};
+use crank_platform_client::{Error, Platform, claims};
+use crank_protocol::Millis;
+use crank_protocol::call::{Answer, Body, Head, Outcome, Refusal, Refused};
 use futures::StreamExt;
+use serde_bytes::ByteBuf;
 use tokio::task::JoinHandle;
 
 use super::{Forwarder, Target};
@@ -20,80 +22,23 @@
 const SETTLE_TRIES: u32 = 8;
 const FIRST_SETTLE_WAIT: Duration = Duration::from_millis(250);
 const LONGEST_SETTLE_WAIT: Duration = Duration::from_millis(250);
+const STORE_LIMIT: Millis = Millis(30_000);
 
-/// Names a request that may run only once.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Key {
-    /// The service that runs it.
-    pub service: Name,
-    /// The caller's idempotency key.
-    pub key: Arc<str>,
+/// A claim that this node asked for, for one request.
+#[derive(Debug, Clone)]
+struct Receipt {
+    key: Arc<str>,
+    nonce: Nonce,
+    fingerprint: Fingerprint,
 }
 
-/// Shows who won a claim.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Receipt {
-    /// The claim.
-    pub key: Key,
-    /// Drawn for the claim; no other claim of this key has it.
-    pub nonce: u128,
-    /// What tells the request from another one with the same key.
-    pub fingerprint: Arc<str>,
-}
-
-/// What is kept of a request that ran.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Record {
-    /// Its whole answer.
-    Answered {
-        /// The HTTP status.
-        status: u16,
-        /// The headers.
-        headers: Vec<Header>,
-        /// The whole body.
-        body: Bytes,
-    },
-    /// It ran, and its answer was too large, cut, or lost.
-    Ran,
-}
-
-/// What became of a claim.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Claimed {
-    /// The request is claimed and may run now.
-    Won,
-    /// It ran before.
-    Recorded(Record),
-    /// Another holds the claim, and has recorded no outcome.
-    InUse,
-    /// The key was used for another request.
-    Mismatch,
-}
-
-/// The edge to the rows by which a request runs at most once.
-pub trait Claims: Clone + Send + Sync + 'static {
-    /// Claims a key, or says what became of it; a lost answer is settled by the nonce.
-    ///
-    /// # Errors
-    /// [`Refusal::StoreDown`] when it is not known whether the claim was won.
-    fn claim(&self, receipt: Receipt) -> impl Future<Output = Result<Claimed, Refusal>> + Send;
-
-    /// Records the outcome of a claim that was won.
-    ///
-    /// # Errors
-    /// [`Refusal::StoreDown`] when it is not known whether it was recorded.
-    fn record(
-        &self,
-        receipt: Receipt,
-        record: Record,
-    ) -> impl Future<Output = Result<(), Refusal>> + Send;
-
-    /// Gives up a claim of a request that certainly has not run; harms no claim with another
-    /// nonce, and none that has an outcome.
-    ///
-    /// # Errors
-    /// [`Refusal::StoreDown`] when it is not known whether it was given up.
-    fn release(&self, receipt: Receipt) -> impl Future<Output = Result<(), Refusal>> + Send;
+/// How a claim is settled.
+#[derive(Debug, Clone)]
+enum Settlement {
+    /// The request certainly has not run and will not.
+    Release,
+    /// It ran, with this answer.
+    Record(Recorded),
 }
 
 /// What was read of an answer's body.
@@ -103,7 +48,7 @@
     Cut,
 }
 
-impl<C: Claims, F: Forwarder> Target<C, F> {
+impl<P: Platform, F: Forwarder> Target<P, F> {
     /// Claims and runs in a task of its own, because the outcome must be recorded even if the
     /// caller leaves.
     pub(super) async fn run_once(
@@ -115,17 +60,14 @@
         deadline: Moment,
     ) -> Result<Answer, Refused> {
         let receipt = Receipt {
-            key: Key {
-                service: head.service.clone(),
-                key,
-            },
-            nonce: rand::random(),
-            fingerprint: once::fingerprint(head.method, &head.path, &body),
+            key: Arc::from(format!("{}/{key}", head.service)),
+            nonce: Nonce::draw(&mut rand::rng()),
+            fingerprint: Fingerprint::new(head.method, &head.path, &body),
         };
         let target = self.clone();
         let task = tokio::spawn(async move {
             match target.claim(&receipt, deadline).await? {
-                Some(record) => target.repeat(record),
+                Some(recorded) => target.repeat(&recorded),
                 None => {
                     let run = target.run_claimed(&receipt, head, body, pass, deadline);
                     run.await
@@ -139,47 +81,57 @@
     }
 
     /// Gives what was recorded where the request ran before, and nothing where it may run now.
-    async fn claim(&self, receipt: &Receipt, deadline: Moment) -> Result<Option<Record>, Refused> {
+    async fn claim(
+        &self,
+        receipt: &Receipt,
+        deadline: Moment,
+    ) -> Result<Option<Arc<Recorded>>, Refused> {
         let end = self.shared.parts.clock.instant(deadline);
-        let claims = self.shared.parts.claims.clone();
-        let asked = receipt.clone();
-        let mut claim = tokio::spawn(async move { claims.claim(asked).await });
-        let claimed = match tokio::time::timeout_at(end, &mut claim).await {
-            Ok(Ok(Ok(claimed))) => claimed,
+        let mut asked = self.ask(receipt.clone());
+        let verdict = match tokio::time::timeout_at(end, &mut asked).await {
+            Ok(Ok(Ok(verdict))) => verdict,
             Ok(_) => {
-                self.settle(receipt.clone(), None);
+                self.settle(receipt.clone(), Settlement::Release);
                 return Err(self.refused(Refusal::StoreDown));
             }
             Err(_) => {
-                self.abandon(receipt.clone(), claim);
+                self.abandon(receipt.clone(), asked);
                 return Err(self.refused(Refusal::StoreDown));
             }
         };
-        match claimed {
-            Claimed::Won => Ok(None),
-            Claimed::Recorded(record) => Ok(Some(record)),
-            Claimed::InUse => Err(self.refused(Refusal::KeyInUse)),
-            Claimed::Mismatch => Err(self.refused(Refusal::KeyMismatch)),
+        match verdict {
+            Verdict::Won => Ok(None),
+            Verdict::Recorded(recorded) => Ok(Some(recorded)),
+            Verdict::InUse => Err(self.refused(Refusal::KeyInUse)),
+            Verdict::Mismatch => Err(self.refused(Refusal::KeyMismatch)),
         }
     }
 
-    fn repeat(&self, record: Record) -> Result<Answer, Refused> {
-        match record {
-            Record::Answered {
-                status,
-                headers,
-                body,
-            } => Ok(Answer {
-                head: AnswerHead {
-                    status,
-                    headers,
-                    length: Some(body.len() as u64),
-                    load: self.load(),
-                },
-                body: whole(body),
-            }),
-            Record::Ran => Err(self.refused(Refusal::Cut)),
-        }
+    /// Asks in a task of its own: a claim that is dropped half-way could still take effect.
+    fn ask(&self, receipt: Receipt) -> JoinHandle<Result<Verdict, Error>> {
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            let Receipt {
+                key,
+                nonce,
+                fingerprint,
+            } = receipt;
+            let parts = &shared.parts;
+            let (platform, account) = (&parts.platform, &parts.account);
+            claims::claim(platform, account, &key, nonce, fingerprint, STORE_LIMIT).await
+        })
+    }
+
+    fn repeat(&self, recorded: &Recorded) -> Result<Answer, Refused> {
+        let Some(body) = &recorded.body else {
+            return Err(self.refused(Refusal::Cut));
+        };
+        let mut head = recorded.head.clone();
+        head.load = self.load();
+        Ok(Answer {
+            head,
+            body: whole(Bytes::copy_from_slice(body)),
+        })
     }
 
     async fn run_claimed(
@@ -199,7 +151,8 @@
             Ok(answer) => self.keep(receipt, answer, deadline).await,
             Err(refused) => {
                 if refused.outcome == Outcome::NotRun {
-                    self.settle_soon(receipt, None, deadline).await;
+                    self.settle_soon(receipt, Settlement::Release, deadline)
+                        .await;
                 }
                 Err(refused)
             }
@@ -213,50 +166,42 @@
         mut answer: Answer,
         deadline: Moment,
     ) -> Result<Answer, Refused> {
-        let (record, body) = match read(answer.body).await {
-            Content::Whole(body) => {
-                let record = Record::Answered {
-                    status: answer.head.status,
-                    headers: answer.head.headers.clone(),
-                    body: body.clone(),
-                };
-                (record, Some(whole(body)))
-            }
-            Content::TooLarge(body) => (Record::Ran, Some(body)),
-            Content::Cut => (Record::Ran, None),
+        let content = read(answer.body).await;
+        let recorded = Recorded {
+            head: answer.head.clone(),
+            body: match &content {
+                Content::Whole(body) => Some(ByteBuf::from(body.to_vec())),
+                Content::TooLarge(_) | Content::Cut => None,
+            },
         };
-        self.settle_soon(receipt, Some(record), deadline).await;
-        match body {
-            Some(body) => {
-                answer.body = body;
-                Ok(answer)
-            }
-            None => Err(self.refused(Refusal::Cut)),
-        }
+        self.settle_soon(receipt, Settlement::Record(recorded), deadline)
+            .await;
+        answer.body = match content {
+            Content::Whole(body) => whole(body),
+            Content::TooLarge(body) => body,
+            Content::Cut => return Err(self.refused(Refusal::Cut)),
+        };
+        Ok(answer)
     }
 
     /// Waits a little for the claim to be settled; a slow store does not hold back the answer.
-    async fn settle_soon(&self, receipt: &Receipt, record: Option<Record>, deadline: Moment) {
+    async fn settle_soon(&self, receipt: &Receipt, settlement: Settlement, deadline: Moment) {
         let half = deadline.since(self.now()).0 / 2;
         let patience = Duration::from_millis(half).min(LONGEST_SETTLE_WAIT);
-        let task = self.settle(receipt.clone(), record);
-        let _ = tokio::time::timeout(patience, task).await;
+        let settled = self.settle(receipt.clone(), settlement);
+        let _ = tokio::time::timeout(patience, settled).await;
     }
 
-    /// Records the outcome of a claim, or gives up the claim where there is none; tries again
-    /// while the store is down.
-    fn settle(&self, receipt: Receipt, record: Option<Record>) -> JoinHandle<()> {
-        let claims = self.shared.parts.claims.clone();
-        let unsettled = Unsettled::new(&self.shared.unsettled);
+    /// Settles a claim; tries again while the store is down.
+    fn settle(&self, receipt: Receipt, settlement: Settlement) -> JoinHandle<()> {
+        let target = self.clone();
+        let unsettled = self.shared.unsettled.clone();
         tokio::spawn(async move {
             let mut wait = FIRST_SETTLE_WAIT;
             for _ in 0..SETTLE_TRIES {
-                let settled = match record.clone() {
-                    Some(record) => claims.record(receipt.clone(), record).await,
-                    None => claims.release(receipt.clone()).await,
-                };
-                if settled.is_ok() {
-                    break;
+                match target.settle_now(receipt.clone(), settlement.clone()).await {
+                    Ok(()) | Err(Error::ConditionFailed) => break,
+                    Err(error) => log::debug!(error:% = error; "claim not settled yet"),
                 }
                 tokio::time::sleep(wait).await;
                 wait *= 2;
@@ -265,18 +210,35 @@
         })
     }
 
+    async fn settle_now(&self, receipt: Receipt, settlement: Settlement) -> Result<(), Error> {
+        let Receipt {
+            key,
+            nonce,
+            fingerprint,
+        } = receipt;
+        let parts = &self.shared.parts;
+        let (platform, account, limit) = (&parts.platform, &parts.account, STORE_LIMIT);
+        match settlement {
+            Settlement::Release => {
+                claims::release(platform, account, &key, nonce, fingerprint, limit).await
+            }
+            Settlement::Record(recorded) => {
+                let record =
+                    claims::record(platform, account, &key, nonce, fingerprint, recorded, limit);
+                record.await
+            }
+        }
+    }
+
     /// Gives up a claim whose answer comes too late.
-    fn abandon(&self, receipt: Receipt, claim: JoinHandle<Result<Claimed, Refusal>>) {
+    fn abandon(&self, receipt: Receipt, asked: JoinHandle<Result<Verdict, Error>>) {
         let target = self.clone();
         tokio::spawn(async move {
-            let not_won = matches!(
-                claim.await,
-                Ok(Ok(Claimed::Recorded(_)
-                    | Claimed::InUse
-                    | Claimed::Mismatch))
-            );
-            if !not_won {
-                target.settle(receipt, None);
+            match asked.await {
+                Ok(Ok(Verdict::Recorded(_) | Verdict::InUse | Verdict::Mismatch)) => {}
+                Ok(Ok(Verdict::Won) | Err(_)) | Err(_) => {
+                    target.settle(receipt, Settlement::Release);
+                }
             }
         });
     }
@@ -285,8 +247,9 @@
     /// for them.
     ///
     /// ```
-    /// # use crank_node::target::{Claims, Forwarder, Target};
-    /// fn may_go<C: Claims, F: Forwarder>(target: &Target<C, F>) -> bool {
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Platform;
+    /// fn may_go<P: Platform, F: Forwarder>(target: &Target<P, F>) -> bool {
     ///     target.unsettled() == 0
     /// }
     /// ```
@@ -296,19 +259,6 @@
     }
 }
 
-/// Counts a claim as unsettled as long as it lives.
-struct Unsettled {
-    _counted: Arc<()>,
-}
-
-impl Unsettled {
-    fn new(counter: &Arc<()>) -> Self {
-        Self {
-            _counted: counter.clone(),
-        }
-    }
-}
-
 async fn read(mut body: Body) -> Content {
     let mut read = BytesMut::new();
     while let Some(next) = body.next().await {
