Push, pull and remove the folder's files, conditional on what was read

crank_operator::{Store, Local}: the local folder keeps etag and digest of each file as it was read (.crank-pulled.json). A push refuses whole if anything in the store changed since, then writes only what differs, each write over the etag that was read; a lost answer is settled by reading back, and content that is already as here counts as read, so a push can be repeated. A pull takes what changed in the store, keeps what changed here, and refuses whole where both did. Removal is a conditional write of nothing, as the object store has no conditional delete.

status::Fault gained Display (file:line: section key: problem), which ini::Fault shares.

Ruled out: rolling back a push that was overtaken half way: the roll-back can be overtaken too, so what was written is named instead.

--- a/crates/crank-engine/src/folder.rs
+++ b/crates/crank-engine/src/folder.rs
@@ -6,7 +6,9 @@
 mod problem;
 mod route;
 mod service;
+mod settle;
 
 pub use file::{File, is_leaving};
 pub use merge::{Merged, merge};
 pub use problem::Problem;
+pub use settle::{Pulled, Read, Settled, content_digest, settle};
--- a/crates/crank-engine/src/ini/fault.rs
+++ b/crates/crank-engine/src/ini/fault.rs
@@ -189,21 +189,7 @@
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.file)?;
-        if self.line > 0 {
-            write!(f, ":{}", self.line)?;
-        }
-        f.write_str(": ")?;
-        if !self.section.is_empty() {
-            write!(f, "{}", self.section)?;
-            if !self.key.is_empty() {
-                write!(f, " {}", self.key)?;
-            }
-            f.write_str(": ")?;
-        } else if !self.key.is_empty() {
-            write!(f, "{}: ", self.key)?;
-        }
-        write!(f, "{}", self.problem)
+        status::Fault::from(self.clone()).fmt(f)
     }
 }
 
--- a/crates/crank-operator/src/error.rs
+++ b/crates/crank-operator/src/error.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use crank_protocol::Name;
 use thiserror::Error as ThisError;
 
 /// What may go wrong between an operator, a folder and a node.
@@ -94,6 +95,25 @@
         /// The name.
         name: Arc<str>,
     },
+    /// A local folder holds another folder.
+    #[error("{} is a folder: folders inside the folder are not read; move its files up or it away", .path.display())]
+    Subfolder {
+        /// The inner folder.
+        path: PathBuf,
+    },
+    /// A local folder belongs to another client account.
+    #[error("{} was pulled from account {pulled}, not from {account}: use that account's settings or another folder", .path.display())]
+    OtherAccount {
+        /// The local folder.
+        path: PathBuf,
+        /// The account that it was pulled from.
+        pulled: Name,
+        /// The account of the settings.
+        account: Name,
+    },
+    /// The folder in the store changes faster than it can be read.
+    #[error("the folder in the store is being changed: try again in a moment")]
+    Restless,
     /// The platform's store failed.
     #[error(transparent)]
     Store(#[from] crank_platform_client::Error),
--- a/crates/crank-operator/src/lib.rs
+++ b/crates/crank-operator/src/lib.rs
@@ -5,9 +5,14 @@
 mod client;
 mod desk;
 mod error;
+mod local;
+mod push;
+mod store;
 mod trouble;
 
 pub use client::Client;
 pub use desk::Desk;
 pub use error::Error;
+pub use local::{Local, read_local};
+pub use store::{Pull, Push, Store};
 pub use trouble::Trouble;
--- /dev/null
+++ b/crates/crank-operator/src/store.rs
@@ -0,0 +1,199 @@
+//! The folder in the store: what is there, pull and removal.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use crank_engine::folder::{Read, Settled, content_digest, is_leaving, settle};
+use crank_engine::publish::Listed;
+use crank_platform_client::{Etag, Platform, folder};
+use crank_protocol::Name;
+
+use crate::{Error, Local};
+
+const MOST_READINGS: u32 = 5;
+
+/// What a pull did to the local folder.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Pull {
+    /// Files that were written.
+    pub written: Vec<Arc<str>>,
+    /// Files that were removed, as they are no longer in the store.
+    pub removed: Vec<Arc<str>>,
+    /// Files with changes of this side, which the next push writes.
+    pub kept: Vec<Arc<str>>,
+}
+
+/// What a push did to the folder in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Push {
+    /// Files that were written.
+    pub written: Vec<Arc<str>>,
+    /// Files that were removed.
+    pub removed: Vec<Arc<str>>,
+    /// Files that were passed over as editors' leavings.
+    pub passed_over: Vec<Arc<str>>,
+}
+
+/// The folder of a client account in the platform's store.
+#[derive(Debug, Clone)]
+pub struct Store<P> {
+    pub(crate) platform: P,
+    pub(crate) account: Name,
+}
+
+/// A file of the folder with its content.
+#[derive(Debug, Clone)]
+pub(crate) struct Stored {
+    pub(crate) read: Read,
+    pub(crate) content: Bytes,
+}
+
+impl<P: Platform> Store<P> {
+    /// The folder of an account.
+    ///
+    /// ```
+    /// use crank_operator::Store;
+    /// use crank_platform_client::Memory;
+    /// let store = Store::new(Memory::new(), crank_protocol::Name::new("sutkent")?);
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    #[must_use]
+    pub fn new(platform: P, account: Name) -> Self {
+        Self { platform, account }
+    }
+
+    /// Brings what changed in the store into a local folder; changes made here are kept.
+    ///
+    /// # Errors
+    /// [`Error::WouldOverwrite`] where a file was changed on both sides, and then nothing is
+    /// touched; else whatever the store or the local folder gives.
+    ///
+    /// ```
+    /// # use crank_operator::{Local, Store};
+    /// # use crank_platform_client::Memory;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let account = crank_protocol::Name::new("sutkent").unwrap();
+    /// # let dir = tempfile::tempdir().unwrap();
+    /// let store = Store::new(Memory::new(), account.clone());
+    /// let mut local = Local::open(dir.path(), &account).unwrap();
+    /// assert!(store.pull(&mut local).await.unwrap().written.is_empty());
+    /// # });
+    /// ```
+    pub async fn pull(&self, local: &mut Local) -> Result<Pull, Error> {
+        let stored = self.read().await?;
+        let names: BTreeSet<Arc<str>> = stored.keys().chain(local.files.keys()).cloned().collect();
+        let mut pull = Pull::default();
+        let mut conflicts = Vec::new();
+        for name in names {
+            match settled(local, &stored, &name) {
+                Settled::Same => {}
+                Settled::Mine => pull.kept.push(name),
+                Settled::Conflict => conflicts.push(name),
+                Settled::Theirs if stored.contains_key(&name) => pull.written.push(name),
+                Settled::Theirs => pull.removed.push(name),
+            }
+        }
+        if !conflicts.is_empty() {
+            return Err(Error::WouldOverwrite {
+                path: local.path().to_owned(),
+                names: conflicts,
+            });
+        }
+        apply(local, &stored, &pull)?;
+        Ok(pull)
+    }
+
+    /// Removes a file from the folder in the store, if it is still the one that was just listed.
+    ///
+    /// # Errors
+    /// [`Error::Absent`], [`Error::Overtaken`] or [`Error::Stopped`].
+    ///
+    /// ```
+    /// # use crank_operator::{Error, Store};
+    /// # use crank_platform_client::Memory;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// # let account = crank_protocol::Name::new("sutkent").unwrap();
+    /// let store = Store::new(Memory::new(), account);
+    /// assert!(matches!(store.remove("a.ini").await, Err(Error::Absent { .. })));
+    /// # });
+    /// ```
+    pub async fn remove(&self, name: &str) -> Result<(), Error> {
+        let listed = folder::list(&self.platform, &self.account).await?;
+        let Some(held) = listed.into_iter().find(|file| &*file.name == name) else {
+            return Err(Error::Absent { name: name.into() });
+        };
+        self.overwrite(&held.name, Bytes::new(), Some(Etag(held.etag)), &[])
+            .await
+            .map(drop)
+    }
+
+    /// Everything that is in the folder, as it was at one moment.
+    pub(crate) async fn read(&self) -> Result<BTreeMap<Arc<str>, Stored>, Error> {
+        for _ in 0..MOST_READINGS {
+            let before = self.list().await?;
+            let mut stored = BTreeMap::new();
+            for file in &before {
+                if let Some(read) = self.read_file(&file.name).await? {
+                    stored.insert(Arc::clone(&file.name), read);
+                }
+            }
+            if self.list().await? == before {
+                return Ok(stored);
+            }
+        }
+        Err(Error::Restless)
+    }
+
+    /// The files of the folder, without the removed ones and editors' leavings.
+    pub(crate) async fn list(&self) -> Result<Vec<Listed>, Error> {
+        let mut files = folder::list(&self.platform, &self.account).await?;
+        files.retain(|file| !is_leaving(&file.name));
+        for file in &files {
+            if Name::new(&file.name).is_err() {
+                let name = Arc::clone(&file.name);
+                return Err(Error::BadName { name });
+            }
+        }
+        Ok(files)
+    }
+
+    pub(crate) async fn read_file(&self, name: &str) -> Result<Option<Stored>, Error> {
+        let object = folder::read(&self.platform, &self.account, name).await?;
+        let object = object.filter(|object| !object.content.is_empty());
+        Ok(object.map(|object| Stored {
+            read: Read {
+                etag: object.etag.0,
+                digest: content_digest(&object.content),
+            },
+            content: object.content,
+        }))
+    }
+}
+
+fn settled(local: &Local, stored: &BTreeMap<Arc<str>, Stored>, name: &str) -> Settled {
+    let read = local.pulled.files.get(name).map(|read| &read.digest);
+    let theirs = stored.get(name).map(|stored| &stored.read.digest);
+    let mine = local.files.get(name).map(|content| content_digest(content));
+    settle(read, theirs, mine.as_ref())
+}
+
+fn apply(local: &mut Local, stored: &BTreeMap<Arc<str>, Stored>, pull: &Pull) -> Result<(), Error> {
+    for name in &pull.written {
+        if let Some(stored) = stored.get(name) {
+            local.write(name, &stored.content)?;
+            local
+                .files
+                .insert(Arc::clone(name), stored.content.to_vec());
+        }
+    }
+    for name in &pull.removed {
+        local.remove(name)?;
+        local.files.remove(name);
+    }
+    local.pulled.files = stored
+        .iter()
+        .map(|(name, stored)| (Arc::clone(name), stored.read.clone()))
+        .collect();
+    local.save_pulled()
+}
--- a/crates/crank-protocol/src/status.rs
+++ b/crates/crank-protocol/src/status.rs
@@ -1,7 +1,9 @@
 //! What operators are told: nodes, versions, refused folders, history.
 
-use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
 use time::OffsetDateTime;
 
 use crate::config::{Stamp, Version};
@@ -48,6 +50,27 @@
     pub problem: Arc<str>,
 }
 
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let file = if self.file.is_empty() {
+            "folder"
+        } else {
+            &self.file
+        };
+        f.write_str(file)?;
+        if self.line > 0 {
+            write!(f, ":{}", self.line)?;
+        }
+        f.write_str(": ")?;
+        let place = format!("{} {}", self.section, self.key);
+        match place.trim() {
+            "" => {}
+            place => write!(f, "{place}: ")?,
+        }
+        f.write_str(&self.problem)
+    }
+}
+
 /// What became of the folder's last reading.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
