thin: the publisher, an actor that carries out engine::publish

Each round holds or tries the lease, looks at the head, lists the folder. What the store stated (head, verdict) is read before the folder is, and the head's transaction starts from it: a publisher paused between the two would otherwise put an older folder over a newer one under a higher number.

--- a/crates/crank-engine/src/folder/merge.rs
+++ b/crates/crank-engine/src/folder/merge.rs
@@ -9,9 +9,9 @@
 use super::{File, Problem, account, is_leaving, route, service};
 use crate::ini::{self, Document, Fault, Section};
 
-const MOST_FILES: usize = 256;
-const LARGEST_FILE_BYTES: usize = 64 * 1024;
-const LARGEST_FOLDER_BYTES: usize = 1024 * 1024;
+pub(crate) const MOST_FILES: usize = 256;
+pub(crate) const LARGEST_FILE_BYTES: usize = 64 * 1024;
+pub(crate) const LARGEST_FOLDER_BYTES: usize = 1024 * 1024;
 const SECTIONS: &str = "[account], [service NAME] or [route NAME]";
 
 /// What a good folder gives.
--- a/crates/crank-engine/src/publish.rs
+++ b/crates/crank-engine/src/publish.rs
@@ -4,10 +4,12 @@
 //! exactly the version that was read to the next one, or not at all.
 
 mod head;
+mod size;
 mod tenure;
 mod watch;
 
 pub use head::{Advance, Fate, Head, advance, settle};
+pub use size::oversize;
 pub use tenure::{Lease, LeaseWrite, Tenure, TenureStep};
 pub use watch::{Listed, Look, Watch};
 
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod entry;
 pub mod gate;
+pub mod publisher;
 pub mod target;
 
 mod error;
--- /dev/null
+++ b/crates/crank-node/src/publisher.rs
@@ -0,0 +1,158 @@
+//! The publisher: an actor that carries out what `crank_engine::publish` decides.
+//!
+//! Each node runs one. It does nothing but wait until the node is a candidate, and reads the
+//! folder only while it holds the lease.
+
+mod round;
+
+use std::time::Duration;
+
+use crank_engine::Moment;
+use crank_engine::publish::{self, LOOK, SETTLE, Tenure, Watch};
+use crank_platform_client::{Error, Platform};
+use crank_protocol::config::{Snapshot, Stamp};
+use crank_protocol::{Millis, Name};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::{mpsc, watch};
+use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
+
+use crate::clock::Clock;
+
+/// Whose folder is published, by which node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// The client account.
+    pub account: Name,
+    /// The node.
+    pub node: Name,
+    /// How long a listing must stay the same before the folder is read.
+    pub settle: Millis,
+}
+
+impl Settings {
+    /// Settings with the usual settle window.
+    ///
+    /// ```
+    /// use crank_node::publisher::Settings;
+    /// use crank_protocol::Name;
+    /// let settings = Settings::new(Name::new("sutkent")?, Name::new("n1")?);
+    /// assert_eq!(settings.settle, crank_engine::publish::SETTLE);
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    #[must_use]
+    pub fn new(account: Name, node: Name) -> Self {
+        Self {
+            account,
+            node,
+            settle: SETTLE,
+        }
+    }
+}
+
+/// The actor.
+#[derive(Debug)]
+pub struct Publisher<P> {
+    platform: P,
+    settings: Settings,
+    candidate: watch::Receiver<bool>,
+    accepted: mpsc::Sender<Snapshot>,
+    clock: Clock,
+    rng: StdRng,
+    tenure: Tenure,
+    folder: Watch,
+    offered: Option<Stamp>,
+    looked: Option<Moment>,
+    failures: u32,
+}
+
+/// Tells the actor to do its next round.
+#[derive(Debug, Clone, Copy)]
+pub struct Round;
+
+/// Starts the publisher of a node. It stops when the address is dropped.
+///
+/// What is accepted, by this publisher or another, is sent to `accepted`, each version once.
+///
+/// ```
+/// use crank_node::publisher::{Settings, start};
+/// use crank_platform_client::Memory;
+/// use crank_protocol::Name;
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let settings = Settings::new(Name::new("sutkent").unwrap(), Name::new("n1").unwrap());
+/// let (_is_candidate, candidate) = tokio::sync::watch::channel(true);
+/// let (accepted, _snapshots) = tokio::sync::mpsc::channel(1);
+/// let publisher = start(Memory::new(), settings, candidate, accepted);
+/// assert!(publisher.is_connected());
+/// # });
+/// ```
+#[must_use]
+pub fn start<P: Platform>(
+    platform: P,
+    settings: Settings,
+    candidate: watch::Receiver<bool>,
+    accepted: mpsc::Sender<Snapshot>,
+) -> Address<Publisher<P>> {
+    let publisher = Publisher {
+        platform,
+        tenure: Tenure::new(settings.node.clone()),
+        folder: Watch::new(settings.settle),
+        settings,
+        candidate,
+        accepted,
+        clock: Clock::new(),
+        rng: StdRng::from_rng(&mut rand::rng()),
+        offered: None,
+        looked: None,
+        failures: 0,
+    };
+    xtra::spawn_tokio(publisher, Mailbox::unbounded())
+}
+
+impl<P: Platform> Actor for Publisher<P> {
+    type Stop = ();
+
+    async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), Self::Stop> {
+        let jitter = publish::pause(0, &mut self.rng);
+        send_later(mailbox.address(), jitter);
+        Ok(())
+    }
+
+    async fn stopped(self) -> Self::Stop {}
+}
+
+impl<P: Platform> Handler<Round> for Publisher<P> {
+    type Return = ();
+
+    async fn handle(&mut self, _round: Round, context: &mut Context<Self>) {
+        let done = self.round().await;
+        let wait = self.wait(done);
+        send_later(context.mailbox().address(), wait);
+    }
+}
+
+impl<P: Platform> Publisher<P> {
+    fn wait(&mut self, done: Result<Millis, Error>) -> Millis {
+        match done {
+            Ok(wait) => {
+                self.failures = 0;
+                wait
+            }
+            // Another writer was first: what was read is old, and the store is well.
+            Err(Error::ConditionFailed) => LOOK,
+            Err(error) => {
+                log::warn!(node = self.settings.node.as_str(), failures = self.failures; "publishing waits: {error}");
+                let wait = publish::pause(self.failures, &mut self.rng);
+                self.failures = self.failures.saturating_add(1);
+                wait
+            }
+        }
+    }
+}
+
+fn send_later<P: Platform>(address: WeakAddress<Publisher<P>>, wait: Millis) {
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from(wait)).await;
+        let _ = address.send(Round).detach().await;
+    });
+}
--- a/crates/crank-platform-client/src/head.rs
+++ b/crates/crank-platform-client/src/head.rs
@@ -2,11 +2,11 @@
 
 use crank_engine::publish::{Advance, Head};
 use crank_protocol::Name;
-use crank_protocol::config::Stamp;
+use crank_protocol::config::{Snapshot, Stamp};
 use crank_protocol::status::{Entry, Verdict};
 
 use crate::table::{self, Guard};
-use crate::{Error, Key, Platform, verdict};
+use crate::{Error, Key, Platform, configs, verdict};
 
 const HEAD: &str = "head";
 const HISTORY: &str = "history";
@@ -28,6 +28,27 @@
     row.map(|row| table::content(&row)).transpose()
 }
 
+/// Reads the accepted version whole: what a starting node learns from the store.
+///
+/// # Errors
+/// [`Error::Unavailable`] or [`Error::Malformed`].
+///
+/// ```
+/// # use crank_platform_client::{head, Memory};
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// # let account = crank_protocol::Name::new("sutkent").unwrap();
+/// assert_eq!(head::snapshot(&Memory::new(), &account).await, Ok(None));
+/// # });
+/// ```
+pub async fn snapshot(platform: &impl Platform, account: &Name) -> Result<Option<Snapshot>, Error> {
+    match read(platform, account).await? {
+        Some(head) => configs::read(platform, account, &head.stamp)
+            .await
+            .map(Some),
+        None => Ok(None),
+    }
+}
+
 /// Moves the head row, adds the version to the history and notes the verdict, all or nothing.
 ///
 /// # Errors
