--- a/crates/crank-node/src/publisher/round.rs
+++ b/crates/crank-node/src/publisher/round.rs
@@ -61,13 +61,18 @@
 
     async fn write_lease(&mut self, write: LeaseWrite) -> Result<bool, Error> {
         let begun = self.clock.now();
-        let written = lease::write(&self.platform, &self.settings.account, &write).await;
-        self.tenure.after_write(write, written.is_ok(), begun);
-        match written {
-            Ok(()) => Ok(true),
+        let account = &self.settings.account;
+        let written = match lease::write(&self.platform, account, &write).await {
+            Err(Error::AnswerLost { .. }) => {
+                let found = lease::read(&self.platform, account).await?;
+                Ok(found.as_ref() == Some(&write.to))
+            }
             Err(Error::ConditionFailed) => Ok(false),
-            Err(error) => Err(error),
-        }
+            written => written.map(|()| true),
+        };
+        let held = written.as_ref().is_ok_and(|held| *held);
+        self.tenure.after_write(write, held, begun);
+        written
     }
 
     /// Looks at the head now and then: another publisher may have been lost before it spread what
