--- a/crates/crank-caller/src/reply.rs
+++ b/crates/crank-caller/src/reply.rs
@@ -184,12 +184,16 @@
     Length,
 }
 
-/// A body that fails rather than end short.
+/// A body that fails rather than end short or long.
+///
+/// The piece that completes the stated length is held back until the end has been seen, because
+/// nothing after it can be told to the caller.
 struct Whole {
     /// A lock only because the HTTP library asks for `Sync`; it is never contended.
     body: Mutex<Body>,
     left: Option<u64>,
-    is_broken: bool,
+    held: Option<Bytes>,
+    is_ended: bool,
 }
 
 impl Whole {
@@ -197,48 +201,66 @@
         Self {
             body: Mutex::new(body),
             left: length,
-            is_broken: false,
+            held: None,
+            is_ended: false,
         }
     }
 
-    fn check(&mut self, piece: Option<Result<Bytes, Refusal>>) -> Option<Result<Bytes, Broken>> {
+    /// What to give for a piece that came; nothing where it is held back.
+    fn take(&mut self, piece: Option<Result<Bytes, Refusal>>) -> Poll<Option<Piece>> {
         match piece {
             Some(Ok(data)) => self.count(data),
-            Some(Err(refusal)) => Some(Err(Broken::Refused(refusal))),
-            None if self.left.is_some_and(|left| left > 0) => Some(Err(Broken::Length)),
-            None => None,
+            Some(Err(refusal)) => self.end(Some(Err(Broken::Refused(refusal)))),
+            None if self.left.is_some_and(|left| left > 0) => self.end(Some(Err(Broken::Length))),
+            None => {
+                let held = self.held.take();
+                self.end(held.map(Ok))
+            }
         }
     }
 
-    fn count(&mut self, data: Bytes) -> Option<Result<Bytes, Broken>> {
+    fn count(&mut self, data: Bytes) -> Poll<Option<Piece>> {
         let Some(left) = self.left else {
-            return Some(Ok(data));
+            return Poll::Ready(Some(Ok(data)));
         };
         let Some(left) = left.checked_sub(data.len() as u64) else {
-            return Some(Err(Broken::Length));
+            return self.end(Some(Err(Broken::Length)));
         };
         self.left = Some(left);
-        Some(Ok(data))
+        if left > 0 {
+            return Poll::Ready(Some(Ok(data)));
+        }
+        if !data.is_empty() {
+            self.held = Some(data);
+        }
+        Poll::Pending
+    }
+
+    fn end(&mut self, last: Option<Piece>) -> Poll<Option<Piece>> {
+        self.is_ended = true;
+        Poll::Ready(last)
     }
 }
 
+type Piece = Result<Bytes, Broken>;
+
 impl Stream for Whole {
-    type Item = Result<Bytes, Broken>;
+    type Item = Piece;
 
-    fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+    fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Piece>> {
         let whole = self.get_mut();
-        if whole.is_broken {
-            return Poll::Ready(None);
+        while !whole.is_ended {
+            let body = match whole.body.get_mut() {
+                Ok(body) => body,
+                Err(poisoned) => poisoned.into_inner(),
+            };
+            let Poll::Ready(piece) = body.as_mut().poll_next(context) else {
+                return Poll::Pending;
+            };
+            if let Poll::Ready(given) = whole.take(piece) {
+                return Poll::Ready(given);
+            }
         }
-        let body = match whole.body.get_mut() {
-            Ok(body) => body,
-            Err(poisoned) => poisoned.into_inner(),
-        };
-        let Poll::Ready(piece) = body.as_mut().poll_next(context) else {
-            return Poll::Pending;
-        };
-        let checked = whole.check(piece);
-        whole.is_broken = matches!(checked, Some(Err(_)));
-        Poll::Ready(checked)
+        Poll::Ready(None)
     }
 }
--- a/crates/crank-mesh/tests/call_connections.rs
+++ b/crates/crank-mesh/tests/call_connections.rs
@@ -1,5 +1,7 @@
 //! Many requests share a connection without touching each other.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 mod common;
 
 use std::sync::Arc;
--- a/crates/crank-mesh/tests/call_frames.rs
+++ b/crates/crank-mesh/tests/call_frames.rs
@@ -1,5 +1,7 @@
 //! Frames that a well-behaved node does not send.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 mod common;
 
 use bytes::Bytes;
--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -13,7 +13,7 @@
 };
 use crank_protocol::config::Method;
 use futures::{Stream, StreamExt};
-use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
+use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use tokio::time::{Instant, Sleep, sleep_until, timeout_at};
 
 use crate::Error;
@@ -22,6 +22,8 @@
 const MOST_IDLE_CONNECTIONS: usize = 64;
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+const SHED_WAIT: Millis = Millis(100);
+const MILLIS_PER_SECOND: u64 = 1_000;
 
 /// Headers of an answer that are for one hop, or that only nodes may set.
 const KEPT_BACK: [&str; 10] = [
@@ -76,7 +78,8 @@
     /// server to stop. The load in the answer is left at zero for the caller of this function.
     ///
     /// # Errors
-    /// [`Refusal::NotSent`] and [`Refusal::BadRequest`] are certainly not run;
+    /// [`Refusal::NotSent`], [`Refusal::BadRequest`] and [`Refusal::Overloaded`] (the backend
+    /// server answered 503 with `crank-outcome: not-run`) are certainly not run;
     /// [`Refusal::TimedOut`] and [`Refusal::Lost`] are unknown; [`Refusal::Cut`] ran.
     ///
     /// ```
@@ -173,6 +176,9 @@
     deadline: Instant,
 ) -> Result<Answer, Refusal> {
     let status = response.status().as_u16();
+    if let Some(retry_after) = shed(&response) {
+        return Err(Refusal::Overloaded { retry_after });
+    }
     let end = End::of(method, status, response.headers());
     if end == End::Unknown {
         return Err(Refusal::Cut);
@@ -190,6 +196,19 @@
     })
 }
 
+/// When to try again, if the backend server says that it did not run the request.
+fn shed(response: &reqwest::Response) -> Option<Millis> {
+    let is_unavailable = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
+    let outcome = response.headers().get(OUTCOME_HEADER)?;
+    if !is_unavailable || outcome != "not-run" {
+        return None;
+    }
+    let seconds = response.headers().get(RETRY_AFTER);
+    let seconds = seconds.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let wait = seconds.map(|seconds| Millis(seconds.saturating_mul(MILLIS_PER_SECOND)));
+    Some(wait.unwrap_or(SHED_WAIT))
+}
+
 fn end_to_end(headers: &HeaderMap) -> Vec<Header> {
     let kept = headers
         .iter()
--- /dev/null
+++ b/crates/crank-server/tests/announcements.rs
@@ -0,0 +1,70 @@
+//! What a node believes of the backend server beside it.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use crank_protocol::member::Stage;
+use crank_server::{Announcement, Announcements, Error};
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+async fn post(announcements: &Announcements, report: &serde_json::Value) -> u16 {
+    let url = format!("http://{}/announce", announcements.address());
+    let request = reqwest::Client::new().post(url).json(report);
+    request.send().await.unwrap().status().as_u16()
+}
+
+async fn become_gone(watch: &mut watch::Receiver<Option<Announcement>>) {
+    let is_gone = |believed: &Option<Announcement>| {
+        let stage = believed
+            .as_ref()
+            .map(|announcement| announcement.endpoint.stage);
+        stage == Some(Stage::Gone)
+    };
+    timeout(LIMIT, watch.wait_for(is_gone))
+        .await
+        .unwrap()
+        .unwrap();
+}
+
+#[tokio::test]
+async fn a_backend_server_that_falls_silent_or_refuses_connections_is_gone() {
+    let announcements = Announcements::new(([127, 0, 0, 1], 0).into())
+        .await
+        .unwrap();
+    let mut watch = announcements.watch();
+    assert!(watch.borrow().is_none());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let report = json!({"service": "recipes", "stage": "ready", "slots": 6, "address": address});
+    assert_eq!(post(&announcements, &report).await, 204);
+    let believed = watch.borrow_and_update().clone().unwrap();
+    assert_eq!(
+        (believed.address, believed.endpoint.stage),
+        (address, Stage::Ready)
+    );
+    become_gone(&mut watch).await;
+    drop(listener);
+    assert_eq!(post(&announcements, &report).await, 204);
+    become_gone(&mut watch).await;
+}
+
+#[tokio::test]
+async fn only_announcements_from_this_machine_that_are_readable_count() {
+    let announcements = Announcements::new(([127, 0, 0, 1], 0).into())
+        .await
+        .unwrap();
+    let far = json!({"service": "a", "stage": "ready", "slots": 6, "address": "192.0.2.1:80"});
+    let unknown = json!({"service": "a", "stage": "idle", "slots": 6, "address": "127.0.0.1:80"});
+    for bad in [far, unknown, json!([])] {
+        assert_eq!(post(&announcements, &bad).await, 400);
+    }
+    assert!(announcements.watch().borrow().is_none());
+    let error = Announcements::new(([192, 0, 2, 1], 0).into()).await.err();
+    assert!(matches!(error, Some(Error::NotLoopback { .. })));
+}
--- a/standins/crank-backend/src/work.rs
+++ b/standins/crank-backend/src/work.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use crank_protocol::call::{IDEMPOTENCY_HEADER, REQUEST_HEADER};
+use crank_protocol::call::{IDEMPOTENCY_HEADER, OUTCOME_HEADER, REQUEST_HEADER};
 use crank_protocol::member::Stage;
 use futures::StreamExt;
 use http::StatusCode;
@@ -66,7 +66,7 @@
     let is_up = matches!(state.stage(), Stage::Ready | Stage::Draining);
     let (Ok(_slot), true) = (slot, is_up) else {
         state.ledger.lock().totals.shed += 1;
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        return shed();
     };
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     let (request, key) = (text(REQUEST_HEADER), text(IDEMPOTENCY_HEADER));
@@ -102,6 +102,13 @@
     response
 }
 
+fn shed() -> warp::reply::Response {
+    let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
+    let outcome = HeaderValue::from_static("not-run");
+    response.headers_mut().insert(OUTCOME_HEADER, outcome);
+    response
+}
+
 fn content(wish: &Wish, path: String, body: Bytes) -> Bytes {
     match wish.size {
         Some(size) => Bytes::from(vec![b'x'; size.min(LARGEST_SIZE_BYTES)]),
