--- a/crates/crank-mesh/tests/call_frames.rs
+++ b/crates/crank-mesh/tests/call_frames.rs
@@ -1,6 +1,6 @@
 //! Frames that a well-behaved node does not send.
 
-#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 mod common;
 
