--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod retry;
 pub mod route;
 pub mod spread;
+pub mod status;
 
 mod error;
 mod hash;
--- a/crates/crank-node/src/error.rs
+++ b/crates/crank-node/src/error.rs
@@ -31,6 +31,21 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// Signals cannot be listened for.
+    #[error("cannot listen for signals: {0}")]
+    Signals(#[source] std::io::Error),
+    /// The callers' listener cannot be started.
+    #[error(transparent)]
+    Caller(#[from] crank_caller::Error),
+    /// The way to the backend server cannot be started.
+    #[error(transparent)]
+    Server(#[from] crank_server::Error),
+    /// The mesh cannot be joined.
+    #[error(transparent)]
+    Mesh(#[from] crank_mesh::Error),
+    /// The client of the platform's store cannot be made.
+    #[error(transparent)]
+    Platform(#[from] crank_platform_client::Error),
     /// The logger cannot be started.
     #[error("cannot start the logger: {source}")]
     Logger {
--- /dev/null
+++ b/crates/crank-node/src/join.rs
@@ -0,0 +1,108 @@
+//! Joining the mesh with what the platform's store knows.
+
+use std::time::Duration;
+
+use crank_engine::backoff;
+use crank_mesh::{Handle, Head};
+use crank_platform_client::contacts::Contact;
+use crank_platform_client::{Error, Platform, configs, contacts, head};
+use crank_protocol::Name;
+use crank_protocol::member::Place;
+
+const CONTACT_REFRESH: Duration = Duration::from_secs(600);
+
+/// Helps a starting node to its peers and to the accepted configuration.
+#[derive(Clone)]
+pub struct Join<P> {
+    /// The client account.
+    pub account: Name,
+    /// The node's name.
+    pub own: Name,
+    /// Where the node stands.
+    pub place: Place,
+    /// The platform's store.
+    pub platform: P,
+    /// The mesh.
+    pub mesh: Handle,
+}
+
+impl<P: Platform> Join<P> {
+    /// Asks the store until this node may serve.
+    ///
+    /// ```
+    /// # use crank_node::join::Join;
+    /// # use crank_platform_client::Platform;
+    /// fn start<P: Platform>(join: Join<P>) {
+    ///     tokio::spawn(join.until_ready());
+    /// }
+    /// ```
+    pub async fn until_ready(self) {
+        let mut ready = self.mesh.ready();
+        let mut failures = 0;
+        while !*ready.borrow() {
+            if let Err(error) = self.ask().await {
+                log::warn!(error:% = error; "the store does not help a starting node");
+                let _ = self.mesh.head(Head::Down).await;
+            }
+            failures += 1;
+            let wait = Duration::from(backoff::wait(failures, &mut rand::rng()));
+            let _ = tokio::time::timeout(wait, ready.wait_for(|ready| *ready)).await;
+        }
+    }
+
+    /// One round: peers from the contact rows, then the head and its configuration.
+    async fn ask(&self) -> Result<(), Error> {
+        let known = contacts::read(&self.platform, &self.account).await?;
+        let seeds = known.iter().filter(|contact| contact.id != self.own);
+        let seeds = seeds.map(|contact| contact.address).collect();
+        let _ = self.mesh.seeds(seeds).await;
+        let Some(head) = head::read(&self.platform, &self.account).await? else {
+            let _ = self.mesh.head(Head::Empty).await;
+            return Ok(());
+        };
+        let _ = self.mesh.head(Head::At(head.stamp.clone())).await;
+        let held = self
+            .mesh
+            .config()
+            .borrow()
+            .as_ref()
+            .map(|held| held.stamp.version);
+        if held < Some(head.stamp.version) {
+            let snapshot = configs::read(&self.platform, &self.account, &head.stamp).await?;
+            let _ = self.mesh.offer(snapshot).await;
+        }
+        Ok(())
+    }
+
+    /// Keeps this node's contact row, by which later starters find it.
+    ///
+    /// ```
+    /// # use crank_node::join::Join;
+    /// # use crank_platform_client::Platform;
+    /// fn start<P: Platform>(join: Join<P>) {
+    ///     tokio::spawn(join.keep_contact());
+    /// }
+    /// ```
+    pub async fn keep_contact(self) {
+        let mut failures = 0;
+        loop {
+            let contact = Contact {
+                id: self.own.clone(),
+                place: self.place.clone(),
+                address: self.mesh.address(),
+            };
+            let wait = match contacts::write(&self.platform, &self.account, &contact).await {
+                Ok(()) => {
+                    failures = 0;
+                    CONTACT_REFRESH.mul_f64(rand::random_range(0.75..1.25))
+                }
+                Err(error) => {
+                    log::warn!(error:% = error; "contact row not written");
+                    failures += 1;
+                    backoff::wait(failures, &mut rand::rng()).into()
+                }
+            };
+            tokio::time::sleep(wait).await;
+        }
+    }
+}
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -1,12 +1,21 @@
 //! The node process: wires the peer packages together as actors.
 
 pub mod clock;
+pub mod desk;
 pub mod entry;
+pub mod forward;
+pub mod front;
 pub mod gate;
+pub mod join;
+pub mod links;
+pub mod logs;
+pub mod metrics;
 pub mod target;
 
 mod error;
+mod run;
 mod settings;
 
 pub use error::Error;
+pub use run::run;
 pub use settings::{Listen, Settings};
--- /dev/null
+++ b/crates/crank-node/src/metrics.rs
@@ -0,0 +1,237 @@
+//! What a node tells Prometheus.
+
+use std::fmt;
+
+use crank_mesh::{Direction, Handle, Kind, Reach};
+use crank_protocol::member::State;
+use parking_lot::Mutex;
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{
+    DescriptorEncoder, EncodeLabelSet, EncodeLabelValue, EncodeMetric, LabelValueEncoder, text,
+};
+use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::counter::{ConstCounter, Counter};
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::registry::{Registry, Unit};
+
+/// What a caller was told about a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Answered {
+    /// An answer began.
+    Whole,
+    /// It was not run.
+    NotRun,
+    /// Nobody knows whether it ran.
+    Unknown,
+    /// It ran, and its answer is lost.
+    Ran,
+}
+
+impl EncodeLabelValue for Answered {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        let value = match self {
+            Self::Whole => "answered",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+            Self::Ran => "ran",
+        };
+        EncodeLabelValue::encode(&value, encoder)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Request {
+    outcome: Answered,
+}
+
+/// The metrics of one node.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    requests: Family<Request, Counter>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Metrics of a node that has done nothing yet.
+    ///
+    /// ```
+    /// use crank_node::metrics::{Answered, Metrics};
+    /// let metrics = Metrics::new();
+    /// metrics.count(Answered::NotRun);
+    /// assert!(metrics.text().contains("crank_requests_total{outcome=\"not-run\"} 1"));
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("crank");
+        let requests = Family::<Request, Counter>::default();
+        registry.register(
+            "requests",
+            "Callers' requests by what they were told",
+            requests.clone(),
+        );
+        Self {
+            registry: Mutex::new(registry),
+            requests,
+        }
+    }
+
+    /// Counts a request.
+    ///
+    /// ```
+    /// # use crank_node::metrics::{Answered, Metrics};
+    /// Metrics::new().count(Answered::Whole);
+    /// ```
+    pub fn count(&self, answered: Answered) {
+        self.requests
+            .get_or_create(&Request { outcome: answered })
+            .inc();
+    }
+
+    /// Adds what the mesh counts.
+    ///
+    /// ```
+    /// # use crank_node::metrics::Metrics;
+    /// fn add(metrics: &Metrics, mesh: &crank_mesh::Handle) {
+    ///     metrics.add_mesh(mesh.clone());
+    /// }
+    /// ```
+    pub fn add_mesh(&self, mesh: Handle) {
+        self.registry
+            .lock()
+            .register_collector(Box::new(Mesh(mesh)));
+    }
+
+    /// All metrics in the text format.
+    ///
+    /// ```
+    /// # use crank_node::metrics::Metrics;
+    /// assert!(Metrics::new().text().ends_with("# EOF\n"));
+    /// ```
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut encoded = String::new();
+        // Writing to a string does not fail.
+        let _ = text::encode(&mut encoded, &self.registry.lock());
+        encoded
+    }
+}
+
+struct Mesh(Handle);
+
+impl fmt::Debug for Mesh {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Mesh").finish_non_exhaustive()
+    }
+}
+
+impl Collector for Mesh {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
+        self.control_bytes(&mut encoder)?;
+        self.members(&mut encoder)?;
+        let version = self
+            .0
+            .config()
+            .borrow()
+            .as_ref()
+            .map_or(0, |held| held.stamp.version.0);
+        gauge(
+            &mut encoder,
+            "config_version",
+            "The configuration version in force",
+            version,
+        )?;
+        let ready = u64::from(*self.0.ready().borrow());
+        gauge(
+            &mut encoder,
+            "ready",
+            "1 where this node takes requests",
+            ready,
+        )?;
+        let alarms = self.0.alarms();
+        let help = "Configurations with a known version and another digest";
+        counter(&mut encoder, "config_conflicts", help, alarms.conflicts())?;
+        let help = "Frames and datagrams that could not be read";
+        counter(&mut encoder, "malformed_frames", help, alarms.malformed())
+    }
+}
+
+impl Mesh {
+    fn control_bytes(&self, encoder: &mut DescriptorEncoder<'_>) -> fmt::Result {
+        let help = "Bytes to and from other nodes for control";
+        let unit = Some(&Unit::Bytes);
+        let mut family = encoder.encode_descriptor("control", help, unit, MetricType::Counter)?;
+        for usage in self.0.traffic().usages() {
+            let labels = [
+                ("kind", kind(usage.kind)),
+                ("reach", reach(usage.reach)),
+                ("direction", direction(usage.direction)),
+            ];
+            let metric = family.encode_family(&labels)?;
+            ConstCounter::new(usage.bytes).encode(metric)?;
+        }
+        Ok(())
+    }
+
+    fn members(&self, encoder: &mut DescriptorEncoder<'_>) -> fmt::Result {
+        let help = "Known nodes by what is believed of them";
+        let mut family = encoder.encode_descriptor("members", help, None, MetricType::Gauge)?;
+        let view = self.0.view().borrow().clone();
+        for (state, name) in [
+            (State::Alive, "alive"),
+            (State::Suspect, "suspect"),
+            (State::Dead, "dead"),
+            (State::Left, "left"),
+        ] {
+            let count = view
+                .members()
+                .filter(|member| member.state == state)
+                .count();
+            let labels = [("state", name)];
+            let metric = family.encode_family(&labels)?;
+            ConstGauge::new(count as u64).encode(metric)?;
+        }
+        Ok(())
+    }
+}
+
+fn gauge(encoder: &mut DescriptorEncoder<'_>, name: &str, help: &str, value: u64) -> fmt::Result {
+    let gauge = ConstGauge::new(value);
+    gauge.encode(encoder.encode_descriptor(name, help, None, gauge.metric_type())?)
+}
+
+fn counter(encoder: &mut DescriptorEncoder<'_>, name: &str, help: &str, value: u64) -> fmt::Result {
+    let counter = ConstCounter::new(value);
+    counter.encode(encoder.encode_descriptor(name, help, None, counter.metric_type())?)
+}
+
+fn kind(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Probe => "probe",
+        Kind::News => "news",
+        Kind::Members => "members",
+        Kind::Delta => "delta",
+        Kind::Snapshot => "snapshot",
+        Kind::Other => "other",
+    }
+}
+
+fn reach(reach: Reach) -> &'static str {
+    match reach {
+        Reach::Near => "near",
+        Reach::Far => "far",
+    }
+}
+
+fn direction(direction: Direction) -> &'static str {
+    match direction {
+        Direction::Sent => "sent",
+        Direction::Received => "received",
+    }
+}
--- /dev/null
+++ b/crates/crank-node/src/run.rs
@@ -0,0 +1,347 @@
+//! The life of a node: start, serve, leave.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crank_engine::burn::Burn;
+use crank_engine::drain::Progress;
+use crank_engine::overlay;
+use crank_mesh::call::{self, Pool};
+use crank_mesh::{Handle, Socket, View, Vitals};
+use crank_platform_client::Remote;
+use crank_protocol::member::{Endpoint, Member, Stage, State};
+use crank_protocol::wire::{Hello, PROTOCOL};
+use crank_server::{Announcement, Announcements};
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Clock;
+use crate::desk::Office;
+use crate::entry::{self, Entry};
+use crate::forward::Forward;
+use crate::front::Front;
+use crate::join::Join;
+use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::target::{self, Target};
+use crate::{Error, Settings};
+
+const CALL_SOCKETS: usize = 64;
+const VITALS_PERIOD: Duration = Duration::from_millis(500);
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+const PUBLISHER_CANDIDATES: usize = 3;
+
+type NodeTarget = Target<Remote, Forward>;
+type NodeEntry = Entry<Links<Remote, Forward>>;
+
+/// Runs a node until it is told to leave by SIGTERM or SIGINT, and has left.
+///
+/// The first line on standard output names the addresses that it listens on.
+///
+/// # Errors
+/// What kept the node from starting.
+///
+/// ```no_run
+/// # async fn example() -> Result<(), crank_node::Error> {
+/// let settings = crank_node::Settings::load(std::path::Path::new("node.ini"))?;
+/// crank_node::run(settings).await
+/// # }
+/// ```
+pub async fn run(settings: Settings) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Signals)?;
+    let node = Node::start(settings).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    node.leave().await;
+    Ok(())
+}
+
+struct Node {
+    settings: Settings,
+    mesh: Handle,
+    entry: NodeEntry,
+    target: NodeTarget,
+    announcements: Announcements,
+    endpoint: Arc<watch::Sender<Option<Endpoint>>>,
+    ready: Arc<watch::Sender<bool>>,
+    leaving: CancellationToken,
+    edge: tokio::task::JoinHandle<()>,
+}
+
+impl Node {
+    async fn start(settings: Settings) -> Result<Self, Error> {
+        let clock = Clock::new();
+        let leaving = CancellationToken::new();
+        let platform = Remote::new(&settings.platform.access())?;
+        let announcements = Announcements::new(settings.listen.servers).await?;
+        let edge = crank_caller::Edge::new(settings.listen.callers).await?;
+        let operators = listen(&settings).await?;
+        let (sockets, accepted) = mpsc::channel(CALL_SOCKETS);
+        let mesh = crank_mesh::start(mesh_settings(&settings), sockets).await?;
+        let (endpoint, endpoints) = watch::channel(None);
+        let (ready, is_ready) = watch::channel(false);
+        let target = Target::new(target::Parts {
+            clock,
+            config: mesh.config(),
+            endpoint: endpoints,
+            account: settings.platform.account.clone(),
+            platform: platform.clone(),
+            forwarder: Forward::new(crank_server::Forwarder::new()?, announcements.watch()),
+        });
+        let hello = hello(&settings, &mesh);
+        let burn = Arc::new(Mutex::new(Burn::new(clock.now())));
+        let entry = Entry::new(entry::Parts {
+            clock,
+            own: settings.name.clone(),
+            place: settings.place.clone(),
+            config: mesh.config(),
+            members: members(&mesh),
+            ready: is_ready.clone(),
+            links: Links::new(
+                settings.name.clone(),
+                target.clone(),
+                Pool::new(hello.clone()),
+            ),
+            burn: burn.clone(),
+        });
+        let metrics = Arc::new(Metrics::new());
+        metrics.add_mesh(mesh.clone());
+        let office = Office {
+            clock,
+            own: settings.name.clone(),
+            account: settings.platform.account.clone(),
+            platform: platform.clone(),
+            mesh: mesh.clone(),
+            ready: is_ready,
+            burn,
+            metrics: metrics.clone(),
+        };
+        say_addresses(&settings, &mesh, &announcements, &edge, &operators);
+        tokio::spawn(crank_operator::listener::serve(
+            operators,
+            office,
+            leaving.clone().cancelled_owned(),
+        ));
+        tokio::spawn(serve_calls(
+            accepted,
+            hello,
+            target.clone(),
+            leaving.clone(),
+        ));
+        tokio::spawn(target.clone().follow());
+        let edge = tokio::spawn(edge.run(Front::new(entry.clone(), metrics), leaving.clone()));
+        let node = Self {
+            settings,
+            mesh,
+            entry,
+            target,
+            announcements,
+            endpoint: Arc::new(endpoint),
+            ready: Arc::new(ready),
+            leaving,
+            edge,
+        };
+        node.follow(platform);
+        Ok(node)
+    }
+
+    /// Starts what goes on beside requests: joining, publishing, announcing, vitals.
+    fn follow(&self, platform: Remote) {
+        let join = Join {
+            account: self.settings.platform.account.clone(),
+            own: self.settings.name.clone(),
+            place: self.settings.place.clone(),
+            platform: platform.clone(),
+            mesh: self.mesh.clone(),
+        };
+        tokio::spawn(join.clone().until_ready());
+        tokio::spawn(join.keep_contact());
+        let announced = self.announcements.watch();
+        tokio::spawn(announce(
+            announced,
+            self.endpoint.clone(),
+            self.mesh.clone(),
+        ));
+        let (mesh, ready, target) = (self.mesh.clone(), self.ready.clone(), self.target.clone());
+        tokio::spawn(vitals(mesh, ready, target));
+    }
+
+    /// Takes nothing new, finishes what is in flight, and goes.
+    async fn leave(self) {
+        log::info!(node:% = self.settings.name; "leaving");
+        let grace = self.settings.grace;
+        self.entry.drain(grace);
+        self.target.drain(grace);
+        self.ready.send_replace(false);
+        let held = self.endpoint.borrow().clone();
+        if let Some(endpoint) = held {
+            let draining = Endpoint {
+                stage: Stage::Draining,
+                ..endpoint
+            };
+            let _ = self.mesh.announce(Some(draining)).await;
+        }
+        let patience = Duration::from(grace);
+        let drained = tokio::time::timeout(patience, self.drained()).await.is_ok();
+        if !drained {
+            let load = self.target.load();
+            log::error!(
+                running = load.running,
+                waiting = load.waiting,
+                unsettled = self.target.unsettled();
+                "work outlasts the grace"
+            );
+        }
+        self.leaving.cancel();
+        let _ = tokio::time::timeout(patience, self.edge).await;
+        self.mesh.leave().await;
+        log::info!(node:% = self.settings.name, drained = drained; "left");
+    }
+
+    async fn drained(&self) {
+        while self.entry.progress() != Progress::Drained
+            || self.target.progress() != Progress::Drained
+            || self.target.unsettled() > 0
+        {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+}
+
+fn mesh_settings(settings: &Settings) -> crank_mesh::Settings {
+    let account = settings.platform.account.clone();
+    let (name, place) = (settings.name.clone(), settings.place.clone());
+    crank_mesh::Settings::new(account, name, place, settings.listen.mesh)
+        .with_seeds(settings.seeds.clone())
+}
+
+async fn listen(settings: &Settings) -> Result<TcpListener, Error> {
+    let address = settings.listen.operators;
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Listen { address, source })
+}
+
+fn hello(settings: &Settings, mesh: &Handle) -> Hello {
+    Hello {
+        protocol: PROTOCOL,
+        account: settings.platform.account.clone(),
+        member: Member {
+            id: settings.name.clone(),
+            place: settings.place.clone(),
+            address: mesh.address(),
+            incarnation: 0,
+            state: State::Alive,
+            endpoint: None,
+        },
+    }
+}
+
+#[expect(
+    clippy::print_stdout,
+    reason = "whoever starts the node reads its addresses there"
+)]
+fn say_addresses(
+    settings: &Settings,
+    mesh: &Handle,
+    announcements: &Announcements,
+    edge: &crank_caller::Edge,
+    operators: &TcpListener,
+) {
+    let operators = operators.local_addr().unwrap_or(settings.listen.operators);
+    println!(
+        "listening callers={} mesh={} servers={} operators={operators}",
+        edge.address(),
+        mesh.address(),
+        announcements.address(),
+    );
+}
+
+/// The members that can be reached, as they change.
+fn members(mesh: &Handle) -> watch::Receiver<Arc<Vec<Member>>> {
+    let mut view = mesh.view();
+    let reachable = |view: &View| {
+        let members = view.members().filter(|member| view.reaches(member));
+        Arc::new(members.cloned().collect::<Vec<_>>())
+    };
+    let (sender, receiver) = watch::channel(reachable(&view.borrow()));
+    tokio::spawn(async move {
+        while view.changed().await.is_ok() {
+            sender.send_replace(reachable(&view.borrow_and_update()));
+        }
+    });
+    receiver
+}
+
+async fn serve_calls(
+    mut accepted: mpsc::Receiver<Socket>,
+    hello: Hello,
+    target: NodeTarget,
+    leaving: CancellationToken,
+) {
+    let hello = Arc::new(hello);
+    while let Some(socket) = accepted.recv().await {
+        let (hello, target, leaving) = (hello.clone(), target.clone(), leaving.clone());
+        tokio::spawn(async move {
+            if let Err(error) = call::serve(socket, &hello, target, leaving).await {
+                log::warn!(error:% = error; "call connection closed");
+            }
+        });
+    }
+}
+
+/// Tells the target and the mesh what the backend server announces.
+async fn announce(
+    mut announced: watch::Receiver<Option<Announcement>>,
+    endpoint: Arc<watch::Sender<Option<Endpoint>>>,
+    mesh: Handle,
+) {
+    loop {
+        let now = announced
+            .borrow_and_update()
+            .as_ref()
+            .map(|found| found.endpoint.clone());
+        let changed = endpoint.send_if_modified(|held| {
+            let changed = *held != now;
+            held.clone_from(&now);
+            changed
+        });
+        if changed {
+            log::info!(endpoint:? = now; "backend server announced");
+            let _ = mesh.announce(now).await;
+        }
+        if announced.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Keeps what the mesh tells of this node, and whether it takes requests, up to date.
+async fn vitals(mesh: Handle, ready: Arc<watch::Sender<bool>>, target: NodeTarget) {
+    let mut mesh_ready = mesh.ready();
+    loop {
+        let leaving = target.progress() != Progress::Serving;
+        let is_ready = *mesh_ready.borrow_and_update() && !leaving;
+        ready.send_if_modified(|held| std::mem::replace(held, is_ready) != is_ready);
+        let load = target.load();
+        mesh.set_vitals(Vitals {
+            ready: is_ready,
+            in_flight: load.running + load.waiting,
+        });
+        let _ = tokio::time::timeout(VITALS_PERIOD, mesh_ready.changed()).await;
+    }
+}
+
+/// Whether this node is one of the few that may publish, as the members change.
+#[must_use]
+pub(crate) fn is_candidate(view: &View, store_region: &crank_protocol::Name) -> bool {
+    let members = view.members().filter(|member| view.reaches(member));
+    let candidates = overlay::candidates(store_region, PUBLISHER_CANDIDATES, members);
+    candidates.iter().any(|member| member.id == *view.me())
+}
