Join entry and target to callers, call connections, claims and the backend server

Entry is the callers' Gateway over wire::Wire, which reaches this node's own target directly and others by call connections; Target is what call::serve runs.

--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -13,9 +13,10 @@
 use crank_engine::drain::{Drain, Progress};
 use crank_engine::route::{Rule, Table};
 use crank_engine::{Moment, burn, retry};
+use crank_mesh::View;
 use crank_protocol::call::{Answer, Body, Head, Load, Outcome, Refusal, Refused, Request};
 use crank_protocol::config::{Snapshot, Version};
-use crank_protocol::member::{Member, Place, Stage};
+use crank_protocol::member::{Place, Stage};
 use crank_protocol::{Millis, Name};
 use futures::StreamExt;
 use parking_lot::Mutex;
@@ -42,7 +43,6 @@
 }
 
 /// What an entry is made of.
-#[derive(Debug)]
 pub struct Parts<L> {
     /// The process's clock.
     pub clock: Clock,
@@ -52,11 +52,11 @@
     pub place: Place,
     /// The configuration in force: `crank_mesh::Handle::config`.
     pub config: watch::Receiver<Option<Arc<Snapshot>>>,
-    /// All members, this node included.
-    pub members: watch::Receiver<Arc<Vec<Member>>>,
+    /// All members, this node included: `crank_mesh::Handle::view`.
+    pub view: watch::Receiver<Arc<View>>,
     /// Whether the node may serve: `crank_mesh::Handle::ready`.
     pub ready: watch::Receiver<bool>,
-    /// The way to the targets' nodes.
+    /// The way to the targets' nodes: [`crate::wire::Wire`].
     pub links: L,
     /// Where every finished request is counted.
     pub burn: Arc<Mutex<burn::Burn>>,
@@ -66,7 +66,6 @@
 ///
 /// A request keeps the configuration that it began with. Its deadline covers everything, waiting
 /// and retries included. Dropping the future of a request cancels what it has begun.
-#[derive(Debug)]
 pub struct Entry<L> {
     shared: Arc<Shared<L>>,
 }
@@ -79,7 +78,6 @@
     }
 }
 
-#[derive(Debug)]
 struct Shared<L> {
     parts: Parts<L>,
     table: ArcSwapOption<Table>,
@@ -97,6 +95,12 @@
     deadline: Moment,
 }
 
+impl<L: Links> crank_caller::Gateway for Entry<L> {
+    async fn call(&self, request: Request) -> Result<Answer, Refused> {
+        Self::call(self, request).await
+    }
+}
+
 impl<L: Links> Entry<L> {
     /// An entry.
     ///
@@ -285,8 +289,8 @@
     }
 
     fn refresh(&self, lane: &Lane, version: Version, rule: &Rule) {
-        let members = self.shared.parts.members.borrow().clone();
-        lane.refresh(self.now(), version, rule, &members);
+        let view = self.shared.parts.view.borrow().clone();
+        lane.refresh(self.now(), version, rule, &view);
     }
 
     /// The node begins to leave: callers' new requests are refused, those under way are finished.
--- a/crates/crank-node/src/entry/lane.rs
+++ b/crates/crank-node/src/entry/lane.rs
@@ -5,9 +5,10 @@
 use crank_engine::limit::Size;
 use crank_engine::retry::{self, Budget};
 use crank_engine::route::Rule;
+use crank_mesh::View;
 use crank_protocol::call::{Answer, Refusal, Refused};
 use crank_protocol::config::{Service, Version};
-use crank_protocol::member::{Member, Place, Stage};
+use crank_protocol::member::{Place, Stage};
 use crank_protocol::{Millis, Name};
 use parking_lot::Mutex;
 
@@ -30,7 +31,7 @@
     pool: Pool,
     budget: Budget,
     version: Version,
-    members: Option<Arc<Vec<Member>>>,
+    view: Option<Arc<View>>,
 }
 
 impl Lane {
@@ -41,7 +42,7 @@
             pool: Pool::new(own.clone(), place.clone()),
             budget: Budget::new(rule.service.retry_budget),
             version: Version::default(),
-            members: None,
+            view: None,
         };
         Self {
             gate,
@@ -53,27 +54,22 @@
         &self.gate
     }
 
-    /// Takes a newer policy and other members; older ones are passed over.
-    pub(super) fn refresh(
-        &self,
-        now: Moment,
-        version: Version,
-        rule: &Rule,
-        members: &Arc<Vec<Member>>,
-    ) {
+    /// Takes a newer policy and another view; older ones are passed over.
+    pub(super) fn refresh(&self, now: Moment, version: Version, rule: &Rule, view: &Arc<View>) {
         let mut state = self.state.lock();
-        let same_members = state
-            .members
+        let same_view = state
+            .view
             .as_ref()
-            .is_some_and(|held| Arc::ptr_eq(held, members));
-        if version < state.version || (version == state.version && same_members) {
+            .is_some_and(|held| Arc::ptr_eq(held, view));
+        if version < state.version || (version == state.version && same_view) {
             return;
         }
         state.version = version;
-        state.members = Some(members.clone());
+        state.view = Some(view.clone());
         state.budget.set_share(rule.service.retry_budget);
         let name = &rule.route.service;
-        state.pool.update(now, name, &rule.service, members.iter());
+        let reached = view.members().filter(|member| view.reaches(member));
+        state.pool.update(now, name, &rule.service, reached);
         self.gate.resize(size(&rule.service, state.pool.slots()));
     }
 
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod entry;
 pub mod gate;
 pub mod target;
+pub mod wire;
 
 mod error;
 mod settings;
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -3,6 +3,7 @@
 mod once;
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -11,8 +12,9 @@
 use crank_platform_client::Platform;
 use crank_protocol::call::{Answer, Body, Head, Load, Refusal, Refused};
 use crank_protocol::config::{Service, Snapshot};
-use crank_protocol::member::{Endpoint, Stage};
+use crank_protocol::member::Stage;
 use crank_protocol::{Millis, Name};
+use crank_server::Announcement;
 use futures::StreamExt;
 use tokio::sync::watch;
 
@@ -26,28 +28,38 @@
 
 /// The edge to the backend server beside the node.
 pub trait Forwarder: Send + Sync + 'static {
-    /// Gives a request to the backend server; dropping the future cancels it.
+    /// Gives a request to the backend server at an address; dropping the future cancels it.
     ///
     /// # Errors
     /// [`Refusal::NotSent`] only when the backend server has certainly got nothing of it,
-    /// [`Refusal::Overloaded`] or [`Refusal::Leaving`] when it certainly shed it, otherwise
-    /// [`Refusal::Lost`] or [`Refusal::TimedOut`].
+    /// otherwise [`Refusal::Lost`] or [`Refusal::TimedOut`].
     fn forward(
         &self,
+        address: SocketAddr,
         head: Head,
         body: Bytes,
     ) -> impl Future<Output = Result<Answer, Refusal>> + Send;
 }
 
+impl Forwarder for crank_server::Forwarder {
+    async fn forward(
+        &self,
+        address: SocketAddr,
+        head: Head,
+        body: Bytes,
+    ) -> Result<Answer, Refusal> {
+        self.run(address, &head, body, head.time_left).await
+    }
+}
+
 /// What a target's node is made of.
-#[derive(Debug)]
 pub struct Parts<P, F> {
     /// The process's clock.
     pub clock: Clock,
     /// The configuration in force: `crank_mesh::Handle::config`.
     pub config: watch::Receiver<Option<Arc<Snapshot>>>,
-    /// What the backend server last announced; absent before the first announcement.
-    pub endpoint: watch::Receiver<Option<Endpoint>>,
+    /// What the backend server last announced: `crank_server::Announcements::watch`.
+    pub announced: watch::Receiver<Option<Announcement>>,
     /// The client account, from the node's settings.
     pub account: Name,
     /// Where requests that may run only once are claimed.
@@ -60,7 +72,6 @@
 ///
 /// The order is: admission, then the claim where the request may run only once, then the run. A
 /// refusal before the run is certain; one after it says what is known.
-#[derive(Debug)]
 pub struct Target<P, F> {
     shared: Arc<Shared<P, F>>,
 }
@@ -73,13 +84,18 @@
     }
 }
 
-#[derive(Debug)]
 struct Shared<P, F> {
     parts: Parts<P, F>,
     gate: Gate,
     unsettled: Arc<()>,
 }
 
+impl<P: Platform, F: Forwarder> crank_mesh::call::Target for Target<P, F> {
+    async fn run(&self, head: Head, body: Bytes) -> Result<Answer, Refused> {
+        Self::run(self, head, body).await
+    }
+}
+
 impl<P: Platform, F: Forwarder> Target<P, F> {
     /// A target that takes nothing until the backend server has announced that it is ready.
     ///
@@ -119,36 +135,42 @@
     /// ```
     pub async fn follow(self) {
         let mut config = self.shared.parts.config.clone();
-        let mut endpoint = self.shared.parts.endpoint.clone();
+        let mut announced = self.shared.parts.announced.clone();
         loop {
             self.refresh();
             tokio::select! {
                 Ok(()) = config.changed() => {}
-                Ok(()) = endpoint.changed() => {}
+                Ok(()) = announced.changed() => {}
                 else => return,
             }
         }
     }
 
-    fn refresh(&self) -> Option<Endpoint> {
-        let endpoint = self.shared.parts.endpoint.borrow().clone();
-        let service = endpoint
-            .as_ref()
-            .and_then(|endpoint| self.service(&endpoint.service));
-        let stage = endpoint
-            .as_ref()
-            .map_or(Stage::Gone, |endpoint| endpoint.stage);
+    /// Brings the gate up to what was announced and configured last.
+    fn refresh(&self) -> Option<Announcement> {
+        let announced = self.shared.parts.announced.borrow().clone();
+        let Some(announced) = announced else {
+            self.shared.gate.announce(Stage::Gone, DEFAULT_GRACE);
+            return None;
+        };
+        let endpoint = &announced.endpoint;
+        let service = self.service(&endpoint.service);
         let grace = service
             .as_ref()
             .map_or(DEFAULT_GRACE, |service| service.drain_grace);
-        self.shared.gate.announce(stage, grace);
-        if let (Some(endpoint), Some(service)) = (&endpoint, &service) {
+        self.shared.gate.announce(endpoint.stage, grace);
+        if let Some(service) = service {
             self.shared.gate.resize(Size {
                 slots: endpoint.slots.min(service.slots),
                 queue: service.queue,
             });
         }
-        endpoint
+        Some(announced)
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        let announced = self.shared.parts.announced.borrow();
+        announced.as_ref().map(|announced| announced.address)
     }
 
     fn service(&self, name: &Name) -> Option<Service> {
@@ -187,7 +209,7 @@
     async fn admit(&self, head: &Head, deadline: Moment) -> Result<Pass, Refused> {
         let serves = self
             .refresh()
-            .is_some_and(|endpoint| endpoint.service == head.service);
+            .is_some_and(|announced| announced.endpoint.service == head.service);
         if !serves {
             return Err(self.refused(Refusal::Leaving));
         }
@@ -204,7 +226,11 @@
     ) -> Result<Answer, Refused> {
         let clock = self.shared.parts.clock;
         head.time_left = deadline.since(clock.now());
-        let forwarded = self.shared.parts.forwarder.forward(head, body);
+        let Some(address) = self.address() else {
+            drop(pass);
+            return Err(self.refused(Refusal::Leaving));
+        };
+        let forwarded = self.shared.parts.forwarder.forward(address, head, body);
         let result = tokio::time::timeout_at(clock.instant(deadline), forwarded).await;
         match result.unwrap_or(Err(Refusal::TimedOut)) {
             Ok(mut answer) => {
--- /dev/null
+++ b/crates/crank-node/src/wire.rs
@@ -0,0 +1,55 @@
+//! The way to the targets' nodes: this node's own target, or a call connection.
+
+use bytes::Bytes;
+use crank_engine::balance::Choice;
+use crank_mesh::call::{Peer, Pool, Target};
+use crank_protocol::Name;
+use crank_protocol::call::{Answer, Head, Refused};
+
+use crate::entry::Links;
+
+/// Reaches every target's node.
+///
+/// ```
+/// use crank_mesh::call::{Pool, Target};
+/// use crank_node::wire::Wire;
+/// use crank_protocol::wire::Hello;
+/// fn wire<T: Target>(hello: Hello, target: T) -> Wire<T> {
+///     Wire::new(hello.member.id.clone(), target, Pool::new(hello))
+/// }
+/// ```
+pub struct Wire<T> {
+    own: Name,
+    target: T,
+    pool: Pool,
+}
+
+impl<T: Target> Wire<T> {
+    /// The way from the node of this name, whose own target is `target`.
+    ///
+    /// ```
+    /// # use crank_mesh::call::{Pool, Target};
+    /// # use crank_node::wire::Wire;
+    /// # use crank_protocol::Name;
+    /// fn wire<T: Target>(own: Name, target: T, pool: Pool) -> Wire<T> {
+    ///     Wire::new(own, target, pool)
+    /// }
+    /// ```
+    #[must_use]
+    pub fn new(own: Name, target: T, pool: Pool) -> Self {
+        Self { own, target, pool }
+    }
+}
+
+impl<T: Target> Links for Wire<T> {
+    async fn call(&self, target: &Choice, head: Head, body: Bytes) -> Result<Answer, Refused> {
+        if target.id == self.own {
+            return self.target.run(head, body).await;
+        }
+        let peer = Peer {
+            id: target.id.clone(),
+            address: target.address,
+        };
+        self.pool.run(&peer, head, body).await
+    }
+}
