--- /dev/null
+++ b/crates/crank-node/tests/admission_at_the_target.rs
@@ -0,0 +1,103 @@
+//! What reaches the backend server, and what a drain does to it.
+
+mod common;
+
+use common::{FakeServer, announcement, head, side, text, until};
+use crank_engine::drain::Progress;
+use crank_platform_client::Memory;
+use crank_protocol::Millis;
+use crank_protocol::call::{Outcome, Refusal};
+use crank_protocol::member::Stage;
+
+#[tokio::test]
+async fn what_is_refused_as_not_run_never_reaches_the_backend_server() {
+    let server = FakeServer::held();
+    let side = side("orders", Memory::new(), server.clone());
+    let mut tasks = Vec::new();
+    for request in 0..20 {
+        let target = side.target.clone();
+        let head = head("orders", request, None);
+        tasks.push(tokio::spawn(async move {
+            (request, target.run(head, "12 t".into()).await.err())
+        }));
+    }
+    until(|| server.runs() == 2 && side.target.load().waiting == 2).await;
+    server.answers.add_permits(20);
+    let mut refused = 0;
+    for task in tasks {
+        let (request, error) = task.await.unwrap();
+        if let Some(error) = error {
+            assert_eq!(error.outcome, Outcome::NotRun);
+            assert!(!server.runs.lock().contains_key(&request));
+            refused += 1;
+        }
+    }
+    assert_eq!(refused, 16);
+}
+
+#[tokio::test]
+async fn a_drain_of_the_node_cuts_nothing_in_flight_and_takes_nothing_new() {
+    let server = FakeServer::held();
+    let side = side("orders", Memory::new(), server.clone());
+    let mut tasks = Vec::new();
+    for request in 0..4 {
+        let target = side.target.clone();
+        let head = head("orders", request, None);
+        tasks.push(tokio::spawn(async move {
+            text(target.run(head, "12 t".into()).await.ok().unwrap()).await
+        }));
+    }
+    until(|| server.runs() == 2 && side.target.load().waiting == 2).await;
+    side.target.drain(Millis(0));
+    let new = side.target.run(head("orders", 9, None), "".into()).await;
+    assert_eq!(new.err().unwrap().refusal, Refusal::Leaving);
+    let progress = side.target.progress();
+    assert!(matches!(progress, Progress::Overdue { in_flight: 4, .. }));
+    server.answers.add_permits(4);
+    for task in tasks {
+        assert_eq!(task.await.unwrap().unwrap(), "confirmed");
+    }
+    assert_eq!(side.target.progress(), Progress::Drained);
+    assert!(!server.runs.lock().contains_key(&9));
+}
+
+#[tokio::test]
+async fn a_drain_of_the_backend_server_gives_it_none_of_what_waits() {
+    let server = FakeServer::held();
+    let side = side("orders", Memory::new(), server.clone());
+    tokio::spawn(side.target.clone().follow());
+    let mut tasks = Vec::new();
+    for request in 0..4 {
+        let target = side.target.clone();
+        let head = head("orders", request, None);
+        tasks.push(tokio::spawn(async move {
+            match target.run(head, "12 t".into()).await {
+                Ok(answer) => text(answer).await,
+                Err(refused) => Err(refused.refusal),
+            }
+        }));
+    }
+    until(|| server.runs() == 2 && side.target.load().waiting == 2).await;
+    let draining = announcement("orders", Stage::Draining);
+    side.announced.send_replace(Some(draining));
+    until(|| side.target.load().waiting == 0).await;
+    server.answers.add_permits(4);
+    let mut answered = 0;
+    for task in tasks {
+        match task.await.unwrap() {
+            Ok(_) => answered += 1,
+            Err(refusal) => assert_eq!(refusal, Refusal::Leaving),
+        }
+    }
+    assert_eq!(answered, 2);
+    assert_eq!(server.runs(), 2);
+}
+
+#[tokio::test]
+async fn a_request_for_another_service_is_not_run() {
+    let server = FakeServer::new();
+    let side = side("orders", Memory::new(), server.clone());
+    let refused = side.target.run(head("lookups", 1, None), "".into()).await;
+    assert_eq!(refused.err().unwrap().outcome, Outcome::NotRun);
+    assert_eq!(server.runs(), 0);
+}
--- /dev/null
+++ b/crates/crank-node/tests/common/mod.rs
@@ -0,0 +1,310 @@
+//! Fakes at the edges of entry and target.
+#![allow(dead_code, unreachable_pub, clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use crank_engine::balance::Choice;
+use crank_engine::{Moment, burn::Burn, retry};
+use crank_mesh::View;
+use crank_node::clock::Clock;
+use crank_node::entry::{self, Entry, Links};
+use crank_node::target::{self, Forwarder, Target};
+use crank_platform_client::Memory;
+use crank_protocol::call::{Answer, AnswerHead, Head, Header, Load, Refusal, Refused, Request};
+use crank_protocol::config::{
+    Account, Config, Importance, Method, Route, Service, Snapshot, Stamp, Version,
+};
+use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
+use crank_protocol::{Millis, Name, Permille};
+use crank_server::Announcement;
+use futures::StreamExt;
+use parking_lot::Mutex;
+use tokio::sync::{Semaphore, watch};
+
+/// Longer than any test waits for what it expects.
+pub const LONG: Millis = Millis(60_000);
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+pub fn service() -> Service {
+    Service {
+        slots: 2,
+        connections: 110,
+        queue: 2,
+        timeout: LONG,
+        retry_budget: Permille(200),
+        importance: Importance::Normal,
+        warm_up: Millis(0),
+        drain_grace: LONG,
+        objective: None,
+    }
+}
+
+pub fn route(service: &str, idempotent: bool, once: bool) -> Route {
+    Route {
+        path: Arc::from(format!("/{service}")),
+        methods: [Method::Get, Method::Post].into(),
+        service: name(service),
+        timeout: None,
+        idempotent,
+        once,
+    }
+}
+
+/// Lookups are idempotent, orders are not, tickets run once.
+pub fn snapshot() -> Arc<Snapshot> {
+    let account = Account {
+        name: name("lenha-viva"),
+        notice_ends: None,
+    };
+    let routes = [
+        ("lookups", route("lookups", true, false)),
+        ("orders", route("orders", false, false)),
+        ("tickets", route("tickets", false, true)),
+    ];
+    let services = routes.iter().map(|(text, _)| (name(text), service()));
+    let config = Config {
+        account,
+        services: services.collect(),
+        routes: routes
+            .iter()
+            .map(|(text, route)| (name(text), route.clone()))
+            .collect(),
+    };
+    let stamp = Stamp {
+        version: Version(1),
+        digest: crank_engine::config::digest(&config),
+    };
+    Arc::new(Snapshot { stamp, config })
+}
+
+pub fn place() -> Place {
+    Place {
+        region: name("bahia"),
+        data_centre: name("bahia-1"),
+    }
+}
+
+pub fn address() -> SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
+fn endpoint(service: &str, stage: Stage) -> Endpoint {
+    Endpoint {
+        service: name(service),
+        stage,
+        slots: 2,
+    }
+}
+
+/// Three ready targets for each service.
+pub fn view() -> Arc<View> {
+    let services = ["lookups", "orders", "tickets"];
+    let members = services.iter().flat_map(|service| {
+        (1..=3).map(move |number| Member {
+            id: name(&format!("{service}-{number}")),
+            place: place(),
+            address: address(),
+            incarnation: 1,
+            state: State::Alive,
+            endpoint: Some(endpoint(service, Stage::Ready)),
+        })
+    });
+    Arc::new(View::new(name("entry"), members, Default::default()))
+}
+
+pub fn request(path: &str) -> Request {
+    Request {
+        method: Method::Post,
+        path: Arc::from(path),
+        headers: Vec::new(),
+        body: Bytes::from_static(b"12 t"),
+    }
+}
+
+pub fn with_header(mut request: Request, name: &str, value: &str) -> Request {
+    request.headers.push(Header {
+        name: Arc::from(name),
+        value: value.as_bytes().to_vec(),
+    });
+    request
+}
+
+pub fn answer(text: &'static str) -> Answer {
+    Answer {
+        head: AnswerHead {
+            status: 200,
+            headers: Vec::new(),
+            length: Some(text.len() as u64),
+            load: Load::default(),
+        },
+        body: Box::pin(futures::stream::iter([Ok(Bytes::from_static(
+            text.as_bytes(),
+        ))])),
+    }
+}
+
+pub async fn text(answer: Answer) -> Result<String, Refusal> {
+    let mut body = answer.body;
+    let mut read = Vec::new();
+    while let Some(data) = body.next().await {
+        read.extend_from_slice(&data?);
+    }
+    Ok(String::from_utf8(read).unwrap())
+}
+
+/// Refuses attempts as told, in order, then answers; holds the attempts of services that hang.
+#[derive(Clone, Default)]
+pub struct FakeLinks {
+    pub refusals: Arc<Mutex<Vec<Refusal>>>,
+    pub hanging: Option<Name>,
+    pub sent: Arc<Mutex<Vec<Name>>>,
+}
+
+impl FakeLinks {
+    pub fn refusing(refusals: &[Refusal]) -> Self {
+        let refusals = refusals.iter().rev().cloned().collect();
+        Self {
+            refusals: Arc::new(Mutex::new(refusals)),
+            ..Self::default()
+        }
+    }
+
+    pub fn sent(&self) -> usize {
+        self.sent.lock().len()
+    }
+}
+
+impl Links for FakeLinks {
+    async fn call(&self, target: &Choice, head: Head, _body: Bytes) -> Result<Answer, Refused> {
+        self.sent.lock().push(target.id.clone());
+        if self.hanging.as_ref() == Some(&head.service) {
+            std::future::pending::<()>().await;
+        }
+        let refusal = self.refusals.lock().pop();
+        match refusal {
+            Some(refusal) => Err(retry::refused(refusal, None)),
+            None => Ok(answer("whole")),
+        }
+    }
+}
+
+pub fn entry(links: FakeLinks) -> Entry<FakeLinks> {
+    Entry::new(entry::Parts {
+        clock: Clock::new(),
+        own: name("entry"),
+        place: place(),
+        config: watch::Sender::new(Some(snapshot())).subscribe(),
+        view: watch::Sender::new(view()).subscribe(),
+        ready: watch::Sender::new(true).subscribe(),
+        links,
+        burn: Arc::new(Mutex::new(Burn::new(Moment(0)))),
+    })
+}
+
+/// A backend server that counts what it runs, by request, and answers when it is let.
+#[derive(Clone)]
+pub struct FakeServer {
+    pub runs: Arc<Mutex<BTreeMap<u128, u32>>>,
+    pub answers: Arc<Semaphore>,
+    pub refusal: Arc<Mutex<Option<Refusal>>>,
+}
+
+impl FakeServer {
+    pub fn new() -> Self {
+        Self {
+            runs: Arc::default(),
+            answers: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
+            refusal: Arc::default(),
+        }
+    }
+
+    /// One that answers nothing until `answers` is given permits.
+    pub fn held() -> Self {
+        Self {
+            answers: Arc::new(Semaphore::new(0)),
+            ..Self::new()
+        }
+    }
+
+    pub fn runs(&self) -> u32 {
+        self.runs.lock().values().sum()
+    }
+}
+
+impl Forwarder for FakeServer {
+    async fn forward(
+        &self,
+        _address: SocketAddr,
+        head: Head,
+        _body: Bytes,
+    ) -> Result<Answer, Refusal> {
+        if let Some(refusal) = self.refusal.lock().clone() {
+            return Err(refusal);
+        }
+        *self.runs.lock().entry(head.request).or_default() += 1;
+        self.answers.acquire().await.unwrap().forget();
+        Ok(answer("confirmed"))
+    }
+}
+
+pub struct Side {
+    pub target: Target<Memory, FakeServer>,
+    pub announced: watch::Sender<Option<Announcement>>,
+    pub config: watch::Sender<Option<Arc<Snapshot>>>,
+}
+
+/// A target's node beside a backend server of this service.
+pub fn side(service: &str, platform: Memory, server: FakeServer) -> Side {
+    let announced = watch::Sender::new(Some(announcement(service, Stage::Ready)));
+    let config = watch::Sender::new(Some(snapshot()));
+    let target = Target::new(target::Parts {
+        clock: Clock::new(),
+        config: config.subscribe(),
+        announced: announced.subscribe(),
+        account: name("lenha-viva"),
+        platform,
+        forwarder: server,
+    });
+    Side {
+        target,
+        announced,
+        config,
+    }
+}
+
+pub fn announcement(service: &str, stage: Stage) -> Announcement {
+    Announcement {
+        endpoint: endpoint(service, stage),
+        address: address(),
+    }
+}
+
+pub fn head(service: &str, request: u128, once: Option<&str>) -> Head {
+    Head {
+        request,
+        service: name(service),
+        method: Method::Post,
+        path: Arc::from(format!("/{service}")),
+        headers: Vec::new(),
+        time_left: LONG,
+        importance: Importance::Normal,
+        idempotent: false,
+        once: once.map(Arc::from),
+        depth: 0,
+        version: Version(1),
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
--- /dev/null
+++ b/crates/crank-node/tests/limits_at_the_entry.rs
@@ -0,0 +1,106 @@
+//! What the entry refuses, and what it keeps apart.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use common::{FakeLinks, entry, name, request, text, until, with_header};
+use crank_engine::drain::Progress;
+use crank_protocol::Millis;
+use crank_protocol::call::{DEPTH_HEADER, IDEMPOTENCY_HEADER, Outcome, Refusal, TIMEOUT_HEADER};
+
+#[tokio::test]
+async fn a_service_that_hangs_holds_up_nobody_else() {
+    let links = FakeLinks {
+        hanging: Some(name("orders")),
+        ..FakeLinks::default()
+    };
+    let entry = entry(links);
+    let (calls, room) = (40, 3 * (2 + 2) + 2);
+    let refused = Arc::new(AtomicUsize::new(0));
+    let waiting: Vec<_> = (0..calls)
+        .map(|_| {
+            let (call, refused) = (entry.clone(), refused.clone());
+            tokio::spawn(async move {
+                let result = call.call(request("/orders")).await.err().unwrap();
+                assert!(matches!(result.refusal, Refusal::Overloaded { .. }));
+                assert_eq!(result.outcome, Outcome::NotRun);
+                refused.fetch_add(1, Ordering::Relaxed);
+            })
+        })
+        .collect();
+    let all_asked = || {
+        let load = entry.load();
+        let load = load.get(&name("orders")).copied().unwrap_or_default();
+        let inside = (load.running + load.waiting) as usize;
+        inside + refused.load(Ordering::Relaxed) == calls
+    };
+    until(all_asked).await;
+    assert_eq!(refused.load(Ordering::Relaxed), calls - room);
+    let answer = entry.call(request("/lookups")).await;
+    assert_eq!(text(answer.ok().unwrap()).await.unwrap(), "whole");
+    for task in waiting {
+        task.abort();
+    }
+}
+
+#[tokio::test]
+async fn a_caller_who_leaves_gives_the_place_back() {
+    let links = FakeLinks {
+        hanging: Some(name("orders")),
+        ..FakeLinks::default()
+    };
+    let entry = entry(links.clone());
+    let call = entry.clone();
+    let task = tokio::spawn(async move { call.call(request("/orders")).await.is_ok() });
+    until(|| links.sent() == 1).await;
+    task.abort();
+    until(|| entry.load()[&name("orders")].running == 0).await;
+}
+
+#[tokio::test]
+async fn the_deadline_of_the_caller_covers_a_target_that_hangs() {
+    let links = FakeLinks {
+        hanging: Some(name("lookups")),
+        ..FakeLinks::default()
+    };
+    let entry = entry(links.clone());
+    let mut millis = 20;
+    let refused = loop {
+        let request = with_header(request("/lookups"), TIMEOUT_HEADER, &millis.to_string());
+        let refused = entry.call(request).await.err().unwrap();
+        if links.sent() > 0 {
+            break refused;
+        }
+        millis *= 2;
+    };
+    assert_eq!(refused.refusal, Refusal::TimedOut);
+    assert_eq!(refused.outcome, Outcome::Unknown);
+}
+
+#[tokio::test]
+async fn a_ticket_without_a_key_is_not_sent() {
+    let links = FakeLinks::default();
+    let entry = entry(links.clone());
+    let bare = entry.call(request("/tickets")).await.err().unwrap();
+    assert!(matches!(bare.refusal, Refusal::BadRequest { .. }));
+    let twice = with_header(request("/tickets"), IDEMPOTENCY_HEADER, "a");
+    let twice = with_header(twice, IDEMPOTENCY_HEADER, "b");
+    let twice = entry.call(twice).await.err().unwrap();
+    assert_eq!(twice.outcome, Outcome::NotRun);
+    assert_eq!(links.sent(), 0);
+}
+
+#[tokio::test]
+async fn a_leaving_node_refuses_callers_but_serves_its_own_backend_server() {
+    let entry = entry(FakeLinks::default());
+    entry.drain(Millis(1_000));
+    let refused = entry.call(request("/lookups")).await.err().unwrap();
+    assert_eq!(refused.refusal, Refusal::Leaving);
+    assert_eq!(refused.outcome, Outcome::NotRun);
+    let inner = with_header(request("/lookups"), DEPTH_HEADER, "1");
+    let answer = entry.call(inner).await;
+    assert_eq!(text(answer.ok().unwrap()).await.unwrap(), "whole");
+    assert_eq!(entry.progress(), Progress::Drained);
+}
--- /dev/null
+++ b/crates/crank-node/tests/requests_that_run_once.rs
@@ -0,0 +1,139 @@
+//! Claims at the target: two nodes, a store with faults, callers who leave.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{FakeServer, head, side, text, until};
+use crank_platform_client::Memory;
+use crank_protocol::Millis;
+use crank_protocol::call::{Outcome, Refusal};
+
+const KEY: Option<&str> = Some("ticket-7");
+
+#[tokio::test]
+async fn two_nodes_with_one_key_run_it_once_even_when_the_store_loses_answers() {
+    for lost in 0..4 {
+        let (platform, server) = (Memory::new(), FakeServer::new());
+        platform.lose_answers(lost);
+        let one = side("tickets", platform.clone(), server.clone());
+        let other = side("tickets", platform, server.clone());
+        let (first, second) = tokio::join!(
+            one.target.run(head("tickets", 1, KEY), "12 t".into()),
+            other.target.run(head("tickets", 2, KEY), "12 t".into()),
+        );
+        assert_eq!(server.runs(), 1, "with {lost} answers lost");
+        for result in [first, second] {
+            match result {
+                Ok(answer) => assert_eq!(text(answer).await.unwrap(), "confirmed"),
+                Err(refused) => assert_ne!(refused.outcome, Outcome::NotRun),
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_repeat_at_another_node_gets_the_recorded_answer() {
+    let (platform, server) = (Memory::new(), FakeServer::new());
+    for request in 1..=3 {
+        let side = side("tickets", platform.clone(), server.clone());
+        let run = side
+            .target
+            .run(head("tickets", request, KEY), "12 t".into());
+        assert_eq!(text(run.await.ok().unwrap()).await.unwrap(), "confirmed");
+    }
+    assert_eq!(server.runs(), 1);
+}
+
+#[tokio::test]
+async fn a_key_that_was_used_for_another_request_is_refused() {
+    let (platform, server) = (Memory::new(), FakeServer::new());
+    let side = side("tickets", platform, server.clone());
+    let first = side.target.run(head("tickets", 1, KEY), "12 t".into());
+    assert!(first.await.is_ok());
+    let other = side.target.run(head("tickets", 2, KEY), "13 t".into());
+    let refused = other.await.err().unwrap();
+    assert_eq!(refused.refusal, Refusal::KeyMismatch);
+    assert_eq!(server.runs(), 1);
+}
+
+#[tokio::test]
+async fn with_the_store_down_it_is_not_run() {
+    let (platform, server) = (Memory::new(), FakeServer::new());
+    platform.set_down(true);
+    let side = side("tickets", platform, server.clone());
+    let run = side.target.run(head("tickets", 1, KEY), "12 t".into());
+    let refused = run.await.err().unwrap();
+    assert_eq!(refused.refusal, Refusal::StoreDown);
+    assert_eq!(refused.outcome, Outcome::NotRun);
+    assert_eq!(server.runs(), 0);
+}
+
+#[tokio::test]
+async fn a_claim_that_comes_too_late_is_not_run_and_frees_its_key() {
+    let (platform, server) = (Memory::new(), FakeServer::new());
+    let side = side("tickets", platform.clone(), server.clone());
+    let mut time_left = 20;
+    loop {
+        platform.set_delay(Duration::from_millis(3 * time_left));
+        let mut hurried = head("tickets", 1, KEY);
+        hurried.time_left = Millis(time_left);
+        let refused = side.target.run(hurried, "12 t".into()).await.err().unwrap();
+        assert_eq!(refused.outcome, Outcome::NotRun);
+        assert_eq!(server.runs(), 0);
+        if refused.refusal == Refusal::StoreDown {
+            break;
+        }
+        time_left *= 2;
+    }
+    platform.set_delay(Duration::ZERO);
+    until(|| side.target.unsettled() == 0 && platform.counts().writes >= 2).await;
+    let again = side.target.run(head("tickets", 2, KEY), "12 t".into());
+    assert!(again.await.is_ok());
+    assert_eq!(server.runs(), 1);
+}
+
+#[tokio::test]
+async fn a_backend_server_that_was_not_reached_frees_the_key() {
+    let (platform, server) = (Memory::new(), FakeServer::new());
+    *server.refusal.lock() = Some(Refusal::NotSent);
+    let side = side("tickets", platform, server.clone());
+    let run = side.target.run(head("tickets", 1, KEY), "12 t".into());
+    assert_eq!(run.await.err().unwrap().outcome, Outcome::NotRun);
+    *server.refusal.lock() = None;
+    let again = side.target.run(head("tickets", 2, KEY), "12 t".into());
+    assert!(again.await.is_ok());
+}
+
+#[tokio::test]
+async fn a_run_whose_answer_is_lost_keeps_its_key() {
+    let (platform, server) = (Memory::new(), FakeServer::new());
+    *server.refusal.lock() = Some(Refusal::Lost);
+    let side = side("tickets", platform, server.clone());
+    let run = side.target.run(head("tickets", 1, KEY), "12 t".into());
+    assert_eq!(run.await.err().unwrap().outcome, Outcome::Unknown);
+    *server.refusal.lock() = None;
+    let again = side.target.run(head("tickets", 2, KEY), "12 t".into());
+    let refused = again.await.err().unwrap();
+    assert_eq!(refused.refusal, Refusal::KeyInUse);
+    assert_eq!(refused.outcome, Outcome::Unknown);
+    assert_eq!(server.runs(), 0);
+}
+
+#[tokio::test]
+async fn the_answer_is_recorded_even_when_the_caller_has_left() {
+    let (platform, server) = (Memory::new(), FakeServer::held());
+    let side = side("tickets", platform, server.clone());
+    let target = side.target.clone();
+    let caller = tokio::spawn(async move {
+        let run = target.run(head("tickets", 1, KEY), "12 t".into());
+        run.await.is_ok()
+    });
+    until(|| server.runs() == 1).await;
+    caller.abort();
+    server.answers.add_permits(1);
+    until(|| side.target.load().running == 0 && side.target.unsettled() == 0).await;
+    let again = side.target.run(head("tickets", 2, KEY), "12 t".into());
+    assert_eq!(text(again.await.ok().unwrap()).await.unwrap(), "confirmed");
+    assert_eq!(server.runs(), 1);
+}
--- /dev/null
+++ b/crates/crank-node/tests/retries_at_the_entry.rs
@@ -0,0 +1,63 @@
+//! What the entry sends again, and what it tells the caller.
+
+mod common;
+
+use common::{FakeLinks, entry, request, text, with_header};
+use crank_engine::retry::MOST_ATTEMPTS;
+use crank_protocol::call::{DEPTH_HEADER, Outcome, Refusal};
+
+#[tokio::test]
+async fn a_lost_order_is_never_sent_again() {
+    for refusal in [
+        Refusal::Lost,
+        Refusal::TimedOut,
+        Refusal::Cut,
+        Refusal::KeyInUse,
+    ] {
+        let links = FakeLinks::refusing(std::slice::from_ref(&refusal));
+        let refused = entry(links.clone()).call(request("/orders")).await.err();
+        let refused = refused.unwrap();
+        assert_eq!(refused.refusal, refusal);
+        assert_ne!(refused.outcome, Outcome::NotRun);
+        assert_eq!(links.sent(), 1, "{refusal:?}");
+    }
+}
+
+#[tokio::test]
+async fn an_order_that_was_certainly_not_run_is_tried_at_another_target() {
+    let links = FakeLinks::refusing(&[Refusal::Leaving, Refusal::NotSent]);
+    let answer = entry(links.clone()).call(request("/orders")).await;
+    assert_eq!(text(answer.ok().unwrap()).await.unwrap(), "whole");
+    let sent = links.sent.lock().clone();
+    assert_eq!(sent.len(), 3);
+    assert!(sent[0] != sent[1] && sent[1] != sent[2] && sent[0] != sent[2]);
+}
+
+#[tokio::test]
+async fn a_lookup_that_was_lost_and_then_refused_is_not_called_not_run() {
+    let refusals = [Refusal::Lost, Refusal::Leaving, Refusal::Leaving];
+    let links = FakeLinks::refusing(&refusals);
+    let refused = entry(links).call(request("/lookups")).await.err().unwrap();
+    assert_eq!(refused.outcome, Outcome::Unknown);
+}
+
+#[tokio::test]
+async fn only_the_first_layer_of_a_call_chain_retries() {
+    let links = FakeLinks::refusing(&[Refusal::NotSent]);
+    let request = with_header(request("/lookups"), DEPTH_HEADER, "1");
+    let refused = entry(links.clone()).call(request).await.err().unwrap();
+    assert_eq!(refused.refusal, Refusal::NotSent);
+    assert_eq!(links.sent(), 1);
+}
+
+#[tokio::test]
+async fn a_service_that_refuses_everything_gets_little_more_than_its_requests() {
+    let calls = 500;
+    let links = FakeLinks::refusing(&vec![Refusal::NotSent; calls * MOST_ATTEMPTS as usize]);
+    let entry = entry(links.clone());
+    for _ in 0..calls {
+        assert!(entry.call(request("/lookups")).await.is_err());
+    }
+    let budget = calls / 5 + 10;
+    assert!(links.sent() <= calls + budget, "sent {}", links.sent());
+}
