--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod target;
+pub mod wire;
 
 mod error;
 mod run;
