--- a/crates/crank-node/src/front.rs
+++ b/crates/crank-node/src/front.rs
@@ -9,7 +9,6 @@
 use crate::metrics::{Answered, Metrics};
 
 /// The entry with a count of what callers were told.
-#[derive(Debug)]
 pub struct Front<L> {
     entry: Entry<L>,
     metrics: Arc<Metrics>,
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -3,11 +3,9 @@
 pub mod clock;
 pub mod desk;
 pub mod entry;
-pub mod forward;
 pub mod front;
 pub mod gate;
 pub mod join;
-pub mod links;
 pub mod logs;
 pub mod metrics;
 pub mod target;
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -21,12 +21,11 @@
 use crate::clock::Clock;
 use crate::desk::Office;
 use crate::entry::{self, Entry};
-use crate::forward::Forward;
 use crate::front::Front;
 use crate::join::Join;
-use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::target::{self, Target};
+use crate::wire::Wire;
 use crate::{Error, Settings};
 
 const CALL_SOCKETS: usize = 64;
@@ -34,8 +33,8 @@
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 const PUBLISHER_CANDIDATES: usize = 3;
 
-type NodeTarget = Target<Remote, Forward>;
-type NodeEntry = Entry<Links<Remote, Forward>>;
+type NodeTarget = Target<Remote, crank_server::Forwarder>;
+type NodeEntry = Entry<Wire<NodeTarget>>;
 
 /// Runs a node until it is told to leave by SIGTERM or SIGINT, and has left.
 ///
@@ -68,8 +67,8 @@
     entry: NodeEntry,
     target: NodeTarget,
     announcements: Announcements,
-    endpoint: Arc<watch::Sender<Option<Endpoint>>>,
     ready: Arc<watch::Sender<bool>>,
+    draining: CancellationToken,
     leaving: CancellationToken,
     edge: tokio::task::JoinHandle<()>,
 }
@@ -84,15 +83,14 @@
         let operators = listen(&settings).await?;
         let (sockets, accepted) = mpsc::channel(CALL_SOCKETS);
         let mesh = crank_mesh::start(mesh_settings(&settings), sockets).await?;
-        let (endpoint, endpoints) = watch::channel(None);
         let (ready, is_ready) = watch::channel(false);
         let target = Target::new(target::Parts {
             clock,
             config: mesh.config(),
-            endpoint: endpoints,
+            announced: announcements.watch(),
             account: settings.platform.account.clone(),
             platform: platform.clone(),
-            forwarder: Forward::new(crank_server::Forwarder::new()?, announcements.watch()),
+            forwarder: crank_server::Forwarder::new()?,
         });
         let hello = hello(&settings, &mesh);
         let burn = Arc::new(Mutex::new(Burn::new(clock.now())));
@@ -101,9 +99,9 @@
             own: settings.name.clone(),
             place: settings.place.clone(),
             config: mesh.config(),
-            members: members(&mesh),
+            view: mesh.view(),
             ready: is_ready.clone(),
-            links: Links::new(
+            links: Wire::new(
                 settings.name.clone(),
                 target.clone(),
                 Pool::new(hello.clone()),
@@ -142,8 +140,8 @@
             entry,
             target,
             announcements,
-            endpoint: Arc::new(endpoint),
             ready: Arc::new(ready),
+            draining: CancellationToken::new(),
             leaving,
             edge,
         };
@@ -165,7 +163,7 @@
         let announced = self.announcements.watch();
         tokio::spawn(announce(
             announced,
-            self.endpoint.clone(),
+            self.draining.clone(),
             self.mesh.clone(),
         ));
         let (mesh, ready, target) = (self.mesh.clone(), self.ready.clone(), self.target.clone());
@@ -179,14 +177,7 @@
         self.entry.drain(grace);
         self.target.drain(grace);
         self.ready.send_replace(false);
-        let held = self.endpoint.borrow().clone();
-        if let Some(endpoint) = held {
-            let draining = Endpoint {
-                stage: Stage::Draining,
-                ..endpoint
-            };
-            let _ = self.mesh.announce(Some(draining)).await;
-        }
+        self.draining.cancel();
         let patience = Duration::from(grace);
         let drained = tokio::time::timeout(patience, self.drained()).await.is_ok();
         if !drained {
@@ -263,22 +254,6 @@
     );
 }
 
-/// The members that can be reached, as they change.
-fn members(mesh: &Handle) -> watch::Receiver<Arc<Vec<Member>>> {
-    let mut view = mesh.view();
-    let reachable = |view: &View| {
-        let members = view.members().filter(|member| view.reaches(member));
-        Arc::new(members.cloned().collect::<Vec<_>>())
-    };
-    let (sender, receiver) = watch::channel(reachable(&view.borrow()));
-    tokio::spawn(async move {
-        while view.changed().await.is_ok() {
-            sender.send_replace(reachable(&view.borrow_and_update()));
-        }
-    });
-    receiver
-}
-
 async fn serve_calls(
     mut accepted: mpsc::Receiver<Socket>,
     hello: Hello,
@@ -296,32 +271,40 @@
     }
 }
 
-/// Tells the target and the mesh what the backend server announces.
+/// Tells the mesh what the backend server announces; that it drains, once the node does.
 async fn announce(
     mut announced: watch::Receiver<Option<Announcement>>,
-    endpoint: Arc<watch::Sender<Option<Endpoint>>>,
+    draining: CancellationToken,
     mesh: Handle,
 ) {
+    let mut told = None;
     loop {
-        let now = announced
-            .borrow_and_update()
-            .as_ref()
-            .map(|found| found.endpoint.clone());
-        let changed = endpoint.send_if_modified(|held| {
-            let changed = *held != now;
-            held.clone_from(&now);
-            changed
-        });
-        if changed {
+        let found = announced.borrow_and_update().clone();
+        let is_draining = draining.is_cancelled();
+        let now = found.map(|found| stage_of(found.endpoint, is_draining));
+        if told != now {
             log::info!(endpoint:? = now; "backend server announced");
-            let _ = mesh.announce(now).await;
+            let _ = mesh.announce(now.clone()).await;
+            told = now;
         }
-        if announced.changed().await.is_err() {
+        let changed = tokio::select! {
+            changed = announced.changed() => changed.is_ok(),
+            () = draining.cancelled(), if !is_draining => true,
+        };
+        if !changed {
             return;
         }
     }
 }
 
+fn stage_of(endpoint: Endpoint, is_draining: bool) -> Endpoint {
+    let stage = match endpoint.stage {
+        Stage::Starting | Stage::Ready if is_draining => Stage::Draining,
+        stage => stage,
+    };
+    Endpoint { stage, ..endpoint }
+}
+
 /// Keeps what the mesh tells of this node, and whether it takes requests, up to date.
 async fn vitals(mesh: Handle, ready: Arc<watch::Sender<bool>>, target: NodeTarget) {
     let mut mesh_ready = mesh.ready();
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -297,12 +297,6 @@
     }
 }
 
-impl<P: Platform, F: Forwarder> crank_mesh::call::Target for Target<P, F> {
-    async fn run(&self, head: Head, body: Bytes) -> Result<Answer, Refused> {
-        Self::run(self, head, body).await
-    }
-}
-
 /// A body that holds its place until it has ended, and is cut at the deadline.
 fn hold(body: Body, pass: Pass, clock: Clock, deadline: Moment) -> Body {
     let end = clock.instant(deadline);
