--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod join;
 pub mod logs;
 pub mod metrics;
+pub mod publisher;
 pub mod target;
 pub mod wire;
 
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -9,6 +9,8 @@
 use crank_mesh::call::{self, Pool};
 use crank_mesh::{Handle, Socket, View, Vitals};
 use crank_platform_client::Remote;
+use crank_protocol::Name;
+use crank_protocol::config::Snapshot;
 use crank_protocol::member::{Endpoint, Member, Stage, State};
 use crank_protocol::wire::{Hello, PROTOCOL};
 use crank_server::{Announcement, Announcements};
@@ -24,6 +26,7 @@
 use crate::front::Front;
 use crate::join::Join;
 use crate::metrics::Metrics;
+use crate::publisher;
 use crate::target::{self, Target};
 use crate::wire::Wire;
 use crate::{Error, Settings};
@@ -160,6 +163,7 @@
         };
         tokio::spawn(join.clone().until_ready());
         tokio::spawn(join.keep_contact());
+        self.publish(platform);
         let announced = self.announcements.watch();
         tokio::spawn(announce(
             announced,
@@ -170,6 +174,20 @@
         tokio::spawn(vitals(mesh, ready, target));
     }
 
+    fn publish(&self, platform: Remote) {
+        let account = self.settings.platform.account.clone();
+        let settings = publisher::Settings::new(account, self.settings.name.clone());
+        let (candidate, is_candidate) = watch::channel(false);
+        let (accepted, found) = mpsc::channel(1);
+        let publisher = publisher::start(platform, settings, is_candidate, accepted);
+        let (mesh, region) = (self.mesh.clone(), self.settings.platform.region.clone());
+        tokio::spawn(async move {
+            candidacy(mesh, region, candidate).await;
+            drop(publisher);
+        });
+        tokio::spawn(offer(found, self.mesh.clone()));
+    }
+
     /// Takes nothing new, finishes what is in flight, and goes.
     async fn leave(self) {
         log::info!(node:% = self.settings.name; "leaving");
@@ -321,10 +339,31 @@
     }
 }
 
-/// Whether this node is one of the few that may publish, as the members change.
-#[must_use]
-pub(crate) fn is_candidate(view: &View, store_region: &crank_protocol::Name) -> bool {
+/// Keeps up whether this node is one of the few that may publish.
+async fn candidacy(mesh: Handle, region: Name, candidate: watch::Sender<bool>) {
+    let mut view = mesh.view();
+    loop {
+        let is_candidate = is_candidate(&view.borrow_and_update(), &region);
+        candidate.send_if_modified(|held| std::mem::replace(held, is_candidate) != is_candidate);
+        if view.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn is_candidate(view: &View, store_region: &Name) -> bool {
     let members = view.members().filter(|member| view.reaches(member));
     let candidates = overlay::candidates(store_region, PUBLISHER_CANDIDATES, members);
     candidates.iter().any(|member| member.id == *view.me())
 }
+
+/// Gives the mesh what the publisher of this node accepted or found accepted.
+async fn offer(mut accepted: mpsc::Receiver<Snapshot>, mesh: Handle) {
+    while let Some(snapshot) = accepted.recv().await {
+        let version = snapshot.stamp.version;
+        match mesh.offer(snapshot).await {
+            Ok(step) => log::info!(version = version.0, step:? = step; "accepted version offered"),
+            Err(error) => log::error!(version = version.0, error:% = error; "version not offered"),
+        }
+    }
+}
