--- /dev/null
+++ b/crates/crank-command/src/commands/check.rs
@@ -0,0 +1,57 @@
+//! `crankctl check`.
+
+use std::path::{Path, PathBuf};
+
+use crank_engine::config::digest;
+use crank_engine::folder::{Merged, merge};
+use crank_operator::read_local;
+use crank_protocol::status::Fault;
+use gumdrop::Options;
+
+use crate::{Error, Report, words};
+
+pub(super) const ABOUT: &str = "\
+Merges a local folder as the nodes do, and checks the whole. Prints a summary with the digest and
+exits 0, or prints one line a fault and exits 1.";
+
+#[derive(Debug, Options)]
+pub(crate) struct Check {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "the local folder")]
+    dir: PathBuf,
+}
+
+impl Check {
+    pub(super) fn run(self) -> Result<Report, Error> {
+        let report = match merged(&self.dir)? {
+            Ok(merged) => Report::new(summary(&merged)),
+            Err(faults) => Report::new(lines(&faults)).with_answer(false),
+        };
+        Ok(report)
+    }
+}
+
+pub(super) fn merged(dir: &Path) -> Result<Result<Merged, Vec<Fault>>, Error> {
+    Ok(merge(&read_local(dir)?))
+}
+
+fn summary(merged: &Merged) -> String {
+    let config = &merged.config;
+    let notice = match config.account.notice_ends {
+        Some(ends) => format!("notice ends {}", words::time(ends)),
+        None => "no notice given".to_owned(),
+    };
+    format!(
+        "{}account {}: {} services, {} routes, {notice}\ndigest {}\n",
+        words::passed_over(&merged.passed_over),
+        config.account.name,
+        config.services.len(),
+        config.routes.len(),
+        digest(config),
+    )
+}
+
+fn lines(faults: &[Fault]) -> String {
+    faults.iter().map(|fault| format!("{fault}\n")).collect()
+}
--- /dev/null
+++ b/crates/crank-command/src/commands/notice.rs
@@ -0,0 +1,71 @@
+//! `crankctl notice`.
+
+use crank_engine::notice::Notice as Count;
+use crank_operator::Client;
+use crank_protocol::Name;
+use gumdrop::Options;
+
+use crate::{Error, Report, words};
+
+pub(super) const ABOUT: &str = "\
+Asks a node what the end of the notice period still waits for. Exits 0 only if every proxy is known
+to hold the final version and every backend server is known to have handed over; silence is neither.";
+
+#[derive(Debug, Options)]
+pub(crate) struct Notice {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, help = "any node's operators' address", meta = "IP:PORT")]
+    node: String,
+    #[options(help = "print JSON", no_short)]
+    json: bool,
+}
+
+impl Notice {
+    pub(super) async fn run(self) -> Result<Report, Error> {
+        let notice = Client::new(&self.node)?.notice().await?;
+        let text = if self.json {
+            serde_json::to_string_pretty(&notice)? + "\n"
+        } else {
+            written(&notice)
+        };
+        Ok(Report::new(text).with_answer(notice.complete))
+    }
+}
+
+fn written(notice: &Count) -> String {
+    let ends = match (notice.ends, notice.seconds_left) {
+        (Some(ends), Some(left)) => format!("{} ({})", words::time(ends), words::left(left)),
+        _ => "no notice is given: set [account] notice_ends".to_owned(),
+    };
+    let last = match &notice.last {
+        Some(last) => words::stamp(last),
+        None => "not known: the store is down, or nothing was accepted".to_owned(),
+    };
+    let servers = notice.not_handed_over.len() + notice.handed_over as usize;
+    let mut text = format!(
+        "account   {}\nends      {ends}\nfinal     {last}\nproxies   {} of {} on the final version\n\
+         servers   {} of {servers} handed over\n",
+        notice.account, notice.on_last, notice.proxies, notice.handed_over,
+    );
+    text += &names("behind", &notice.behind);
+    text += &names("silent", &notice.silent);
+    for server in &notice.not_handed_over {
+        let stage = words::stage(server.stage);
+        let (node, service, in_flight) = (&server.node, &server.service, server.in_flight);
+        text += &format!("waits for {service} beside {node}: {stage}, {in_flight} in flight\n");
+    }
+    text + if notice.complete {
+        "complete\n"
+    } else {
+        "not complete\n"
+    }
+}
+
+fn names(what: &str, names: &[Name]) -> String {
+    if names.is_empty() {
+        return String::new();
+    }
+    let names: Vec<&str> = names.iter().map(Name::as_str).collect();
+    format!("{what:10}{}\n", names.join(", "))
+}
--- /dev/null
+++ b/crates/crank-command/src/commands/push.rs
@@ -0,0 +1,60 @@
+//! `crankctl push`.
+
+use std::path::PathBuf;
+
+use crank_operator::{Local, Store};
+use crank_platform_client::{Platform, Settings};
+use gumdrop::Options;
+
+use super::check;
+use crate::{Error, Report, settings, words};
+
+pub(super) const ABOUT: &str = "\
+Checks a local folder and writes what differs to the folder in the store. Refuses, and writes
+nothing, if the folder has faults or if anything in the store changed since it was pulled.";
+
+#[derive(Debug, Options)]
+pub(crate) struct Push {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, help = "the file with the store's settings", meta = "FILE")]
+    settings: PathBuf,
+    #[options(free, required, help = "the local folder")]
+    dir: PathBuf,
+}
+
+impl Push {
+    pub(super) async fn run<P: Platform>(
+        self,
+        open: impl Fn(&Settings) -> Result<P, Error>,
+    ) -> Result<Report, Error> {
+        let settings = settings::read(&self.settings)?;
+        self.check(&settings)?;
+        let mut local = Local::open(&self.dir, &settings.account)?;
+        let store = Store::new(open(&settings)?, settings.account);
+        let push = store.push(&mut local).await?;
+        let mut text = words::passed_over(&push.passed_over);
+        text += &words::files("wrote", &push.written);
+        text += &words::files("removed", &push.removed);
+        if push.written.is_empty() && push.removed.is_empty() {
+            text += "nothing to push: the store holds what is here\n";
+        }
+        Ok(Report::new(text))
+    }
+
+    fn check(&self, settings: &Settings) -> Result<(), Error> {
+        let merged = check::merged(&self.dir)?.map_err(|faults| Error::Faulty {
+            path: self.dir.clone(),
+            faults,
+        })?;
+        let folder = merged.config.account.name;
+        if folder == settings.account {
+            return Ok(());
+        }
+        Err(Error::OtherAccount {
+            path: self.dir.clone(),
+            folder,
+            settings: settings.account.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/crank-command/src/commands/status.rs
@@ -0,0 +1,128 @@
+//! `crankctl status`.
+
+use crank_operator::Client;
+use crank_protocol::member::Member;
+use crank_protocol::status::{Answer, Mesh, Verdict};
+use gumdrop::Options;
+
+use crate::table::Table;
+use crate::words::{self, NOTHING};
+use crate::{Error, Report};
+
+pub(super) const ABOUT: &str = "\
+Asks a node for the accepted version, the last refused folder and why, and every node's version,
+place, readiness and backend server. Exits 0 if the node answered.";
+
+const HEADING: [&str; 9] = [
+    "NODE",
+    "REGION",
+    "DATA CENTRE",
+    "STATE",
+    "VERSION",
+    "READY",
+    "SERVICE",
+    "SERVER",
+    "IN FLIGHT",
+];
+
+#[derive(Debug, Options)]
+pub(crate) struct Status {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, help = "any node's operators' address", meta = "IP:PORT")]
+    node: String,
+    #[options(help = "print JSON", no_short)]
+    json: bool,
+}
+
+impl Status {
+    pub(super) async fn run(self) -> Result<Report, Error> {
+        let mesh = Client::new(&self.node)?.status().await?;
+        let text = if self.json {
+            serde_json::to_string_pretty(&mesh)? + "\n"
+        } else {
+            written(&mesh)
+        };
+        Ok(Report::new(text))
+    }
+}
+
+fn written(mesh: &Mesh) -> String {
+    let head = match (&mesh.head, mesh.store_up) {
+        (Some(head), _) => words::stamp(head),
+        (None, true) => "none yet: push a folder".to_owned(),
+        (None, false) => "not known: the store is down".to_owned(),
+    };
+    let highest = match mesh.highest {
+        Some(version) => version.to_string(),
+        None => NOTHING.to_owned(),
+    };
+    let mut text = format!(
+        "account   {}\naccepted  {head}\nin force  {}\nhighest   {highest}\nstore     {}\n",
+        mesh.account,
+        if mesh.in_force {
+            "on every node"
+        } else {
+            "not on every node"
+        },
+        if mesh.store_up { "up" } else { "down" },
+    );
+    text += &refused(mesh);
+    text += &format!("asked     {} ({})\n\n", mesh.asked, mesh.took);
+    let mut table = Table::new(&HEADING);
+    for answer in &mesh.nodes {
+        table.add(row(answer));
+    }
+    text + &table.render()
+}
+
+fn refused(mesh: &Mesh) -> String {
+    let Some(Verdict::Refused { faults, at }) = &mesh.refused else {
+        return "refused   none since\n".to_owned();
+    };
+    let mut text = format!("refused   at {}:\n", words::time(*at));
+    for fault in faults {
+        text += &format!("  {fault}\n");
+    }
+    text
+}
+
+fn row(answer: &Answer) -> Vec<String> {
+    match answer {
+        Answer::Silent(member) => {
+            let mut row = place(member);
+            row.extend(["silent".to_owned(), "silent".to_owned()]);
+            row.extend(server(member));
+            row.push(NOTHING.to_owned());
+            row
+        }
+        Answer::Node(node) => {
+            let version = node.applied.as_ref().map(|stamp| stamp.version.to_string());
+            let mut row = place(&node.member);
+            row.push(version.unwrap_or_else(|| NOTHING.to_owned()));
+            row.push(words::yes(node.ready).to_owned());
+            row.extend(server(&node.member));
+            row.push(node.in_flight.to_string());
+            row
+        }
+    }
+}
+
+fn place(member: &Member) -> Vec<String> {
+    vec![
+        member.id.to_string(),
+        member.place.region.to_string(),
+        member.place.data_centre.to_string(),
+        words::state(member.state).to_owned(),
+    ]
+}
+
+fn server(member: &Member) -> [String; 2] {
+    match &member.endpoint {
+        Some(endpoint) => [
+            endpoint.service.to_string(),
+            words::stage(endpoint.stage).to_owned(),
+        ],
+        None => [NOTHING.to_owned(), NOTHING.to_owned()],
+    }
+}
--- /dev/null
+++ b/crates/crank-command/src/settings.rs
@@ -0,0 +1,24 @@
+//! The store's settings, from a file of the operator's.
+
+use std::path::Path;
+
+use crank_engine::ini::Document;
+use crank_platform_client::Settings;
+use crank_protocol::status::Fault;
+
+use crate::Error;
+
+/// Reads `[account]` and `[platform]`; a node's settings file serves as well.
+pub(crate) fn read(path: &Path) -> Result<Settings, Error> {
+    let content = std::fs::read(path).map_err(|source| Error::SettingsFile {
+        path: path.to_owned(),
+        source,
+    })?;
+    let file = path.display().to_string();
+    let settings = Document::read(file.as_str().into(), &content)
+        .and_then(|document| Settings::read(&file, &document));
+    settings.map_err(|faults| Error::Faulty {
+        path: path.to_owned(),
+        faults: faults.into_iter().map(Fault::from).collect(),
+    })
+}
--- a/src/bin/crankctl.rs
+++ b/src/bin/crankctl.rs
@@ -1,3 +1,5 @@
 //! Runs crankctl.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    crank_command::main()
+}
