--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -4,6 +4,8 @@
 //! it draws. The processes only carry out what is decided here.
 
 pub mod admit;
+pub mod announce;
+pub mod backoff;
 pub mod balance;
 pub mod burn;
 pub mod claim;
@@ -14,7 +16,6 @@
 pub mod limit;
 pub mod member;
 pub mod notice;
-pub mod once;
 pub mod overlay;
 pub mod publish;
 pub mod retry;
--- a/crates/crank-mesh/src/lib.rs
+++ b/crates/crank-mesh/src/lib.rs
@@ -5,6 +5,8 @@
 //! decides. One address takes it all: datagrams, and connections whose path is `/control` or
 //! `/call`; the latter are passed on.
 
+pub mod call;
+
 mod actor;
 mod codec;
 mod error;
--- a/crates/crank-mesh/tests/convergence.rs
+++ b/crates/crank-mesh/tests/convergence.rs
@@ -1,5 +1,7 @@
 //! A fleet finds together, and a configuration reaches all of it.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
 mod support;
 
 use crank_mesh::{Head, Step};
