Golden session of a folder's life, and crankctl's exit codes

Add, edit, refuse, remove, race, notice and an outage through crankctl's own entry point, the operators' listener and the in-memory platform; digests numbered, times by rule. Reading it showed three misleading answers, mended: a push told to start over though pull keeps one's changes; 'none since' for refusals and 'behind' for proxies while the store is down, where neither is known.

--- a/crates/crank-command/src/commands/check.rs
+++ b/crates/crank-command/src/commands/check.rs
@@ -39,11 +39,11 @@
 fn summary(merged: &Merged) -> String {
     let config = &merged.config;
     let notice = match config.account.notice_ends {
-        Some(ends) => format!("notice ends {}", words::time(ends)),
-        None => "no notice given".to_owned(),
+        Some(ends) => format!("ends {}", words::time(ends)),
+        None => "not given".to_owned(),
     };
     format!(
-        "{}account {}: {} services, {} routes, {notice}\ndigest {}\n",
+        "{}account   {}\nservices  {}\nroutes    {}\nnotice    {notice}\ndigest    {}\n",
         words::passed_over(&merged.passed_over),
         config.account.name,
         config.services.len(),
--- a/crates/crank-command/src/commands/status.rs
+++ b/crates/crank-command/src/commands/status.rs
@@ -78,7 +78,12 @@
 
 fn refused(mesh: &Mesh) -> String {
     let Some(Verdict::Refused { faults, at }) = &mesh.refused else {
-        return "refused   none since\n".to_owned();
+        let none = if mesh.store_up {
+            "none since"
+        } else {
+            "not known: the store is down"
+        };
+        return format!("refused   {none}\n");
     };
     let mut text = format!("refused   at {}:\n", words::time(*at));
     for fault in faults {
--- /dev/null
+++ b/crates/crank-command/tests/support/mod.rs
@@ -0,0 +1,284 @@
+//! Operators at their terminals, over the in-memory platform and a node that publishes on demand.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use crank_command::run;
+use crank_engine::Nonce;
+use crank_engine::burn::{Burn, Report};
+use crank_engine::folder::{File, merge};
+use crank_engine::{Moment, config, publish};
+use crank_operator::{Desk, listener};
+use crank_platform_client::{Error, Memory, folder, head, verdict};
+use crank_protocol::config::{Account, Config, Stamp};
+use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
+use crank_protocol::status::{Answer, Entry, Mesh, Node, Verdict};
+use crank_protocol::{Millis, Name};
+use tempfile::TempDir;
+use time::OffsetDateTime;
+use tokio::net::TcpListener;
+
+const SETTINGS: &str = "[account]\nname = sutkent\n[platform]\nobjects = http://127.0.0.1:1\n\
+    table = http://127.0.0.1:1\nbucket = crank\ntable_name = crank\nregion = almaty\n";
+const SHORT_DIGITS: usize = 12;
+
+pub(crate) fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+/// What the node beside one backend server holds.
+#[derive(Clone)]
+pub(crate) struct Desktop {
+    pub(crate) platform: Memory,
+    pub(crate) applied: Option<Stamp>,
+    pub(crate) config: Option<Config>,
+    pub(crate) stage: Stage,
+    pub(crate) in_flight: u32,
+    pub(crate) silent: bool,
+}
+
+impl Desktop {
+    pub(crate) fn new(platform: &Memory) -> Self {
+        Self {
+            platform: platform.clone(),
+            applied: None,
+            config: None,
+            stage: Stage::Ready,
+            in_flight: 2,
+            silent: false,
+        }
+    }
+
+    fn member(&self, id: &str, state: State) -> Member {
+        let service = name("recipes");
+        Member {
+            id: name(id),
+            place: Place {
+                region: name("almaty"),
+                data_centre: name("almaty-1"),
+            },
+            address: "127.0.0.1:7000".parse().unwrap(),
+            incarnation: 1,
+            state,
+            endpoint: Some(Endpoint {
+                service,
+                stage: self.stage,
+                slots: 6,
+            }),
+        }
+    }
+
+    fn nodes(&self) -> Vec<Answer> {
+        let node = Node {
+            member: self.member("n1", State::Alive),
+            applied: self.applied.clone(),
+            ready: self.applied.is_some(),
+            in_flight: self.in_flight,
+        };
+        let mut nodes = vec![Answer::Node(node)];
+        if self.silent {
+            nodes.push(Answer::Silent(self.member("n2", State::Suspect)));
+        }
+        nodes
+    }
+}
+
+impl Desk for Desktop {
+    async fn status(&self) -> Mesh {
+        let head = head::read(&self.platform, &name("sutkent")).await;
+        let refused = verdict::read(&self.platform, &name("sutkent")).await;
+        let refused = refused.ok().flatten().map(|noted| noted.verdict);
+        let store_up = head.is_ok();
+        let head = head.ok().flatten().map(|head| head.stamp);
+        Mesh {
+            account: name("sutkent"),
+            asked: name("n1"),
+            in_force: head == self.applied && !self.silent,
+            highest: self.applied.as_ref().map(|stamp| stamp.version),
+            head,
+            store_up,
+            refused: refused.filter(|verdict| matches!(verdict, Verdict::Refused { .. })),
+            nodes: self.nodes(),
+            took: Millis(1),
+        }
+    }
+
+    async fn history(&self, limit: u32) -> Result<Vec<Entry>, Error> {
+        head::history(&self.platform, &name("sutkent"), limit).await
+    }
+
+    fn account(&self) -> Option<Account> {
+        self.config.as_ref().map(|config| config.account.clone())
+    }
+
+    fn burn(&self) -> Report {
+        Burn::new(Moment(0)).report(name("n1"), None, Moment(0))
+    }
+
+    fn metrics(&self) -> String {
+        String::new()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.applied.is_some()
+    }
+}
+
+/// A session at several terminals, written down as it goes.
+pub(crate) struct Session {
+    pub(crate) desktop: Desktop,
+    home: TempDir,
+    text: String,
+    minutes: i64,
+}
+
+impl Session {
+    pub(crate) fn new() -> Self {
+        let home = TempDir::new().unwrap();
+        std::fs::write(home.path().join("store.ini"), SETTINGS).unwrap();
+        Self {
+            desktop: Desktop::new(&Memory::new()),
+            home,
+            text: String::new(),
+            minutes: 0,
+        }
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.home.path().join(name)
+    }
+
+    pub(crate) fn note(&mut self, text: &str) {
+        self.text += &format!("\n# {text}\n");
+    }
+
+    pub(crate) fn put(&mut self, file: &str, content: &str) {
+        let path = self.path(file);
+        std::fs::create_dir_all(path.parent().unwrap()).unwrap();
+        std::fs::write(path, content).unwrap();
+        self.text += &format!("$ cat > {file}\n{content}");
+    }
+
+    pub(crate) fn delete(&mut self, file: &str) {
+        std::fs::remove_file(self.path(file)).unwrap();
+        self.text += &format!("$ rm {file}\n");
+    }
+
+    /// Runs a command line in which a word after `@` is a path; writes down all it says.
+    pub(crate) async fn crankctl(&mut self, line: &str) -> u8 {
+        let shown = line.replace('@', "");
+        let argument = |word: &str| match word.strip_prefix('@') {
+            Some(path) => self.path(path).display().to_string(),
+            None => word.to_owned(),
+        };
+        let arguments: Vec<String> = line.split(' ').map(argument).collect();
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let platform = self.desktop.platform.clone();
+        let exit = run(&arguments, |_| Ok(platform.clone()), &mut out, &mut err).await;
+        self.text += &format!("$ crankctl {shown}\n");
+        self.text += &String::from_utf8(out).unwrap();
+        self.text += &String::from_utf8(err).unwrap();
+        self.text += &format!("(exit {})\n", exit.code());
+        exit.code()
+    }
+
+    /// Asks the node a question.
+    pub(crate) async fn ask(&mut self, question: &str) -> u8 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let serving = listener::serve(listener, self.desktop.clone(), std::future::pending());
+        let serving = tokio::spawn(serving);
+        let code = self.crankctl(&format!("{question} --node {address}")).await;
+        serving.abort();
+        self.text = self.text.replace(&address, "NODE");
+        code
+    }
+
+    /// The node reads the folder and publishes it, or notes why it is refused.
+    pub(crate) async fn publish(&mut self) {
+        self.minutes += 1;
+        let at = OffsetDateTime::UNIX_EPOCH + time::Duration::minutes(self.minutes);
+        let nonce = Nonce(u128::try_from(self.minutes).unwrap());
+        let (platform, account) = (self.desktop.platform.clone(), name("sutkent"));
+        let mut files = Vec::new();
+        for listed in folder::list(&platform, &account).await.unwrap() {
+            let object = folder::read(&platform, &account, &listed.name)
+                .await
+                .unwrap();
+            files.push(File {
+                name: listed.name,
+                content: object.unwrap().content.to_vec(),
+            });
+        }
+        self.text += "(the publisher reads the folder)\n";
+        match merge(&files) {
+            Ok(merged) => self.accept(merged.config, at, nonce).await,
+            Err(faults) => {
+                let before = verdict::read(&platform, &account).await.unwrap();
+                let verdict = Verdict::Refused { faults, at };
+                let noted = verdict::Noted { verdict, nonce };
+                verdict::write(&platform, &account, before.as_ref(), &noted)
+                    .await
+                    .unwrap();
+            }
+        }
+    }
+
+    async fn accept(&mut self, config: Config, at: OffsetDateTime, nonce: Nonce) {
+        let (platform, account) = (self.desktop.platform.clone(), name("sutkent"));
+        let held = head::read(&platform, &account).await.unwrap();
+        if let Some(step) = publish::advance(held.as_ref(), &config::digest(&config), nonce) {
+            let stamp = step.to.stamp.clone();
+            let publisher = name("n1");
+            let entry = Entry {
+                stamp: stamp.clone(),
+                at,
+                publisher,
+            };
+            head::advance(&platform, &account, &step, &entry)
+                .await
+                .unwrap();
+            self.desktop.applied = Some(stamp);
+        }
+        self.desktop.config = Some(config);
+    }
+
+    /// The transcript: paths relative, digests numbered in their order, time left by its sign.
+    pub(crate) fn transcript(&self) -> String {
+        let home = format!("{}/", self.home.path().display());
+        let text = self.text.replace(&home, "");
+        number_digests(&text)
+            .lines()
+            .map(without_time_left)
+            .collect::<Vec<_>>()
+            .join("\n")
+    }
+}
+
+fn number_digests(text: &str) -> String {
+    let mut numbers: BTreeMap<String, usize> = BTreeMap::new();
+    let mut numbered = String::new();
+    for word in text.split_inclusive([' ', '\n', ',', '"']) {
+        let bare = word.trim_end_matches([' ', '\n', ',', '"']);
+        let is_digest = matches!(bare.len(), SHORT_DIGITS | 64)
+            && bare.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if !is_digest {
+            numbered += word;
+            continue;
+        }
+        let next = numbers.len() + 1;
+        let number = *numbers
+            .entry(bare[..SHORT_DIGITS].to_owned())
+            .or_insert(next);
+        numbered += &format!("DIGEST-{number}{}", &word[bare.len()..]);
+    }
+    numbered
+}
+
+fn without_time_left(line: &str) -> String {
+    match line.split_once(" (") {
+        Some((before, rest)) if rest.ends_with(" left)") => format!("{before} (TIME left)"),
+        Some((before, rest)) if rest.ends_with(" ago)") => format!("{before} (TIME ago)"),
+        _ => line.to_owned(),
+    }
+}
--- a/crates/crank-engine/src/notice.rs
+++ b/crates/crank-engine/src/notice.rs
@@ -38,7 +38,7 @@
     pub proxies: u32,
     /// Of these, nodes that answered and hold the final version.
     pub on_last: u32,
-    /// Nodes that answered and hold another version, or none.
+    /// Nodes that answered and hold another version, or none; empty while the final is not known.
     pub behind: Vec<Name>,
     /// Nodes that did not answer; nothing is known of them or their backend servers.
     pub silent: Vec<Name>,
@@ -114,7 +114,7 @@
         self.proxies += 1;
         if self.last.is_some() && node.applied == self.last {
             self.on_last += 1;
-        } else {
+        } else if self.last.is_some() {
             self.behind.push(node.member.id.clone());
         }
         let Some(endpoint) = &node.member.endpoint else {
--- a/crates/crank-operator/src/error.rs
+++ b/crates/crank-operator/src/error.rs
@@ -52,13 +52,13 @@
         detail: Arc<str>,
     },
     /// Files in the store are not those that were read; nothing was written.
-    #[error("changed in the store since they were read: {}; nothing was written: pull into a fresh folder and bring your changes over", .names.join(", "))]
+    #[error("changed in the store since they were read: {}; nothing was written: pull, which keeps your changes, look them over and push again", .names.join(", "))]
     Changed {
         /// The names of the files.
         names: Vec<Arc<str>>,
     },
     /// Another operator came first in the middle of a push.
-    #[error("another operator changed {name} at this moment; written before that: {}; pull into a fresh folder and bring the rest over", listed(.written))]
+    #[error("another operator changed {name} at this moment; written before that: {}; pull, which keeps your changes, look them over and push again", listed(.written))]
     Overtaken {
         /// The file that was not written.
         name: Arc<str>,
@@ -82,7 +82,7 @@
         name: Arc<str>,
     },
     /// A local folder has files that the pull would overwrite.
-    #[error("{} has files that differ from the store's: {}; pull into a fresh folder", .path.display(), .names.join(", "))]
+    #[error("changed both in {} and in the store: {}; nothing was touched: pull into a fresh folder and bring your changes over", .path.display(), .names.join(", "))]
     WouldOverwrite {
         /// The local folder.
         path: PathBuf,
