Show that each guard of whole answers is needed

Two passed without their guard: the receiver's check of credit (the link closed for silence in its place) and the skipping of a request that was given up before it was written (no test). Both have a sharp test now, seen failing without the guard and passing with it.

--- a/crates/crank-mesh/tests/call_frames.rs
+++ b/crates/crank-mesh/tests/call_frames.rs
@@ -122,32 +122,41 @@
 #[tokio::test]
 async fn a_body_beyond_its_credit_closes_the_connection() {
     let (mut socket, link) = scripted().await;
-    let flooded = tokio::spawn(async move {
-        let answer = link.run(head("/"), Bytes::new()).await.unwrap();
-        while !link.is_closed() {
-            tokio::task::yield_now().await;
-        }
-        answer.body.try_collect::<Vec<Bytes>>().await
-    });
+    let flooded = tokio::spawn(async move { link.run(head("/"), Bytes::new()).await });
     let attempt = receive_attempt(&mut socket).await;
     let answer_head = Box::new(answer(None, Box::pin(stream::empty())).head);
-    send(
-        &mut socket,
-        &Call::Answer {
-            attempt,
-            head: answer_head,
-        },
-    )
-    .await;
+    let start = Call::Answer {
+        attempt,
+        head: answer_head,
+    };
+    send(&mut socket, &start).await;
+    let unread = flooded.await.unwrap().unwrap();
     let data = ByteBuf::from(vec![0; 100 * 1_024]);
     for _ in 0..3 {
         let data = data.clone();
         send(&mut socket, &Call::Body { attempt, data }).await;
     }
-    let ended = timeout(LIMIT, flooded).await.unwrap().unwrap();
+    let closed = async { while let Some(Ok(_)) = socket.next().await {} };
+    timeout(LIMIT, closed).await.unwrap();
+    let ended: Result<Vec<Bytes>, Refusal> = unread.body.try_collect().await;
     assert_eq!(ended, Err(Refusal::Cut));
 }
 
+#[tokio::test]
+async fn a_request_given_up_before_it_was_sent_is_never_sent() {
+    let (mut socket, link) = scripted().await;
+    let mut given_up = Box::pin(link.run(head("/given-up"), Bytes::new()));
+    assert!(futures::poll!(&mut given_up).is_pending());
+    drop(given_up);
+    let sent = tokio::spawn(run(link));
+    let attempt = match receive(&mut socket).await {
+        Call::Request { attempt, head, .. } if &*head.path == "/" => attempt,
+        other => panic!("{other:?}"),
+    };
+    send_answer(&mut socket, attempt, "mine").await;
+    assert_eq!(sent.await.unwrap(), Ok("mine".to_owned()));
+}
+
 #[derive(Clone)]
 struct Echo;
 
