--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -16,14 +16,15 @@
 pub mod limit;
 pub mod member;
 pub mod notice;
-pub mod once;
 pub mod overlay;
 pub mod publish;
 pub mod retry;
 pub mod route;
 pub mod spread;
+pub mod status;
 
 mod error;
+mod hash;
 mod moment;
 mod nonce;
 
--- a/crates/crank-engine/tests/folder_merges_in_order.rs
+++ b/crates/crank-engine/tests/folder_merges_in_order.rs
@@ -1,5 +1,7 @@
 //! What the merge of a good folder gives.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
 use crank_engine::folder::{File, merge};
 use crank_protocol::config::Method;
 use crank_protocol::{Millis, Permille};
--- a/crates/crank-mesh/src/call/frame.rs
+++ b/crates/crank-mesh/src/call/frame.rs
@@ -1,7 +1,5 @@
 //! Call frames on a WebSocket.
 
-use std::sync::Arc;
-
 use crank_protocol::wire::{Call, Hello, LARGEST_CALL_BYTES, PROTOCOL};
 use futures::{Sink, SinkExt, Stream, StreamExt};
 use tokio::time::timeout;
@@ -9,10 +7,9 @@
 use tokio_tungstenite::tungstenite::{Error as SocketError, Message};
 
 use super::HELLO_LIMIT;
-use crate::Error;
+use crate::{Error, codec};
 
 const BUFFER_BYTES: usize = 16 * 1_024;
-const USUAL_FRAME_BYTES: usize = 512;
 
 /// The limits and buffers of a call connection.
 ///
@@ -29,43 +26,11 @@
         .max_frame_size(Some(LARGEST_CALL_BYTES))
 }
 
-pub(super) fn socket_error(error: &SocketError) -> Error {
-    match error {
-        SocketError::Capacity(capacity) => Error::Malformed {
-            detail: Arc::from(capacity.to_string()),
-        },
-        other => Error::Socket {
-            detail: Arc::from(other.to_string()),
-        },
-    }
-}
-
 pub(super) fn encode(frame: &Call) -> Result<Message, Error> {
-    let mut bytes = Vec::with_capacity(USUAL_FRAME_BYTES);
-    ciborium::into_writer(frame, &mut bytes).map_err(|error| Error::Malformed {
-        detail: Arc::from(error.to_string()),
-    })?;
-    check_size(bytes.len())?;
+    let bytes = codec::encode(frame, LARGEST_CALL_BYTES)?;
     Ok(Message::Binary(bytes.into()))
 }
 
-fn decode(bytes: &[u8]) -> Result<Call, Error> {
-    check_size(bytes.len())?;
-    ciborium::from_reader(bytes).map_err(|error| Error::Malformed {
-        detail: Arc::from(error.to_string()),
-    })
-}
-
-fn check_size(size: usize) -> Result<(), Error> {
-    if size > LARGEST_CALL_BYTES {
-        return Err(Error::Oversized {
-            size,
-            limit: LARGEST_CALL_BYTES,
-        });
-    }
-    Ok(())
-}
-
 /// What was read from a connection.
 pub(super) enum Heard {
     Frame(Call),
@@ -80,10 +45,12 @@
 {
     match stream.next().await {
         None | Some(Ok(Message::Close(_))) => Ok(Heard::Close),
-        Some(Ok(Message::Binary(bytes))) => decode(&bytes).map(Heard::Frame),
+        Some(Ok(Message::Binary(bytes))) => {
+            codec::decode(&bytes, LARGEST_CALL_BYTES).map(Heard::Frame)
+        }
         Some(Ok(Message::Text(_))) => Err(Error::Unexpected { frame: "text" }),
         Some(Ok(_)) => Ok(Heard::Sign),
-        Some(Err(error)) => Err(socket_error(&error)),
+        Some(Err(error)) => Err(error.into()),
     }
 }
 
@@ -92,9 +59,8 @@
     S: Sink<Message, Error = SocketError> + Unpin,
 {
     let message = encode(frame)?;
-    sink.send(message)
-        .await
-        .map_err(|error| socket_error(&error))
+    sink.send(message).await?;
+    Ok(())
 }
 
 /// Sends our hello and checks theirs.
@@ -130,12 +96,15 @@
 
 fn check_hello(ours: &Hello, theirs: &Hello) -> Result<(), Error> {
     if theirs.protocol != PROTOCOL {
-        return Err(Error::WrongProtocol {
+        return Err(Error::Protocol {
+            node: theirs.member.id.clone(),
             theirs: theirs.protocol,
+            ours: PROTOCOL,
         });
     }
     if theirs.account != ours.account {
-        return Err(Error::WrongAccount {
+        return Err(Error::Account {
+            node: theirs.member.id.clone(),
             theirs: theirs.account.clone(),
         });
     }
--- a/crates/crank-mesh/src/call/link.rs
+++ b/crates/crank-mesh/src/call/link.rs
@@ -77,7 +77,7 @@
         limit: Duration,
     ) -> Result<Self, Error> {
         let opened = timeout(limit, open(hello, node, address)).await;
-        let socket = opened.map_err(|_| connect_error(address, "no answer in time"))??;
+        let socket = opened.map_err(|_| Error::Handshake { address })??;
         Ok(Self::start(socket))
     }
 
@@ -179,14 +179,13 @@
 async fn open(hello: &Hello, node: &Name, address: SocketAddr) -> Result<Socket, Error> {
     let stream = TcpStream::connect(address)
         .await
-        .map_err(|error| connect_error(address, &error.to_string()))?;
+        .map_err(|source| Error::Connect { address, source })?;
     stream
         .set_nodelay(true)
-        .map_err(|error| connect_error(address, &error.to_string()))?;
+        .map_err(|source| Error::Connect { address, source })?;
     let url = format!("ws://{address}/call");
-    let (mut socket, _) = client_async_with_config(url, stream, Some(frame::socket_config()))
-        .await
-        .map_err(|error| connect_error(address, &error.to_string()))?;
+    let config = Some(frame::socket_config());
+    let (mut socket, _) = client_async_with_config(url, stream, config).await?;
     let theirs = frame::greet(&mut socket, hello).await?;
     if theirs.member.id != *node {
         return Err(Error::WrongNode {
@@ -197,13 +196,6 @@
     Ok(socket)
 }
 
-fn connect_error(address: SocketAddr, detail: &str) -> Error {
-    Error::Connect {
-        address,
-        detail: Arc::from(detail),
-    }
-}
-
 async fn write_all(
     mut sink: SplitSink<Socket, Message>,
     mut queue: mpsc::UnboundedReceiver<Outgoing>,
@@ -214,12 +206,12 @@
         while let Some(outgoing) = next {
             if let Some(message) = message(outgoing, attempts)? {
                 let fed = sink.feed(message).await;
-                fed.map_err(|error| frame::socket_error(&error))?;
+                fed?;
             }
             next = queue.try_recv().ok();
         }
         let flushed = sink.flush().await;
-        flushed.map_err(|error| frame::socket_error(&error))?;
+        flushed?;
     }
     let _ = sink.close().await;
     Ok(())
--- a/crates/crank-mesh/src/call/server.rs
+++ b/crates/crank-mesh/src/call/server.rs
@@ -239,11 +239,11 @@
         let mut next = Some(first);
         while let Some(call) = next {
             let fed = sink.feed(frame::encode(&call)?).await;
-            fed.map_err(|error| frame::socket_error(&error))?;
+            fed?;
             next = queue.try_recv().ok();
         }
         let flushed = sink.flush().await;
-        flushed.map_err(|error| frame::socket_error(&error))?;
+        flushed?;
     }
     let _ = sink.close().await;
     Ok(())
--- a/crates/crank-mesh/src/error.rs
+++ b/crates/crank-mesh/src/error.rs
@@ -1,74 +1,111 @@
 //! The one error type of this package.
 
+use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use crank_protocol::Name;
 use thiserror::Error as ThisError;
+use tokio_tungstenite::tungstenite;
 
-/// What may go wrong between two nodes.
-#[derive(Debug, Clone, PartialEq, Eq, ThisError)]
+/// What goes wrong between nodes; each ends one connection at most.
+#[derive(Debug, ThisError)]
 pub enum Error {
+    /// The mesh address cannot be taken.
+    #[error("cannot listen on {address}: {source}; check the mesh address in the settings")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
     /// A connection could not be opened.
-    #[error("cannot connect to {address} ({detail}): check that the node runs and is reachable")]
+    #[error("cannot connect to {address}: {source}; it is tried again")]
     Connect {
-        /// Where to.
+        /// The address.
         address: SocketAddr,
         /// What the system said.
-        detail: Arc<str>,
+        source: io::Error,
     },
-    /// A connection broke.
-    #[error("the connection broke ({detail}): it is opened again when it is needed")]
-    Socket {
-        /// What the library said.
-        detail: Arc<str>,
+    /// The WebSocket protocol was broken, or a frame is over its limit.
+    #[error("connection lost: {0}; it is opened again if it is needed")]
+    Socket(#[source] Box<tungstenite::Error>),
+    /// The other side was too slow to open the connection.
+    #[error("{address} did not finish the handshake in time; it is tried again")]
+    Handshake {
+        /// The address.
+        address: SocketAddr,
     },
-    /// Nothing was heard from the other side for too long.
-    #[error("the other side is silent: it is tried again when it is needed")]
-    Silent,
-    /// A frame is not readable.
-    #[error("a frame is not readable ({detail}): run the same release on all nodes")]
+    /// A frame or datagram is not what this release understands.
+    #[error("malformed frame: {detail}; run the same release on all nodes")]
     Malformed {
-        /// What is wrong with it.
-        detail: Arc<str>,
+        /// What the decoder said.
+        detail: String,
     },
-    /// A frame is larger than the protocol allows.
-    #[error("a frame has {size} bytes, {limit} are allowed: run the same release on all nodes")]
+    /// A frame or datagram has more bytes than it may have.
+    #[error(
+        "frame of {bytes} bytes is over the limit of {limit}; run the same release on all nodes"
+    )]
     Oversized {
-        /// Its size in bytes.
-        size: usize,
-        /// The limit in bytes.
+        /// Its size.
+        bytes: usize,
+        /// The limit.
         limit: usize,
     },
-    /// A frame came that has no place there.
-    #[error("a frame '{frame}' came out of turn: run the same release on all nodes")]
-    Unexpected {
-        /// Its kind.
-        frame: &'static str,
+    /// A frame came before the other side said who it is.
+    #[error("the other side did not say who it is; run the same release on all nodes")]
+    NoHello,
+    /// The other side speaks another protocol.
+    #[error(
+        "'{node}' speaks protocol {theirs}, this node {ours}; run the same release on all nodes"
+    )]
+    Protocol {
+        /// The other node.
+        node: Name,
+        /// Its protocol.
+        theirs: u16,
+        /// The protocol of this node.
+        ours: u16,
     },
-    /// More of an answer's body came than there was credit for.
-    #[error("a body overran its credit: run the same release on all nodes")]
-    Overrun,
     /// The other side belongs to another client account.
     #[error(
-        "the other node is of the client account {theirs}: correct the addresses in the settings"
+        "'{node}' belongs to the account '{theirs}'; check seeds and addresses in the settings"
     )]
-    WrongAccount {
-        /// Its client account.
+    Account {
+        /// The other node.
+        node: Name,
+        /// Its account.
         theirs: Name,
     },
-    /// The other side speaks another version of the protocol.
-    #[error("the other node speaks protocol {theirs}: run the same release on all nodes")]
-    WrongProtocol {
-        /// Its version.
-        theirs: u16,
+    /// The other side does not read what it is sent.
+    #[error("the other side does not keep up; the connection is opened again if it is needed")]
+    Slow,
+    /// Nothing was heard from the other side for too long.
+    #[error("the other side is silent; it is tried again when it is needed")]
+    Silent,
+    /// A frame came that has no place there.
+    #[error("a frame '{frame}' came out of turn; run the same release on all nodes")]
+    Unexpected {
+        /// Its kind.
+        frame: &'static str,
     },
+    /// More of an answer's body came than there was credit for.
+    #[error("a body overran its credit; run the same release on all nodes")]
+    Overrun,
     /// Another node than the expected one answers at an address.
-    #[error("node {found} answers where {wanted} was expected: it was replaced, wait for the news")]
+    #[error("node {found} answers where {wanted} was expected; it was replaced, wait for the news")]
     WrongNode {
         /// The expected node.
         wanted: Name,
         /// The node that answers.
         found: Name,
     },
+    /// The mesh of this process has stopped.
+    #[error("this node has left the mesh; start it again")]
+    Stopped,
+}
+
+impl From<tungstenite::Error> for Error {
+    fn from(error: tungstenite::Error) -> Self {
+        Self::Socket(Box::new(error))
+    }
 }
--- a/crates/crank-mesh/tests/call_connections.rs
+++ b/crates/crank-mesh/tests/call_connections.rs
@@ -163,7 +163,7 @@
     let address = node(Paths::new(), CancellationToken::new()).await;
     let stranger = hello("entry", "lenha-viva");
     let refused = Link::connect(&stranger, &name("target"), address, LIMIT).await;
-    assert!(matches!(refused.err(), Some(Error::WrongAccount { .. })));
+    assert!(matches!(refused.err(), Some(Error::Account { .. })));
     let ours = hello("entry", "sutkent");
     let refused = Link::connect(&ours, &name("other"), address, LIMIT).await;
     assert!(matches!(refused.err(), Some(Error::WrongNode { .. })));
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -3,52 +3,67 @@
 mod once;
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use crank_engine::limit::Size;
 use crank_engine::{Moment, drain::Progress, retry};
+use crank_platform_client::Platform;
 use crank_protocol::call::{Answer, Body, Head, Load, Refusal, Refused};
 use crank_protocol::config::{Service, Snapshot};
-use crank_protocol::member::{Endpoint, Stage};
+use crank_protocol::member::Stage;
 use crank_protocol::{Millis, Name};
+use crank_server::Announcement;
 use futures::StreamExt;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::gate::{Gate, Pass};
 
-pub use once::{Claimed, Claims, Key, RECORDED_BODY_BYTES, Receipt, Record};
+pub use once::RECORDED_BODY_BYTES;
 
 /// The grace of a backend server whose service the configuration does not know.
 const DEFAULT_GRACE: Millis = Millis(10_000);
 
 /// The edge to the backend server beside the node.
 pub trait Forwarder: Send + Sync + 'static {
-    /// Gives a request to the backend server; dropping the future cancels it.
+    /// Gives a request to the backend server at an address; dropping the future cancels it.
     ///
     /// # Errors
     /// [`Refusal::NotSent`] only when the backend server has certainly got nothing of it,
-    /// [`Refusal::Overloaded`] or [`Refusal::Leaving`] when it certainly shed it, otherwise
-    /// [`Refusal::Lost`] or [`Refusal::TimedOut`].
+    /// otherwise [`Refusal::Lost`] or [`Refusal::TimedOut`].
     fn forward(
         &self,
+        address: SocketAddr,
         head: Head,
         body: Bytes,
     ) -> impl Future<Output = Result<Answer, Refusal>> + Send;
 }
 
+impl Forwarder for crank_server::Forwarder {
+    async fn forward(
+        &self,
+        address: SocketAddr,
+        head: Head,
+        body: Bytes,
+    ) -> Result<Answer, Refusal> {
+        self.run(address, &head, body, head.time_left).await
+    }
+}
+
 /// What a target's node is made of.
-#[derive(Debug)]
-pub struct Parts<C, F> {
+pub struct Parts<P, F> {
     /// The process's clock.
     pub clock: Clock,
     /// The configuration in force: `crank_mesh::Handle::config`.
     pub config: watch::Receiver<Option<Arc<Snapshot>>>,
-    /// What the backend server last announced; absent before the first announcement.
-    pub endpoint: watch::Receiver<Option<Endpoint>>,
-    /// The claims of requests that may run once.
-    pub claims: C,
+    /// What the backend server last announced: `crank_server::Announcements::watch`.
+    pub announced: watch::Receiver<Option<Announcement>>,
+    /// The client account, from the node's settings.
+    pub account: Name,
+    /// Where requests that may run only once are claimed.
+    pub platform: P,
     /// The way to the backend server.
     pub forwarder: F,
 }
@@ -57,12 +72,11 @@
 ///
 /// The order is: admission, then the claim where the request may run only once, then the run. A
 /// refusal before the run is certain; one after it says what is known.
-#[derive(Debug)]
-pub struct Target<C, F> {
-    shared: Arc<Shared<C, F>>,
+pub struct Target<P, F> {
+    shared: Arc<Shared<P, F>>,
 }
 
-impl<C, F> Clone for Target<C, F> {
+impl<P, F> Clone for Target<P, F> {
     fn clone(&self) -> Self {
         Self {
             shared: self.shared.clone(),
@@ -70,28 +84,34 @@
     }
 }
 
-#[derive(Debug)]
-struct Shared<C, F> {
-    parts: Parts<C, F>,
+struct Shared<P, F> {
+    parts: Parts<P, F>,
     gate: Gate,
     unsettled: Arc<()>,
 }
 
-impl<C: Claims, F: Forwarder> Target<C, F> {
+impl<P: Platform, F: Forwarder> crank_mesh::call::Target for Target<P, F> {
+    async fn run(&self, head: Head, body: Bytes) -> Result<Answer, Refused> {
+        Self::run(self, head, body).await
+    }
+}
+
+impl<P: Platform, F: Forwarder> Target<P, F> {
     /// A target that takes nothing until the backend server has announced that it is ready.
     ///
     /// Spawn [`Target::follow`] once, so that announcements take effect between requests too.
     ///
     /// ```
-    /// use crank_node::target::{Claims, Forwarder, Parts, Target};
-    /// fn start<C: Claims, F: Forwarder>(parts: Parts<C, F>) -> Target<C, F> {
+    /// use crank_node::target::{Forwarder, Parts, Target};
+    /// use crank_platform_client::Platform;
+    /// fn start<P: Platform, F: Forwarder>(parts: Parts<P, F>) -> Target<P, F> {
     ///     let target = Target::new(parts);
     ///     tokio::spawn(target.clone().follow());
     ///     target
     /// }
     /// ```
     #[must_use]
-    pub fn new(parts: Parts<C, F>) -> Self {
+    pub fn new(parts: Parts<P, F>) -> Self {
         let gate = Gate::new(parts.clock, Size { slots: 0, queue: 0 });
         let target = Self {
             shared: Arc::new(Shared {
@@ -107,43 +127,50 @@
     /// Carries announcements and changes of configuration to the gate, until both have no sender.
     ///
     /// ```
-    /// # use crank_node::target::{Claims, Forwarder, Target};
-    /// fn spawn<C: Claims, F: Forwarder>(target: &Target<C, F>) {
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Platform;
+    /// fn spawn<P: Platform, F: Forwarder>(target: &Target<P, F>) {
     ///     tokio::spawn(target.clone().follow());
     /// }
     /// ```
     pub async fn follow(self) {
         let mut config = self.shared.parts.config.clone();
-        let mut endpoint = self.shared.parts.endpoint.clone();
+        let mut announced = self.shared.parts.announced.clone();
         loop {
             self.refresh();
             tokio::select! {
                 Ok(()) = config.changed() => {}
-                Ok(()) = endpoint.changed() => {}
+                Ok(()) = announced.changed() => {}
                 else => return,
             }
         }
     }
 
-    fn refresh(&self) -> Option<Endpoint> {
-        let endpoint = self.shared.parts.endpoint.borrow().clone();
-        let service = endpoint
-            .as_ref()
-            .and_then(|endpoint| self.service(&endpoint.service));
-        let stage = endpoint
-            .as_ref()
-            .map_or(Stage::Gone, |endpoint| endpoint.stage);
+    /// Brings the gate up to what was announced and configured last.
+    fn refresh(&self) -> Option<Announcement> {
+        let announced = self.shared.parts.announced.borrow().clone();
+        let Some(announced) = announced else {
+            self.shared.gate.announce(Stage::Gone, DEFAULT_GRACE);
+            return None;
+        };
+        let endpoint = &announced.endpoint;
+        let service = self.service(&endpoint.service);
         let grace = service
             .as_ref()
             .map_or(DEFAULT_GRACE, |service| service.drain_grace);
-        self.shared.gate.announce(stage, grace);
-        if let (Some(endpoint), Some(service)) = (&endpoint, &service) {
+        self.shared.gate.announce(endpoint.stage, grace);
+        if let Some(service) = service {
             self.shared.gate.resize(Size {
                 slots: endpoint.slots.min(service.slots),
                 queue: service.queue,
             });
         }
-        endpoint
+        Some(announced)
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        let announced = self.shared.parts.announced.borrow();
+        announced.as_ref().map(|announced| announced.address)
     }
 
     fn service(&self, name: &Name) -> Option<Service> {
@@ -160,9 +187,10 @@
     /// Why it got no answer, what is certain about it, and how busy the backend server is.
     ///
     /// ```
-    /// # use crank_node::target::{Claims, Forwarder, Target};
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Platform;
     /// # use crank_protocol::call::{Head, Outcome};
-    /// async fn ran<C: Claims, F: Forwarder>(target: &Target<C, F>, head: Head) -> bool {
+    /// async fn ran<P: Platform, F: Forwarder>(target: &Target<P, F>, head: Head) -> bool {
     ///     match target.run(head, "spoons".into()).await {
     ///         Ok(_) => true,
     ///         Err(refused) => refused.outcome != Outcome::NotRun,
@@ -181,7 +209,7 @@
     async fn admit(&self, head: &Head, deadline: Moment) -> Result<Pass, Refused> {
         let serves = self
             .refresh()
-            .is_some_and(|endpoint| endpoint.service == head.service);
+            .is_some_and(|announced| announced.endpoint.service == head.service);
         if !serves {
             return Err(self.refused(Refusal::Leaving));
         }
@@ -198,7 +226,11 @@
     ) -> Result<Answer, Refused> {
         let clock = self.shared.parts.clock;
         head.time_left = deadline.since(clock.now());
-        let forwarded = self.shared.parts.forwarder.forward(head, body);
+        let Some(address) = self.address() else {
+            drop(pass);
+            return Err(self.refused(Refusal::Leaving));
+        };
+        let forwarded = self.shared.parts.forwarder.forward(address, head, body);
         let result = tokio::time::timeout_at(clock.instant(deadline), forwarded).await;
         match result.unwrap_or(Err(Refusal::TimedOut)) {
             Ok(mut answer) => {
@@ -216,9 +248,10 @@
     /// The node begins to leave: new work is refused at once, and what is in flight is finished.
     ///
     /// ```
-    /// # use crank_node::target::{Claims, Forwarder, Target};
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Platform;
     /// # use crank_protocol::Millis;
-    /// fn on_sigterm<C: Claims, F: Forwarder>(target: &Target<C, F>) {
+    /// fn on_sigterm<P: Platform, F: Forwarder>(target: &Target<P, F>) {
     ///     target.drain(Millis(30_000));
     /// }
     /// ```
@@ -230,8 +263,9 @@
     ///
     /// ```
     /// # use crank_engine::drain::Progress;
-    /// # use crank_node::target::{Claims, Forwarder, Target};
-    /// fn may_go<C: Claims, F: Forwarder>(target: &Target<C, F>) -> bool {
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Platform;
+    /// fn may_go<P: Platform, F: Forwarder>(target: &Target<P, F>) -> bool {
     ///     target.progress() == Progress::Drained
     /// }
     /// ```
@@ -243,8 +277,9 @@
     /// How busy the backend server is.
     ///
     /// ```
-    /// # use crank_node::target::{Claims, Forwarder, Target};
-    /// fn is_idle<C: Claims, F: Forwarder>(target: &Target<C, F>) -> bool {
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Platform;
+    /// fn is_idle<P: Platform, F: Forwarder>(target: &Target<P, F>) -> bool {
     ///     target.load().running == 0
     /// }
     /// ```
@@ -262,6 +297,12 @@
     }
 }
 
+impl<P: Platform, F: Forwarder> crank_mesh::call::Target for Target<P, F> {
+    async fn run(&self, head: Head, body: Bytes) -> Result<Answer, Refused> {
+        Self::run(self, head, body).await
+    }
+}
+
 /// A body that holds its place until it has ended, and is cut at the deadline.
 fn hold(body: Body, pass: Pass, clock: Clock, deadline: Moment) -> Body {
     let end = clock.instant(deadline);
