--- /dev/null
+++ b/crates/crank-engine/tests/membership.rs
@@ -0,0 +1,214 @@
+//! Tables that exchange news over a network that reorders, doubles and loses it.
+#![allow(clippy::unwrap_used)]
+
+use crank_engine::Moment;
+use crank_engine::member::{Learned, Prober, Table};
+use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
+use crank_protocol::wire::Probe;
+use crank_protocol::{Millis, Name};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const NODES: usize = 5;
+
+fn member(index: usize, region: &str) -> Member {
+    Member {
+        id: Name::new(&format!("node-{index}")).unwrap(),
+        place: Place {
+            region: Name::new(region).unwrap(),
+            data_centre: Name::new(&format!("{region}-1")).unwrap(),
+        },
+        address: format!("127.0.0.1:{}", 1_000 + index).parse().unwrap(),
+        incarnation: 1,
+        state: State::Alive,
+        endpoint: None,
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Gossip { from: usize, to: usize },
+    Deliver { news: usize, again: bool },
+    Suspect { by: usize, of: usize },
+    Expire { by: usize },
+    Announce { by: usize, slots: u32 },
+    Restart { node: usize },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let node = 0..NODES;
+    prop_oneof![
+        6 => (node.clone(), node.clone()).prop_map(|(from, to)| Event::Gossip { from, to }),
+        9 => (0..64_usize, any::<bool>()).prop_map(|(news, again)| Event::Deliver { news, again }),
+        2 => (node.clone(), node.clone()).prop_map(|(by, of)| Event::Suspect { by, of }),
+        1 => node.clone().prop_map(|by| Event::Expire { by }),
+        2 => (node.clone(), 1..9_u32).prop_map(|(by, slots)| Event::Announce { by, slots }),
+        1 => node.prop_map(|node| Event::Restart { node }),
+    ]
+}
+
+struct Network {
+    tables: Vec<Table>,
+    news: Vec<(usize, Member)>,
+    now: Moment,
+}
+
+impl Network {
+    fn apply(&mut self, event: &Event) {
+        self.now = self.now.after(Millis(10));
+        match event {
+            Event::Gossip { from, to } => {
+                let receiver = member(*to, "r").id;
+                let news = self.tables[*from].gossip(Some(&receiver), 3);
+                self.news.extend(news.into_iter().map(|news| (*to, news)));
+            }
+            Event::Deliver { news, again } if !self.news.is_empty() => {
+                let index = news % self.news.len();
+                let (to, news) = self.news[index].clone();
+                if !again {
+                    self.news.swap_remove(index);
+                }
+                self.learn(to, news);
+            }
+            Event::Deliver { .. } => {}
+            Event::Suspect { by, of } => {
+                self.tables[*by].suspect(&member(*of, "r").id, self.now);
+            }
+            Event::Expire { by } => {
+                let later = self.now.after(Millis(10_000));
+                self.tables[*by].expire(1, later);
+            }
+            Event::Announce { by, slots } => {
+                let endpoint = Endpoint {
+                    service: Name::new("recipes").unwrap(),
+                    stage: Stage::Ready,
+                    slots: *slots,
+                };
+                self.tables[*by].announce(Some(endpoint), self.now);
+            }
+            Event::Restart { node } => {
+                self.tables[*node] = Table::new(member(*node, "r"), self.now);
+            }
+        }
+    }
+
+    /// What a node believes of another never gives way to older or better news of the same age.
+    fn learn(&mut self, to: usize, news: Member) {
+        let table = &mut self.tables[to];
+        let rank = |member: &Member| (member.incarnation, member.state);
+        let before = table.get(&news.id).map(rank);
+        let learned = table.learn(news.clone(), None, self.now);
+        let after = table.get(&news.id).map(rank);
+        assert!(after >= before);
+        assert_eq!(learned == Learned::Nothing, after == before);
+        assert_eq!(table.me().state, State::Alive);
+    }
+
+    /// Everyone tells everyone everything, until nobody learns anything.
+    fn settle(&mut self) {
+        let mut learned = true;
+        while learned {
+            learned = false;
+            for from in 0..NODES {
+                let all: Vec<Member> = self.tables[from].members().cloned().collect();
+                for table in &mut self.tables {
+                    for news in &all {
+                        let step = table.learn(news.clone(), None, self.now);
+                        learned |= step != Learned::Nothing;
+                    }
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(4),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn beliefs_never_age_and_all_tables_agree_in_the_end(
+        events in prop::collection::vec(event(), 1..120),
+    ) {
+        let tables = (0..NODES).map(|index| Table::new(member(index, "r"), Moment(0)));
+        let mut network = Network { tables: tables.collect(), news: Vec::new(), now: Moment(0) };
+        for event in &events {
+            network.apply(event);
+        }
+        network.settle();
+        let first: Vec<&Member> = network.tables[0].members().collect();
+        prop_assert_eq!(first.len(), NODES);
+        for table in &network.tables {
+            prop_assert_eq!(table.sum(), network.tables[0].sum());
+            prop_assert!(table.members().eq(first.iter().copied()));
+            prop_assert!(table.members().all(|member| member.state == State::Alive));
+            let said: Vec<&Member> = network.tables.iter().map(Table::me).collect();
+            prop_assert!(table.members().eq(said));
+        }
+    }
+}
+
+#[test]
+fn a_silent_node_is_asked_through_others_then_suspected_then_dead() {
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    let mut table = Table::new(member(0, "r"), Moment(0));
+    for index in 1..4 {
+        table.learn(member(index, "r"), None, Moment(0));
+    }
+    table.learn(member(4, "far"), None, Moment(0));
+    let mut prober = Prober::new(Moment(0));
+    let (mut asked, mut helped, mut suspected) = (0, 0, 0);
+    let mut now = Moment(0);
+    while table.members().any(|member| {
+        member.place.region.as_str() == "r"
+            && member.id.as_str() != "node-0"
+            && member.state != State::Dead
+    }) {
+        for outgoing in prober.tick(&mut table, now, &mut rng) {
+            assert_ne!(
+                outgoing.to.as_str(),
+                "node-4",
+                "another region is not probed"
+            );
+            match outgoing.probe {
+                Probe::Ping { .. } => asked += 1,
+                Probe::PingFor { .. } => helped += 1,
+                _ => {}
+            }
+        }
+        let suspects = table
+            .members()
+            .filter(|member| member.state == State::Suspect);
+        suspected = suspected.max(suspects.count());
+        now = now.after(Millis(200));
+        assert!(
+            now < Moment(0).after(Millis(600_000)),
+            "nobody is declared dead"
+        );
+    }
+    assert!(
+        asked >= 3 && helped >= 2 && suspected >= 1,
+        "{asked} {helped} {suspected}"
+    );
+    let far = table.get(&member(4, "far").id).unwrap();
+    assert_eq!(far.state, State::Alive);
+}
+
+#[test]
+fn a_node_that_was_not_running_blames_nobody() {
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    let mut table = Table::new(member(0, "r"), Moment(0));
+    table.learn(member(1, "r"), None, Moment(0));
+    let mut prober = Prober::new(Moment(0));
+    prober.tick(&mut table, Moment(0), &mut rng);
+    table.suspect(&member(1, "r").id, Moment(0));
+    let woken = Moment(0).after(Millis(3_600_000));
+    prober.tick(&mut table, woken, &mut rng);
+    let believed = table.get(&member(1, "r").id).unwrap();
+    assert_eq!(believed.state, State::Suspect);
+}
--- /dev/null
+++ b/crates/crank-engine/tests/spreading.rs
@@ -0,0 +1,336 @@
+//! Holders that exchange frames over a network that reorders, doubles and loses them.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use crank_engine::config::{diff, digest};
+use crank_engine::spread::{Gap, Holder, Step};
+use crank_protocol::config::{
+    Account, Config, Delta, Importance, Method, Route, Service, Snapshot, Stamp, Version,
+};
+use crank_protocol::{Millis, Name, Permille};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+const NODES: usize = 4;
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+/// The configuration with this content, sealed under this number.
+fn snapshot(version: u64, content: u64) -> Snapshot {
+    let service = Service {
+        slots: 6,
+        connections: 110,
+        queue: 12,
+        timeout: Millis(1_000),
+        retry_budget: Permille(100),
+        importance: Importance::Normal,
+        warm_up: Millis(0),
+        drain_grace: Millis(5_000),
+        objective: None,
+    };
+    let route = Route {
+        path: format!("/recipes/{content}").into(),
+        methods: [Method::Get].into(),
+        service: name("recipes"),
+        timeout: None,
+        idempotent: true,
+        once: false,
+    };
+    let config = Config {
+        account: Account {
+            name: name("sutkent"),
+            notice_ends: None,
+        },
+        services: [(name("recipes"), service)].into(),
+        routes: [(name(&format!("route-{}", content % 3)), route)].into(),
+    };
+    let stamp = Stamp {
+        version: Version(version),
+        digest: digest(&config),
+    };
+    Snapshot { stamp, config }
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    /// A new version is accepted and given to a node.
+    Accept { node: usize, content: u64 },
+    /// A node says what it holds.
+    Tell { from: usize, to: usize },
+    /// A frame arrives; it may arrive again.
+    Deliver { frame: usize, again: bool },
+    /// A frame is lost.
+    Lose { frame: usize },
+    /// A frame arrives with another content under the number it states.
+    Forge { node: usize, version: u64 },
+    /// A frame arrives whose content does not have the digest it states.
+    Tamper { node: usize },
+    /// A node forgets everything.
+    Restart { node: usize },
+}
+
+#[derive(Debug, Clone)]
+enum Frame {
+    Holds(Option<Stamp>),
+    Want(Option<Stamp>),
+    Delta(Delta),
+    Snapshot(Snapshot),
+}
+
+struct Accepted;
+
+impl ReferenceStateMachine for Accepted {
+    type State = Vec<Snapshot>;
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<Self::State> {
+        Just(vec![snapshot(1, 0)]).boxed()
+    }
+
+    fn transitions(accepted: &Self::State) -> BoxedStrategy<Event> {
+        let highest = accepted.len() as u64;
+        let node = 0..NODES;
+        prop_oneof![
+            2 => (node.clone(), 1..9_u64).prop_map(|(node, content)| Event::Accept { node, content }),
+            5 => (node.clone(), node.clone()).prop_map(|(from, to)| Event::Tell { from, to }),
+            9 => (0..64_usize, any::<bool>()).prop_map(|(frame, again)| Event::Deliver { frame, again }),
+            2 => (0..64_usize).prop_map(|frame| Event::Lose { frame }),
+            1 => (node.clone(), 1..=highest).prop_map(|(node, version)| Event::Forge { node, version }),
+            1 => node.clone().prop_map(|node| Event::Tamper { node }),
+            1 => node.prop_map(|node| Event::Restart { node }),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut accepted: Self::State, event: &Event) -> Self::State {
+        if let Event::Accept { content, .. } = event {
+            accepted.push(snapshot(accepted.len() as u64 + 1, *content));
+        }
+        accepted
+    }
+}
+
+#[derive(Default)]
+struct Network {
+    nodes: Vec<Holder>,
+    /// The highest version that each node has held since it started.
+    highest: Vec<Version>,
+    frames: Vec<(usize, usize, Frame)>,
+}
+
+impl Network {
+    fn send(&mut self, from: usize, to: usize, frame: Frame) {
+        if from != to {
+            self.frames.push((from, to, frame));
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: usize) {
+        let stamp = self.nodes[from].stamp().cloned();
+        self.send(from, to, Frame::Holds(stamp));
+    }
+
+    fn push(&mut self, from: usize) {
+        let last = self.nodes[from].last_delta().cloned();
+        for to in 0..NODES {
+            match &last {
+                Some(delta) => self.send(from, to, Frame::Delta(delta.clone())),
+                None => self.tell(from, to),
+            }
+        }
+    }
+
+    fn deliver(&mut self, (from, to, frame): (usize, usize, Frame)) {
+        let holder = &mut self.nodes[to];
+        let step = match frame {
+            Frame::Holds(theirs) => {
+                if holder.gap(theirs.as_ref()) == Gap::Ours {
+                    let held = holder.stamp().cloned();
+                    self.send(to, from, Frame::Want(held));
+                }
+                return;
+            }
+            Frame::Want(base) => return self.give(to, from, base),
+            Frame::Delta(delta) => holder.take_delta(&delta),
+            Frame::Snapshot(snapshot) => holder.take_snapshot(snapshot),
+        };
+        match step {
+            Step::Applied => self.push(to),
+            Step::NeedWhole | Step::Bad(_) => self.send(to, from, Frame::Want(None)),
+            Step::Old | Step::Conflict => {}
+        }
+    }
+
+    fn give(&mut self, from: usize, to: usize, base: Option<Stamp>) {
+        let holder = &self.nodes[from];
+        let Some(held) = holder.held().cloned() else {
+            return;
+        };
+        match base.and_then(|base| holder.since(&base)) {
+            Some(deltas) => {
+                for delta in deltas {
+                    self.send(from, to, Frame::Delta(delta));
+                }
+            }
+            None => self.send(from, to, Frame::Snapshot(Snapshot::clone(&held))),
+        }
+    }
+
+    fn apply(&mut self, event: &Event, accepted: &[Snapshot]) {
+        match event {
+            Event::Accept { node, .. } => {
+                let snapshot = accepted.last().unwrap().clone();
+                assert_eq!(self.nodes[*node].take_snapshot(snapshot), Step::Applied);
+                self.push(*node);
+            }
+            Event::Tell { from, to } => self.tell(*from, *to),
+            Event::Deliver { frame, again } if !self.frames.is_empty() => {
+                let index = frame % self.frames.len();
+                let taken = self.frames[index].clone();
+                if !again {
+                    self.frames.swap_remove(index);
+                }
+                self.deliver(taken);
+            }
+            Event::Lose { frame } if !self.frames.is_empty() => {
+                self.frames.swap_remove(frame % self.frames.len());
+            }
+            Event::Deliver { .. } | Event::Lose { .. } => {}
+            Event::Forge { node, version } => self.forge(*node, snapshot(*version, 77)),
+            Event::Tamper { node } => self.tamper(*node, accepted),
+            Event::Restart { node } => {
+                self.nodes[*node] = Holder::default();
+                self.highest[*node] = Version::default();
+            }
+        }
+    }
+
+    /// Another content under a number that the node holds, or one below it, is never applied.
+    fn forge(&mut self, node: usize, forged: Snapshot) {
+        let holder = &mut self.nodes[node];
+        let Some(held) = holder.held().cloned() else {
+            return;
+        };
+        if forged.stamp.version <= held.stamp.version {
+            let delta = diff(&held, &forged);
+            assert!(matches!(
+                holder.take_delta(&delta),
+                Step::Old | Step::Conflict
+            ));
+            assert!(matches!(
+                holder.take_snapshot(forged),
+                Step::Old | Step::Conflict
+            ));
+            assert_eq!(holder.held(), Some(&held));
+        }
+    }
+
+    /// A later number with content that is not the stated one is refused whole.
+    fn tamper(&mut self, node: usize, accepted: &[Snapshot]) {
+        let holder = &mut self.nodes[node];
+        let before = holder.held().cloned();
+        let mut tampered = snapshot(accepted.len() as u64 + 9, 5);
+        tampered.config.routes.clear();
+        let step = holder.take_snapshot(tampered.clone());
+        assert!(matches!(step, Step::Bad(_)));
+        if let Some(held) = &before {
+            let delta = diff(held, &tampered);
+            assert!(matches!(holder.take_delta(&delta), Step::Bad(_)));
+        }
+        assert_eq!(holder.held(), before.as_ref());
+    }
+
+    fn check(&self, accepted: &[Snapshot]) {
+        for (holder, highest) in self.nodes.iter().zip(&self.highest) {
+            let Some(held) = holder.held() else {
+                assert_eq!(*highest, Version::default(), "a node lost what it held");
+                continue;
+            };
+            let number = held.stamp.version;
+            assert!(number >= *highest, "a node moved back");
+            let index = usize::try_from(number.0).unwrap() - 1;
+            assert_eq!(**held, accepted[index], "a version with another content");
+        }
+    }
+}
+
+struct Spreading;
+
+impl StateMachineTest for Spreading {
+    type SystemUnderTest = Network;
+    type Reference = Accepted;
+
+    fn init_test(accepted: &Vec<Snapshot>) -> Network {
+        let mut network = Network {
+            nodes: vec![Holder::default(); NODES],
+            highest: vec![Version::default(); NODES],
+            frames: Vec::new(),
+        };
+        network.nodes[0].take_snapshot(accepted[0].clone());
+        network
+    }
+
+    fn apply(mut network: Network, accepted: &Vec<Snapshot>, event: Event) -> Network {
+        network.apply(&event, accepted);
+        network.check(accepted);
+        for (holder, highest) in network.nodes.iter().zip(network.highest.iter_mut()) {
+            *highest = holder.stamp().map_or(*highest, |stamp| stamp.version);
+        }
+        network
+    }
+
+    /// With fair delivery all reach the highest version that any node still holds.
+    fn teardown(mut network: Network, accepted: Vec<Snapshot>) {
+        let held = |network: &Network| -> BTreeMap<usize, Option<Version>> {
+            let versions = network.nodes.iter().map(|holder| {
+                let stamp = holder.stamp();
+                stamp.map(|stamp| stamp.version)
+            });
+            versions.enumerate().collect()
+        };
+        let highest = held(&network).into_values().max().unwrap();
+        network.frames.clear();
+        for from in 0..NODES {
+            for to in 0..NODES {
+                network.tell(from, to);
+            }
+        }
+        while let Some(frame) = network.frames.pop() {
+            network.deliver(frame);
+            network.check(&accepted);
+        }
+        let versions = held(&network);
+        assert!(
+            versions.values().all(|version| *version == highest),
+            "{versions:?}"
+        );
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(4),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_node_moves_back_and_all_converge(sequential 1..60 => Spreading);
+}
+
+#[test]
+fn a_route_without_its_service_is_refused_whole() {
+    let mut holder = Holder::default();
+    holder.take_snapshot(snapshot(1, 1));
+    let mut dangling = snapshot(2, 1);
+    dangling.config.services.clear();
+    dangling.stamp.digest = digest(&dangling.config);
+    let delta = diff(&snapshot(1, 1), &dangling);
+    assert!(matches!(holder.take_delta(&delta), Step::Bad(_)));
+    assert!(matches!(holder.take_snapshot(dangling), Step::Bad(_)));
+    assert_eq!(holder.stamp(), Some(&snapshot(1, 1).stamp));
+}
--- a/crates/crank-mesh/tests/frames.rs
+++ b/crates/crank-mesh/tests/frames.rs
@@ -1,4 +1,5 @@
 //! Malformed, oversized and foreign frames end their own connection and harm nothing else.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
