--- a/crates/crank-mesh/tests/call_connections.rs
+++ b/crates/crank-mesh/tests/call_connections.rs
@@ -1,6 +1,6 @@
 //! Many requests share a connection without touching each other.
 
-#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 mod common;
 
