--- a/crates/crank-engine/src/spread/start.rs
+++ b/crates/crank-engine/src/spread/start.rs
@@ -133,7 +133,9 @@
             return false;
         };
         match &self.head {
-            Head::Unread | Head::Empty => false,
+            Head::Unread => false,
+            // Whatever is held was accepted after the reading.
+            Head::Empty => true,
             Head::At(head) => held.version >= head.version,
             Head::Down => held.version >= self.highest() && self.is_witnessed(others),
         }
--- a/crates/crank-mesh/src/call/link.rs
+++ b/crates/crank-mesh/src/call/link.rs
@@ -57,7 +57,7 @@
     /// Connects to a node and checks that it is the expected one of our client account.
     ///
     /// # Errors
-    /// [`Error::Connect`], [`Error::WrongAccount`], [`Error::WrongNode`], or what else the
+    /// [`Error::Connect`], [`Error::Account`], [`Error::WrongNode`], or what else the
     /// handshake met.
     ///
     /// ```
