--- /dev/null
+++ b/crates/crank-report/src/report.rs
@@ -0,0 +1,92 @@
+//! What the nodes' answers come to.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crank_engine::burn::{self, Judgement, judge};
+use crank_protocol::member::{Member, State};
+use crank_protocol::status::{Answer, Mesh};
+use crank_protocol::{Millis, Name};
+use serde::{Deserialize, Serialize};
+
+/// A node that was asked and did not answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Unreached {
+    /// The address that was asked.
+    pub address: Arc<str>,
+    /// Why there was no answer, and what to do.
+    pub problem: Arc<str>,
+}
+
+/// The service levels over all nodes that answered, and who did not.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Report {
+    /// The services, each judged on what was heard.
+    pub services: Vec<Judgement>,
+    /// The nodes that answered.
+    pub heard: Vec<Name>,
+    /// The nodes that were asked and did not answer.
+    pub unreached: Vec<Unreached>,
+    /// Nodes of the mesh that no answer came from; absent where no node told who there is.
+    pub unheard: Option<Vec<Name>>,
+    /// How long the node that started last has counted; longer windows lack a part.
+    pub counted: Option<Millis>,
+    /// Whether every node of the mesh was heard.
+    pub complete: bool,
+}
+
+impl Report {
+    /// Judges what was heard; a node that was not heard is neither good nor bad.
+    ///
+    /// ```
+    /// let report = crank_report::Report::new(&[], Vec::new(), None);
+    /// assert!(!report.complete);
+    /// ```
+    #[must_use]
+    pub fn new(reports: &[burn::Report], unreached: Vec<Unreached>, mesh: Option<&Mesh>) -> Self {
+        // A node that answers at two addresses is counted once.
+        let reports: BTreeMap<&Name, &burn::Report> = reports
+            .iter()
+            .map(|report| (&report.node, report))
+            .collect();
+        let heard: BTreeSet<Name> = reports.keys().copied().cloned().collect();
+        let reports: Vec<burn::Report> = reports.into_values().cloned().collect();
+        let unheard = mesh.map(|mesh| unheard(mesh, &heard));
+        let nobody_missing = unheard.as_ref().is_some_and(Vec::is_empty);
+        Self {
+            services: judge(&reports),
+            complete: nobody_missing && unreached.is_empty() && !heard.is_empty(),
+            heard: heard.into_iter().collect(),
+            unreached,
+            unheard,
+            counted: reports.iter().map(|report| report.counted).min(),
+        }
+    }
+
+    /// Whether the report is complete, every objective was judged, and no alarm sounds.
+    ///
+    /// ```
+    /// assert!(!crank_report::Report::new(&[], Vec::new(), None).is_calm());
+    /// ```
+    #[must_use]
+    pub fn is_calm(&self) -> bool {
+        self.complete
+            && self
+                .services
+                .iter()
+                .all(|service| service.alarms.is_empty())
+    }
+}
+
+fn unheard(mesh: &Mesh, heard: &BTreeSet<Name>) -> Vec<Name> {
+    let members = mesh.nodes.iter().map(|answer| match answer {
+        Answer::Node(node) => &node.member,
+        Answer::Silent(member) => member,
+    });
+    members
+        .filter(|member: &&Member| member.state != State::Left && !heard.contains(&member.id))
+        .map(|member| member.id.clone())
+        .collect()
+}
--- a/src/bin/crank-report.rs
+++ b/src/bin/crank-report.rs
@@ -1,3 +1,5 @@
 //! Runs crank-report.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    crank_report::main()
+}
