Say plainly whether a version is in force, and never call an empty report calm

Seen in a trial with three nodes: 'in force not on every node' reads like yes to a search for 'on every node', and crank-report over nodes without a configuration exited 0.

--- a/crates/crank-command/src/commands/status.rs
+++ b/crates/crank-command/src/commands/status.rs
@@ -61,9 +61,9 @@
         "account   {}\naccepted  {head}\nin force  {}\nhighest   {highest}\nstore     {}\n",
         mesh.account,
         if mesh.in_force {
-            "on every node"
+            "yes, on every node"
         } else {
-            "not on every node"
+            "no"
         },
         if mesh.store_up { "up" } else { "down" },
     );
--- a/crates/crank-report/src/report.rs
+++ b/crates/crank-report/src/report.rs
@@ -65,18 +65,16 @@
         }
     }
 
-    /// Whether the report is complete, every objective was judged, and no alarm sounds.
+    /// Whether the report is complete, judges at least one service, and no alarm sounds.
     ///
     /// ```
     /// assert!(!crank_report::Report::new(&[], Vec::new(), None).is_calm());
     /// ```
     #[must_use]
     pub fn is_calm(&self) -> bool {
-        self.complete
-            && self
-                .services
-                .iter()
-                .all(|service| service.alarms.is_empty())
+        let mut services = self.services.iter();
+        let no_alarm = services.all(|service| service.alarms.is_empty());
+        self.complete && !self.services.is_empty() && no_alarm
     }
 }
 
--- a/crates/crank-report/src/text.rs
+++ b/crates/crank-report/src/text.rs
@@ -6,6 +6,7 @@
 
 use crate::Report;
 
+const MILLIS_PER_SECOND: u64 = 1_000;
 const MILLIS_PER_MINUTE: u64 = 60_000;
 const MILLIS_PER_HOUR: u64 = 3_600_000;
 const MILLIS_PER_DAY: u64 = 86_400_000;
@@ -22,6 +23,9 @@
     for service in &report.services {
         text += &service_lines(service);
     }
+    if report.services.is_empty() {
+        text += "no service is configured on the nodes that were heard\n\n";
+    }
     text + &heard(report)
 }
 
@@ -81,8 +85,10 @@
         format!("{}d", millis / MILLIS_PER_DAY)
     } else if millis >= MILLIS_PER_HOUR {
         format!("{}h", millis / MILLIS_PER_HOUR)
-    } else {
+    } else if millis >= MILLIS_PER_MINUTE {
         format!("{}m", millis / MILLIS_PER_MINUTE)
+    } else {
+        format!("{}s", millis / MILLIS_PER_SECOND)
     }
 }
 
