Show on how many nodes a version is in force, and how many are silent

Seen in a trial: with one node killed, the status said 'yes, on every node', as a dead node does not count; now it says on how many of all nodes, and how many are silent.

--- a/crates/crank-command/src/commands/status.rs
+++ b/crates/crank-command/src/commands/status.rs
@@ -1,7 +1,7 @@
 //! `crankctl status`.
 
 use crank_operator::Client;
-use crank_protocol::member::Member;
+use crank_protocol::member::{Member, State};
 use crank_protocol::status::{Answer, Mesh, Verdict};
 use gumdrop::Options;
 
@@ -60,11 +60,7 @@
     let mut text = format!(
         "account   {}\naccepted  {head}\nin force  {}\nhighest   {highest}\nstore     {}\n",
         mesh.account,
-        if mesh.in_force {
-            "yes, on every node"
-        } else {
-            "no"
-        },
+        in_force(mesh),
         if mesh.store_up { "up" } else { "down" },
     );
     text += &refused(mesh);
@@ -76,6 +72,26 @@
     text + &table.render()
 }
 
+fn in_force(mesh: &Mesh) -> String {
+    let Some(head) = &mesh.head else {
+        return "not known: nor is the accepted version".to_owned();
+    };
+    let is_there = |answer: &&Answer| match answer {
+        Answer::Node(_) => true,
+        Answer::Silent(member) => member.state != State::Left,
+    };
+    let nodes: Vec<&Answer> = mesh.nodes.iter().filter(is_there).collect();
+    let holds = |answer: &&&Answer| match answer {
+        Answer::Node(node) => node.applied.as_ref() == Some(head),
+        Answer::Silent(_) => false,
+    };
+    let holding = nodes.iter().filter(holds).count();
+    let is_silent = |answer: &&&Answer| matches!(answer, Answer::Silent(_));
+    let silent = nodes.iter().filter(is_silent).count();
+    let (answer, all) = (words::yes(mesh.in_force), nodes.len());
+    format!("{answer}: on {holding} of {all} nodes, {silent} silent")
+}
+
 fn refused(mesh: &Mesh) -> String {
     let Some(Verdict::Refused { faults, at }) = &mesh.refused else {
         let none = if mesh.store_up {
