Test that a delta applies to its exact base only

Not caught: the exact base of a delta, because the digest check behind it refuses the same frames; the new test shows the case that only the base check tells apart.

--- a/crates/crank-engine/tests/spreading.rs
+++ b/crates/crank-engine/tests/spreading.rs
@@ -334,3 +334,13 @@
     assert!(matches!(holder.take_snapshot(dangling), Step::Bad(_)));
     assert_eq!(holder.stamp(), Some(&snapshot(1, 1).stamp));
 }
+
+#[test]
+fn a_delta_applies_to_its_exact_base_only() {
+    let mut holder = Holder::default();
+    holder.take_snapshot(snapshot(1, 1));
+    // The same content under another number is another base, though the result's digest would fit.
+    let delta = diff(&snapshot(2, 1), &snapshot(3, 2));
+    assert_eq!(holder.take_delta(&delta), Step::NeedWhole);
+    assert_eq!(holder.stamp(), Some(&snapshot(1, 1).stamp));
+}
