--- /dev/null
+++ b/crates/crank-load/src/command/fleet.rs
@@ -0,0 +1,141 @@
+//! `crank-load fleet`: a whole mesh of processes on loopback.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use crank_engine::ini::Document;
+use crank_platform_client::{Condition, Remote, Settings, folder};
+use gumdrop::Options;
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::print;
+use crate::Error;
+use crate::fleet::{Fleet, Layout, wait};
+use crate::roster::Roster;
+
+const READY_LIMIT: Duration = Duration::from_secs(60);
+const FOLDER_FILE: &str = "10-services.ini";
+
+#[derive(Debug, Options)]
+pub(super) struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the number of nodes", meta = "N", default = "6")]
+    nodes: usize,
+    #[options(help = "the number of regions", meta = "N", default = "2")]
+    regions: usize,
+    #[options(help = "the number of data centres in all", meta = "N", default = "3")]
+    data_centres: usize,
+    #[options(
+        no_short,
+        help = "services, with commas between them",
+        meta = "NAMES",
+        default = "recipes"
+    )]
+    services: String,
+    #[options(
+        no_short,
+        help = "requests that a backend server runs at once",
+        meta = "N",
+        default = "6"
+    )]
+    slots: u32,
+    #[options(no_short, help = "how long a request runs", meta = "MS", default = "0")]
+    work_ms: u64,
+    #[options(
+        no_short,
+        help = "where settings, logs and roster.json go",
+        meta = "DIR",
+        required
+    )]
+    directory: PathBuf,
+    #[options(
+        no_short,
+        help = "the directory of the built programs; this one's otherwise",
+        meta = "DIR"
+    )]
+    programs: Option<PathBuf>,
+}
+
+pub(super) async fn run(arguments: Arguments) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Print)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Print)?;
+    let programs = match &arguments.programs {
+        Some(programs) => programs.clone(),
+        None => own_directory()?,
+    };
+    let directory = &arguments.directory;
+    std::fs::create_dir_all(directory).map_err(|source| Error::File {
+        path: directory.clone(),
+        source,
+    })?;
+    let services: Vec<&str> = arguments.services.split(',').collect();
+    let layout = Layout::new(
+        "sutkent",
+        arguments.nodes,
+        arguments.regions,
+        arguments.data_centres,
+        &services,
+    );
+    let layout = layout.with_work(arguments.slots, arguments.work_ms);
+    let fleet = Fleet::start(layout, &programs, directory).await?;
+    fill_folder(&fleet, &services, arguments.slots).await?;
+    let roster = Roster::new(&fleet)?;
+    ready(&roster).await?;
+    roster.write(&directory.join("roster.json"))?;
+    print(&roster)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+fn own_directory() -> Result<PathBuf, Error> {
+    let own = std::env::current_exe().map_err(Error::Print)?;
+    Ok(own.parent().unwrap_or(Path::new(".")).to_owned())
+}
+
+async fn fill_folder(fleet: &Fleet, services: &[&str], slots: u32) -> Result<(), Error> {
+    let path = fleet.store_settings()?;
+    let name = path.display().to_string();
+    let content = std::fs::read(&path).map_err(|source| Error::File {
+        path: path.clone(),
+        source,
+    })?;
+    let faults = |faults| Error::Settings { faults };
+    let document = Document::read(name.as_str().into(), &content).map_err(faults)?;
+    let settings = Settings::read(&name, &document).map_err(faults)?;
+    let remote = Remote::new(&settings.access())?;
+    let mut text = format!("[account]\nname = {}\n", settings.account);
+    for service in services {
+        text.push_str(&section(service, slots));
+    }
+    let always = Condition::Always;
+    folder::write(&remote, &settings.account, FOLDER_FILE, text.into(), always).await?;
+    Ok(())
+}
+
+fn section(service: &str, slots: u32) -> String {
+    format!(
+        "[service {service}]\nslots = {slots}\nconnections = 110\ntimeout = 2s\n\
+         [route {service}]\npath = /{service}\nmethods = GET\nservice = {service}\n\
+         idempotent = yes\n\
+         [route {service}-writes]\npath = /{service}\nmethods = POST\nservice = {service}\n"
+    )
+}
+
+async fn ready(roster: &Roster) -> Result<(), Error> {
+    let client = reqwest::Client::new();
+    wait("readiness of all nodes", READY_LIMIT, async || {
+        for post in &roster.posts {
+            let url = format!("{}/readyz", post.operators);
+            let answer = client.get(url).send().await;
+            if !answer.is_ok_and(|answer| answer.status().is_success()) {
+                return false;
+            }
+        }
+        true
+    })
+    .await
+}
--- a/crates/crank-load/src/error.rs
+++ b/crates/crank-load/src/error.rs
@@ -64,4 +64,33 @@
         /// How long it was waited for, in milliseconds.
         waited_ms: u64,
     },
+    /// No target was named.
+    #[error("nothing to send to: name base URLs or a roster with --roster")]
+    NoTargets,
+    /// A roster file is not readable.
+    #[error("{} is not a roster ({source}): write one with `crank-load fleet`", .path.display())]
+    Roster {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong with it.
+        source: serde_json::Error,
+    },
+    /// A settings file has faults.
+    #[error("the store's settings are faulty: {faults:?}")]
+    Settings {
+        /// Every fault.
+        faults: Vec<crank_engine::ini::Fault>,
+    },
+    /// The platform's store did not take a change.
+    #[error("the store: {0}")]
+    Store(#[from] crank_platform_client::Error),
+    /// A histogram could not be made.
+    #[error("a histogram: {0}")]
+    Histogram(#[from] hdrhistogram::CreationError),
+    /// Figures could not be written as JSON.
+    #[error("the figures: {0}")]
+    Output(serde_json::Error),
+    /// The system refused output or signals.
+    #[error("the system refused ({0}): check standard output")]
+    Print(std::io::Error),
 }
--- a/crates/crank-load/src/lib.rs
+++ b/crates/crank-load/src/lib.rs
@@ -1,8 +1,15 @@
 //! Open-loop load and experiments with figures.
 //!
-//! [`fleet`] starts a whole mesh of real processes on loopback, for experiments and process tests.
+//! [`fleet`] starts a whole mesh of real processes on loopback, for experiments and process tests;
+//! [`calls`] sends requests at a rate and counts what became of them; [`command`] holds the
+//! commands of the program.
 
+pub mod calls;
+pub mod command;
+pub mod converge;
 pub mod fleet;
+pub mod roster;
+pub mod usage;
 
 mod error;
 
--- /dev/null
+++ b/crates/crank-load/src/roster.rs
@@ -0,0 +1,108 @@
+//! Where the processes of a running fleet are, in a file that other commands read.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Error;
+use crate::fleet::Fleet;
+
+/// One node and the backend server beside it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Post {
+    /// The node's name.
+    pub name: Arc<str>,
+    /// The service of its backend server.
+    pub service: Arc<str>,
+    /// The base URL for callers.
+    pub callers: Arc<str>,
+    /// The base URL for operators.
+    pub operators: Arc<str>,
+    /// The base URL of the backend server.
+    pub backend: Arc<str>,
+    /// The node's process id.
+    pub process: u32,
+}
+
+/// All processes of a fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Roster {
+    /// The settings file of the store.
+    pub store: Arc<str>,
+    /// The nodes.
+    pub posts: Vec<Post>,
+}
+
+impl Roster {
+    /// The roster of a running fleet.
+    ///
+    /// # Errors
+    /// [`Error::File`] where the store's settings cannot be written.
+    ///
+    /// ```
+    /// # use crank_load::{Error, fleet::Fleet, roster::Roster};
+    /// fn nodes(fleet: &Fleet) -> Result<usize, Error> {
+    ///     Ok(Roster::new(fleet)?.posts.len())
+    /// }
+    /// ```
+    pub fn new(fleet: &Fleet) -> Result<Self, Error> {
+        let posts = fleet.nodes.iter().map(|node| Post {
+            name: node.seat.name.clone(),
+            service: node.seat.service.clone(),
+            callers: node.callers().into(),
+            operators: node.operators().into(),
+            backend: node.backend_url().into(),
+            process: node.node.id().unwrap_or_default(),
+        });
+        Ok(Self {
+            store: fleet.store_settings()?.display().to_string().into(),
+            posts: posts.collect(),
+        })
+    }
+
+    /// Reads a roster file.
+    ///
+    /// # Errors
+    /// [`Error::File`] or [`Error::Roster`].
+    ///
+    /// ```
+    /// use crank_load::roster::Roster;
+    /// assert!(Roster::read(std::path::Path::new("/nowhere.json")).is_err());
+    /// ```
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let file = |source| Error::File {
+            path: path.to_owned(),
+            source,
+        };
+        let content = std::fs::read(path).map_err(file)?;
+        serde_json::from_slice(&content).map_err(|source| Error::Roster {
+            path: path.to_owned(),
+            source,
+        })
+    }
+
+    /// Writes a roster file.
+    ///
+    /// # Errors
+    /// [`Error::File`] or [`Error::Roster`].
+    ///
+    /// ```
+    /// # use crank_load::{Error, roster::Roster};
+    /// fn keep(roster: &Roster) -> Result<(), Error> {
+    ///     roster.write(std::path::Path::new("roster.json"))
+    /// }
+    /// ```
+    pub fn write(&self, path: &Path) -> Result<(), Error> {
+        let content = serde_json::to_vec_pretty(self).map_err(|source| Error::Roster {
+            path: path.to_owned(),
+            source,
+        })?;
+        std::fs::write(path, content).map_err(|source| Error::File {
+            path: path.to_owned(),
+            source,
+        })
+    }
+}
