--- a/crates/crank-load/src/calls/ledger.rs
+++ b/crates/crank-load/src/calls/ledger.rs
@@ -43,38 +43,79 @@
     }
 }
 
-/// Reads the ledgers of backend servers and compares them with what callers were told.
-///
-/// # Errors
-/// [`Error::Http`] where the HTTP client cannot be made.
-///
-/// ```
-/// # use std::sync::Arc;
-/// # use crank_load::{Error, calls::{self, Tally}};
-/// async fn is_clean(backends: &[Arc<str>], tally: &Tally) -> Result<bool, Error> {
-///     Ok(calls::audit(backends, tally.done()).await?.is_clean())
-/// }
-/// ```
-pub async fn audit(backends: &[Arc<str>], done: &[Done]) -> Result<Audit, Error> {
-    let client = reqwest::Client::builder().no_proxy().build();
-    let client = client.map_err(|source| Error::Http {
-        what: Arc::from("the HTTP client"),
-        source,
-    })?;
-    let mut audit = Audit::default();
-    let mut runs: BTreeMap<Arc<str>, u64> = BTreeMap::new();
-    for backend in backends {
-        match read(&client, backend).await {
-            Ok(ledger) => {
+/// The runs that backend servers counted, by request.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Runs {
+    runs: BTreeMap<Arc<str>, u64>,
+    unread: u64,
+}
+
+impl Runs {
+    /// Reads the ledgers of backend servers that still run.
+    ///
+    /// # Errors
+    /// [`Error::Http`] where the HTTP client cannot be made.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use crank_load::{Error, calls::{Runs, Tally}};
+    /// async fn is_clean(backends: &[Arc<str>], tally: &Tally) -> Result<bool, Error> {
+    ///     Ok(Runs::read(backends).await?.audit(tally.done()).is_clean())
+    /// }
+    /// ```
+    pub async fn read(backends: &[Arc<str>]) -> Result<Self, Error> {
+        let client = reqwest::Client::builder().no_proxy().build();
+        let client = client.map_err(|source| Error::Http {
+            what: Arc::from("the HTTP client"),
+            source,
+        })?;
+        let mut runs = Self::default();
+        for backend in backends {
+            runs.add(read(&client, backend).await.ok());
+        }
+        Ok(runs)
+    }
+
+    /// Adds the ledger in the last line of a backend server that has left.
+    ///
+    /// ```
+    /// use crank_load::calls::Runs;
+    /// let mut runs = Runs::default();
+    /// runs.add_line(r#"ledger {"requests":{"1f":1}}"#);
+    /// runs.add_line("");
+    /// assert_eq!(runs.audit(&[]).unread_ledgers, 1);
+    /// ```
+    pub fn add_line(&mut self, line: &str) {
+        let ledger = line.strip_prefix("ledger ");
+        self.add(ledger.and_then(|ledger| serde_json::from_str(ledger).ok()));
+    }
+
+    fn add(&mut self, ledger: Option<Ledger>) {
+        match ledger {
+            Some(ledger) => {
                 for (id, count) in ledger.requests {
-                    *runs.entry(id).or_default() += count;
+                    *self.runs.entry(id).or_default() += count;
                 }
             }
-            Err(_) => audit.unread_ledgers += 1,
+            None => self.unread += 1,
         }
     }
-    compare(&mut audit, &runs, done);
-    Ok(audit)
+
+    /// Compares the runs with what callers were told.
+    ///
+    /// ```
+    /// # use crank_load::calls::Runs;
+    /// assert!(Runs::default().audit(&[]).is_clean());
+    /// ```
+    #[must_use]
+    pub fn audit(&self, done: &[Done]) -> Audit {
+        let mut audit = Audit {
+            unread_ledgers: self.unread,
+            ..Audit::default()
+        };
+        compare(&mut audit, &self.runs, done);
+        audit
+    }
 }
 
 async fn read(client: &reqwest::Client, backend: &str) -> Result<Ledger, reqwest::Error> {
--- a/crates/crank-load/src/calls/mod.rs
+++ b/crates/crank-load/src/calls/mod.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-pub use ledger::{Audit, audit};
+pub use ledger::{Audit, Runs};
 pub use send::run;
-pub use tally::{Figures, Tally, Told};
+pub use tally::{Done, Figures, Tally, Told};
 
 /// What is sent where.
 #[derive(Debug, Clone)]
--- a/crates/crank-load/src/command/calls.rs
+++ b/crates/crank-load/src/command/calls.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use super::print;
-use crate::calls::{self, Audit, Figures, Plan, Tally};
+use crate::calls::{self, Audit, Figures, Plan, Runs, Tally};
 use crate::roster::{Post, Roster};
 use crate::{Error, usage};
 
@@ -132,7 +132,7 @@
     let figures = through.figures();
     let direct = direct.map(|tally| tally.figures());
     let audit = if arguments.audit {
-        Some(calls::audit(&backends(&posts), through.done()).await?)
+        Some(Runs::read(&backends(&posts)).await?.audit(through.done()))
     } else {
         None
     };
--- a/crates/crank-load/src/command/fleet.rs
+++ b/crates/crank-load/src/command/fleet.rs
@@ -10,7 +10,7 @@
 
 use super::print;
 use crate::Error;
-use crate::fleet::{Fleet, Layout, wait};
+use crate::fleet::{Fleet, Layout};
 use crate::roster::Roster;
 
 const READY_LIMIT: Duration = Duration::from_secs(60);
@@ -81,7 +81,7 @@
     let fleet = Fleet::start(layout, &programs, directory).await?;
     fill_folder(&fleet, &services, arguments.slots).await?;
     let roster = Roster::new(&fleet)?;
-    ready(&roster).await?;
+    roster.ready(READY_LIMIT).await?;
     roster.write(&directory.join("roster.json"))?;
     print(&roster)?;
     tokio::select! {
@@ -91,7 +91,7 @@
     Ok(())
 }
 
-fn own_directory() -> Result<PathBuf, Error> {
+pub(super) fn own_directory() -> Result<PathBuf, Error> {
     let own = std::env::current_exe().map_err(Error::Print)?;
     Ok(own.parent().unwrap_or(Path::new(".")).to_owned())
 }
@@ -124,18 +124,3 @@
          [route {service}-writes]\npath = /{service}\nmethods = POST\nservice = {service}\n"
     )
 }
-
-async fn ready(roster: &Roster) -> Result<(), Error> {
-    let client = reqwest::Client::new();
-    wait("readiness of all nodes", READY_LIMIT, async || {
-        for post in &roster.posts {
-            let url = format!("{}/readyz", post.operators);
-            let answer = client.get(url).send().await;
-            if !answer.is_ok_and(|answer| answer.status().is_success()) {
-                return false;
-            }
-        }
-        true
-    })
-    .await
-}
--- a/crates/crank-load/src/command/mod.rs
+++ b/crates/crank-load/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod converge;
+mod demo;
 mod fleet;
 
 use std::io::Write;
@@ -28,6 +29,10 @@
     Calls(calls::Arguments),
     #[options(help = "change the folder and measure when it is in force everywhere")]
     Converge(converge::Arguments),
+    #[options(
+        help = "run a whole mesh through edits, a kill and a drain, and print what became of it"
+    )]
+    Demo(demo::Arguments),
     #[options(help = "start a fleet of processes and keep it running until SIGINT or SIGTERM")]
     Fleet(fleet::Arguments),
 }
@@ -47,6 +52,7 @@
     match arguments.command {
         Some(Command::Calls(arguments)) => calls::run(arguments).await,
         Some(Command::Converge(arguments)) => converge::run(arguments).await,
+        Some(Command::Demo(arguments)) => demo::run(arguments).await,
         Some(Command::Fleet(arguments)) => fleet::run(arguments).await,
         None => Ok(()),
     }
--- a/crates/crank-load/src/error.rs
+++ b/crates/crank-load/src/error.rs
@@ -93,4 +93,18 @@
     /// The system refused output or signals.
     #[error("the system refused ({0}): check standard output")]
     Print(std::io::Error),
+    /// A command of an experiment failed.
+    #[error("{command} failed: {said}")]
+    Command {
+        /// The command.
+        command: Arc<str>,
+        /// What it said.
+        said: Arc<str>,
+    },
+    /// An experiment broke an invariant.
+    #[error("an invariant broke: {what}")]
+    Broken {
+        /// Which, and how often.
+        what: Arc<str>,
+    },
 }
--- a/crates/crank-load/src/fleet/layout.rs
+++ b/crates/crank-load/src/fleet/layout.rs
@@ -79,7 +79,8 @@
 
 fn seat(n: usize, regions: usize, data_centres: usize, services: &[&str]) -> Seat {
     let data_centre = n % data_centres;
-    let service = services[(n / data_centres) % services.len()];
+    // Shifted by one a round, so that a service is not tied to one data centre.
+    let service = services[(n + n / data_centres) % services.len()];
     Seat {
         name: format!("node{n}").into(),
         region: format!("region{}", data_centre % regions).into(),
--- a/crates/crank-load/src/fleet/process.rs
+++ b/crates/crank-load/src/fleet/process.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use nix::unistd::Pid;
+use parking_lot::Mutex;
 use tokio::io::{AsyncBufReadExt, BufReader, Lines};
 use tokio::process::{Child, ChildStdout, Command};
 
@@ -34,6 +35,7 @@
     child: Child,
     log: PathBuf,
     listening: Arc<str>,
+    last_line: Arc<Mutex<Arc<str>>>,
 }
 
 impl Process {
@@ -75,6 +77,7 @@
             child,
             log,
             listening: Arc::from(""),
+            last_line: Arc::default(),
         };
         process.listening = process.first_line(stdout).await?;
         Ok(process)
@@ -95,7 +98,12 @@
             .and_then(Result::ok)
             .flatten()
             .ok_or_else(silent)?;
-        tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+        let last_line = self.last_line.clone();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                *last_line.lock() = line.into();
+            }
+        });
         match line.strip_prefix("listening ") {
             Some(addresses) => Ok(addresses.into()),
             None => Err(Error::Unexpected {
@@ -111,6 +119,12 @@
         &self.listening
     }
 
+    /// The last line that the program wrote after its first; empty where there was none.
+    #[must_use]
+    pub fn last_line(&self) -> Arc<str> {
+        self.last_line.lock().clone()
+    }
+
     /// The address under a key in the program's first line, such as `callers=127.0.0.1:80`.
     #[must_use]
     pub fn address(&self, key: &str) -> Option<&str> {
--- a/crates/crank-load/src/lib.rs
+++ b/crates/crank-load/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod calls;
 pub mod command;
+pub mod control;
 pub mod converge;
+pub mod demo;
 pub mod fleet;
 pub mod roster;
 pub mod usage;
--- a/crates/crank-load/src/roster.rs
+++ b/crates/crank-load/src/roster.rs
@@ -2,11 +2,12 @@
 
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::Error;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, wait};
 
 /// One node and the backend server beside it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,4 +106,52 @@
             source,
         })
     }
+
+    /// Waits until every node takes requests.
+    ///
+    /// # Errors
+    /// [`Error::Waited`] where one does not in time.
+    ///
+    /// ```
+    /// # use crank_load::{Error, roster::Roster};
+    /// # async fn example(roster: &Roster) -> Result<(), Error> {
+    /// roster.ready(std::time::Duration::from_secs(30)).await
+    /// # }
+    /// ```
+    pub async fn ready(&self, limit: Duration) -> Result<(), Error> {
+        let client = reqwest::Client::new();
+        wait("readiness of all nodes", limit, async || {
+            for post in &self.posts {
+                let answer = client
+                    .get(format!("{}/readyz", post.operators))
+                    .send()
+                    .await;
+                if !answer.is_ok_and(|answer| answer.status().is_success()) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await
+    }
+
+    /// The same without some of the nodes.
+    ///
+    /// ```
+    /// # use crank_load::roster::Roster;
+    /// # fn example(roster: &Roster) -> Roster {
+    /// roster.without(&["node3"])
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn without(&self, names: &[&str]) -> Self {
+        let posts = self
+            .posts
+            .iter()
+            .filter(|post| !names.contains(&&*post.name));
+        Self {
+            store: self.store.clone(),
+            posts: posts.cloned().collect(),
+        }
+    }
 }
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -170,8 +170,9 @@
             self.draining.clone(),
             self.mesh.clone(),
         ));
-        let (mesh, ready, target) = (self.mesh.clone(), self.ready.clone(), self.target.clone());
-        tokio::spawn(vitals(mesh, ready, target));
+        let (mesh, ready) = (self.mesh.clone(), self.ready.clone());
+        let (target, draining) = (self.target.clone(), self.draining.clone());
+        tokio::spawn(vitals(mesh, ready, target, draining));
     }
 
     fn publish(&self, platform: Remote) {
@@ -324,11 +325,16 @@
 }
 
 /// Keeps what the mesh tells of this node, and whether it takes requests, up to date.
-async fn vitals(mesh: Handle, ready: Arc<watch::Sender<bool>>, target: NodeTarget) {
+async fn vitals(
+    mesh: Handle,
+    ready: Arc<watch::Sender<bool>>,
+    target: NodeTarget,
+    draining: CancellationToken,
+) {
     let mut mesh_ready = mesh.ready();
     loop {
-        let leaving = target.progress() != Progress::Serving;
-        let is_ready = *mesh_ready.borrow_and_update() && !leaving;
+        // A node whose backend server has left still takes callers' requests for others.
+        let is_ready = *mesh_ready.borrow_and_update() && !draining.is_cancelled();
         ready.send_if_modified(|held| std::mem::replace(held, is_ready) != is_ready);
         let load = target.load();
         mesh.set_vitals(Vitals {
--- a/src/bin/crank-node.rs
+++ b/src/bin/crank-node.rs
@@ -1,7 +1,9 @@
 //! Runs a node beside a backend server.
 
 use std::path::PathBuf;
+use std::process::ExitCode;
 
+use crank_node::{Error, Settings};
 use gumdrop::Options;
 
 /// Runs a node of the mesh beside a backend server.
@@ -15,10 +17,15 @@
 }
 
 #[tokio::main]
-async fn main() -> anyhow::Result<()> {
-    let arguments = Arguments::parse_args_default_or_exit();
-    let settings = crank_node::Settings::load(&arguments.settings)?;
+async fn main() -> ExitCode {
+    match run(&Arguments::parse_args_default_or_exit()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => cactuscrank::fail("crank-node", &error),
+    }
+}
+
+async fn run(arguments: &Arguments) -> Result<(), Error> {
+    let settings = Settings::load(&arguments.settings)?;
     let _logs = crank_node::logs::start(settings.level)?;
-    crank_node::run(settings).await?;
-    Ok(())
+    crank_node::run(settings).await
 }
--- a/standins/crank-backend/src/server.rs
+++ b/standins/crank-backend/src/server.rs
@@ -25,7 +25,8 @@
 const DRAIN_QUIET: Duration = Duration::from_millis(500);
 const LARGEST_CONTROL_BYTES: u64 = 4_096;
 
-/// Runs the stand-in until SIGTERM has drained it; the first line of output is `listening ADDR`.
+/// Runs the stand-in until SIGTERM has drained it; the first line of output is `listening ADDR`,
+/// the last one `ledger JSON`.
 ///
 /// # Errors
 /// [`Error::Listen`] or [`Error::System`].
@@ -49,6 +50,9 @@
         () = drain(&state, &mut terminate) => {}
     }
     announcer::post(&state, &reqwest::Client::new(), address).await;
+    // Whoever audits a run reads the count of a server that has left from its last line.
+    let ledger = serde_json::to_string(&*state.ledger.lock()).map_err(std::io::Error::other)?;
+    writeln!(std::io::stdout(), "ledger {ledger}")?;
     Ok(())
 }
 
