--- a/crates/crank-command/src/commands/notice.rs
+++ b/crates/crank-command/src/commands/notice.rs
@@ -9,7 +9,9 @@
 
 pub(super) const ABOUT: &str = "\
 Asks a node what the end of the notice period still waits for. Exits 0 only if every proxy is known
-to hold the final version and every backend server is known to have handed over; silence is neither.";
+to hold the final version and every backend server is known to have handed over; silence is neither.
+A node that died stays silent until the mesh forgets it: name it with --gone once you have seen for
+yourself that its instance is gone.";
 
 #[derive(Debug, Options)]
 pub(crate) struct Notice {
@@ -17,6 +19,12 @@
     help: bool,
     #[options(required, help = "any node's operators' address", meta = "IP:PORT")]
     node: String,
+    #[options(
+        help = "a silent node whose instance you know to be gone; once for each",
+        meta = "NAME",
+        no_short
+    )]
+    gone: Vec<Name>,
     #[options(help = "print JSON", no_short)]
     json: bool,
 }
@@ -27,13 +35,13 @@
         let text = if self.json {
             serde_json::to_string_pretty(&notice)? + "\n"
         } else {
-            written(&notice)
+            written(&notice, &self.gone)
         };
-        Ok(Report::new(text).with_answer(notice.complete))
+        Ok(Report::new(text).with_answer(notice.is_complete_without(&self.gone)))
     }
 }
 
-fn written(notice: &Count) -> String {
+fn written(notice: &Count, gone: &[Name]) -> String {
     let ends = match (notice.ends, notice.seconds_left) {
         (Some(ends), Some(left)) => format!("{} ({})", words::time(ends), words::left(left)),
         _ => "no notice is given: set [account] notice_ends".to_owned(),
@@ -50,12 +58,13 @@
     );
     text += &names("behind", &notice.behind);
     text += &names("silent", &notice.silent);
+    text += &names("gone", gone);
     for server in &notice.not_handed_over {
         let stage = words::stage(server.stage);
         let (node, service, in_flight) = (&server.node, &server.service, server.in_flight);
         text += &format!("waits for {service} beside {node}: {stage}, {in_flight} in flight\n");
     }
-    text + if notice.complete {
+    text + if notice.is_complete_without(gone) {
         "complete\n"
     } else {
         "not complete\n"
--- a/crates/crank-command/tests/life_of_a_folder.rs
+++ b/crates/crank-command/tests/life_of_a_folder.rs
@@ -78,9 +78,10 @@
     session.desktop.silent = true;
     session.desktop.stage = Stage::Draining;
     session.ask("notice").await;
+    session.desktop.in_flight = 0;
+    session.ask("notice --gone n2").await;
     session.note("All have handed over.");
     session.desktop.silent = false;
-    session.desktop.in_flight = 0;
     session.ask("notice").await;
     session.note("The store goes down: the final version is not known.");
     session.desktop.platform.set_down(true);
--- a/crates/crank-engine/src/notice.rs
+++ b/crates/crank-engine/src/notice.rs
@@ -87,14 +87,36 @@
     for answer in &mesh.nodes {
         notice.add(answer);
     }
-    notice.complete = notice.ends.is_some()
-        && notice.proxies > 0
-        && notice.on_last == notice.proxies
-        && notice.not_handed_over.is_empty();
+    notice.complete = notice.is_complete_without(&[]);
     notice
 }
 
 impl Notice {
+    /// Whether it is complete once these silent nodes, which the operator knows to be gone, are
+    /// left out; a node that answered is never left out.
+    ///
+    /// ```
+    /// use crank_engine::notice;
+    /// use crank_protocol::{Millis, Name, config::Account, status::Mesh};
+    /// let name = Name::new("sutkent").unwrap();
+    /// let mesh = Mesh {
+    ///     account: name.clone(), asked: name.clone(), head: None, store_up: true, refused: None,
+    ///     nodes: Vec::new(), in_force: false, highest: None, took: Millis(0),
+    /// };
+    /// let account = Account { name: name.clone(), notice_ends: None };
+    /// let notice = notice::count(&account, &mesh, time::OffsetDateTime::UNIX_EPOCH);
+    /// assert!(!notice.is_complete_without(&[name]));
+    /// ```
+    #[must_use]
+    pub fn is_complete_without(&self, gone: &[Name]) -> bool {
+        let silent = self.silent.iter().filter(|id| !gone.contains(id)).count();
+        self.ends.is_some()
+            && self.on_last > 0
+            && self.behind.is_empty()
+            && silent == 0
+            && self.not_handed_over.is_empty()
+    }
+
     fn add(&mut self, answer: &Answer) {
         match answer {
             Answer::Node(node) => self.add_node(node),
--- a/crates/crank-engine/tests/notice_never_counts_silence_as_done.rs
+++ b/crates/crank-engine/tests/notice_never_counts_silence_as_done.rs
@@ -106,3 +106,18 @@
     assert!(!counted(head(), vec![done()], false).complete);
     assert!(!counted(head(), Vec::new(), true).complete);
 }
+
+#[test]
+fn an_operator_may_vouch_for_silent_nodes_only() {
+    let done = || node("n1", 3, Some(Stage::Gone), 0);
+    let silent = Answer::Silent(member("n2", State::Dead, Some(Stage::Ready)));
+    let busy = node("n2", 3, Some(Stage::Ready), 0);
+    let head = || Some(stamp(3));
+    let dead = counted(head(), vec![done(), silent.clone()], true);
+    assert!(dead.is_complete_without(&[name("n2")]));
+    assert!(!dead.is_complete_without(&[name("n3")]));
+    let answering = counted(head(), vec![done(), busy], true);
+    assert!(!answering.is_complete_without(&[name("n2")]));
+    let nobody = counted(head(), vec![silent], true);
+    assert!(!nobody.is_complete_without(&[name("n2")]));
+}
