Tie what was pulled to its store, and test operators against real processes

A process test pushed a copy of examples/folder and was refused: 'changed in the store since they were read', all four files. Cause in the product: the state did not say which store it was read from. It does now, and what was read from another store counts as not read. Worse, a pull from a store that had lost everything would have removed the local files: pull and push refuse then.

tests/operators_with_real_processes.rs: push until in force, a race of two, a refusal that leaves the accepted version, a notice with a frozen node, and a report that lacks a node.

--- a/crates/crank-command/src/commands/pull.rs
+++ b/crates/crank-command/src/commands/pull.rs
@@ -28,7 +28,7 @@
         open: impl Fn(&Settings) -> Result<P, Error>,
     ) -> Result<Report, Error> {
         let settings = settings::read(&self.settings)?;
-        let mut local = Local::open(&self.dir, &settings.account)?;
+        let mut local = Local::open(&self.dir, &settings::store(&settings), &settings.account)?;
         let store = Store::new(open(&settings)?, settings.account);
         let pull = store.pull(&mut local).await?;
         let mut text = words::files("wrote", &pull.written);
--- a/crates/crank-command/src/commands/push.rs
+++ b/crates/crank-command/src/commands/push.rs
@@ -30,7 +30,7 @@
     ) -> Result<Report, Error> {
         let settings = settings::read(&self.settings)?;
         self.check(&settings)?;
-        let mut local = Local::open(&self.dir, &settings.account)?;
+        let mut local = Local::open(&self.dir, &settings::store(&settings), &settings.account)?;
         let store = Store::new(open(&settings)?, settings.account);
         let push = store.push(&mut local).await?;
         let mut text = words::passed_over(&push.passed_over);
--- a/crates/crank-command/src/settings.rs
+++ b/crates/crank-command/src/settings.rs
@@ -22,3 +22,12 @@
         faults: faults.into_iter().map(Fault::from).collect(),
     })
 }
+
+/// Which store the settings mean, as its address and bucket.
+pub(crate) fn store(settings: &Settings) -> String {
+    format!(
+        "{}/{}",
+        settings.objects.trim_end_matches('/'),
+        settings.bucket
+    )
+}
--- a/crates/crank-engine/src/folder/settle.rs
+++ b/crates/crank-engine/src/folder/settle.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Pulled {
+    /// Which store it was, as its address and bucket.
+    pub store: Arc<str>,
     /// The client account.
     pub account: Name,
     /// The files by name.
--- a/crates/crank-operator/src/client.rs
+++ b/crates/crank-operator/src/client.rs
@@ -22,7 +22,7 @@
 }
 
 impl Client {
-    /// A client of the node whose operators' listener is at this address, `IP:port`.
+    /// A client of the node whose operators' listener is at this address, `IP:port`, or its URL.
     ///
     /// # Errors
     /// [`Error::Unreachable`] where the HTTP library cannot be set up.
@@ -31,6 +31,8 @@
     /// assert!(crank_operator::Client::new("127.0.0.1:7003").is_ok());
     /// ```
     pub fn new(address: &str) -> Result<Self, Error> {
+        let address = address.strip_prefix("http://").unwrap_or(address);
+        let address = address.trim_end_matches('/');
         let http = reqwest::Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
             .timeout(ANSWER_TIMEOUT)
--- a/crates/crank-operator/src/error.rs
+++ b/crates/crank-operator/src/error.rs
@@ -95,6 +95,12 @@
         /// The name.
         name: Arc<str>,
     },
+    /// The store holds nothing any more of what was read from it.
+    #[error("the folder in the store is empty, though files were read from it into {}; nothing was done: if it was lost, remove .crank-pulled.json there and push; if it was emptied on purpose, start from a fresh folder", .path.display())]
+    Emptied {
+        /// The local folder.
+        path: PathBuf,
+    },
     /// A local folder holds another folder.
     #[error("{} is a folder: folders inside the folder are not read; move its files up or it away", .path.display())]
     Subfolder {
--- a/crates/crank-operator/src/local.rs
+++ b/crates/crank-operator/src/local.rs
@@ -57,7 +57,9 @@
 }
 
 impl Local {
-    /// Opens a local folder of a client account; one that is not there is made.
+    /// Opens a local folder of a client account in a store; one that is not there is made.
+    ///
+    /// What was read from another store, named by its address and bucket, counts as not read.
     ///
     /// # Errors
     /// [`Error::File`], [`Error::Subfolder`], [`Error::Pulled`] or [`Error::OtherAccount`].
@@ -66,13 +68,20 @@
     /// use crank_operator::Local;
     /// let account = crank_protocol::Name::new("sutkent")?;
     /// let parent = tempfile::tempdir()?;
-    /// let local = Local::open(&parent.path().join("folder"), &account)?;
+    /// let local = Local::open(&parent.path().join("folder"), "memory", &account)?;
     /// assert!(local.files.is_empty());
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
-    pub fn open(path: &Path, account: &Name) -> Result<Self, Error> {
+    pub fn open(path: &Path, store: &str, account: &Name) -> Result<Self, Error> {
         fs::create_dir_all(path).map_err(at(path))?;
-        let pulled = read_pulled(&path.join(PULLED), account)?;
+        let read = read_pulled(&path.join(PULLED))?;
+        let pulled = read
+            .filter(|read| &*read.store == store)
+            .unwrap_or_else(|| Pulled {
+                store: store.into(),
+                account: account.clone(),
+                files: BTreeMap::new(),
+            });
         if pulled.account != *account {
             return Err(Error::OtherAccount {
                 path: path.to_owned(),
@@ -102,7 +111,7 @@
     /// # use crank_operator::Local;
     /// # let account = crank_protocol::Name::new("sutkent")?;
     /// # let folder = tempfile::tempdir()?;
-    /// assert_eq!(Local::open(folder.path(), &account)?.path(), folder.path());
+    /// assert_eq!(Local::open(folder.path(), "memory", &account)?.path(), folder.path());
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
     #[must_use]
@@ -132,21 +141,20 @@
     }
 }
 
-fn read_pulled(path: &Path, account: &Name) -> Result<Pulled, Error> {
+fn read_pulled(path: &Path) -> Result<Option<Pulled>, Error> {
     let text = match fs::read(path) {
         Ok(text) => text,
         Err(error) if error.kind() == std::io::ErrorKind::NotFound => {
-            return Ok(Pulled {
-                account: account.clone(),
-                files: BTreeMap::new(),
-            });
+            return Ok(None);
         }
         Err(error) => return Err(at(path)(error)),
     };
-    serde_json::from_slice(&text).map_err(|error| Error::Pulled {
-        path: path.to_owned(),
-        detail: error.to_string().into(),
-    })
+    serde_json::from_slice(&text)
+        .map(Some)
+        .map_err(|error| Error::Pulled {
+            path: path.to_owned(),
+            detail: error.to_string().into(),
+        })
 }
 
 fn at(path: &Path) -> impl FnOnce(std::io::Error) -> Error + use<> {
--- a/crates/crank-operator/src/push.rs
+++ b/crates/crank-operator/src/push.rs
@@ -8,6 +8,7 @@
 use crank_platform_client::{Condition, Error as StoreError, Etag, Platform, folder};
 use crank_protocol::Name;
 
+use crate::store::check_not_emptied;
 use crate::{Error, Local, Push, Store};
 
 enum Edit {
@@ -22,7 +23,7 @@
     /// that a push whose answer was lost can be repeated.
     ///
     /// # Errors
-    /// [`Error::Changed`] with nothing written, [`Error::Overtaken`] or [`Error::Stopped`] with
+    /// [`Error::Changed`] or [`Error::Emptied`] with nothing written, [`Error::Overtaken`] or [`Error::Stopped`] with
     /// what was written before, else whatever the store or the local folder gives.
     ///
     /// ```
@@ -33,7 +34,7 @@
     /// # let dir = tempfile::tempdir().unwrap();
     /// std::fs::write(dir.path().join("10.ini"), "[account]\nname = sutkent\n").unwrap();
     /// let store = Store::new(Memory::new(), account.clone());
-    /// let mut local = Local::open(dir.path(), &account).unwrap();
+    /// let mut local = Local::open(dir.path(), "memory", &account).unwrap();
     /// assert_eq!(store.push(&mut local).await.unwrap().written.len(), 1);
     /// assert!(store.push(&mut local).await.unwrap().written.is_empty());
     /// # });
@@ -55,6 +56,7 @@
 
     async fn check_unchanged(&self, local: &mut Local) -> Result<(), Error> {
         let listed = self.list().await?;
+        check_not_emptied(local, listed.is_empty())?;
         let stored: BTreeMap<Arc<str>, Arc<str>> = listed
             .into_iter()
             .map(|file| (file.name, file.etag))
--- a/crates/crank-operator/src/store.rs
+++ b/crates/crank-operator/src/store.rs
@@ -66,8 +66,8 @@
     /// Brings what changed in the store into a local folder; changes made here are kept.
     ///
     /// # Errors
-    /// [`Error::WouldOverwrite`] where a file was changed on both sides, and then nothing is
-    /// touched; else whatever the store or the local folder gives.
+    /// [`Error::WouldOverwrite`] where a file was changed on both sides and [`Error::Emptied`] where
+    /// the store holds nothing any more, and then nothing is touched; else whatever the store or the local folder gives.
     ///
     /// ```
     /// # use crank_operator::{Local, Store};
@@ -76,12 +76,13 @@
     /// # let account = crank_protocol::Name::new("sutkent").unwrap();
     /// # let dir = tempfile::tempdir().unwrap();
     /// let store = Store::new(Memory::new(), account.clone());
-    /// let mut local = Local::open(dir.path(), &account).unwrap();
+    /// let mut local = Local::open(dir.path(), "memory", &account).unwrap();
     /// assert!(store.pull(&mut local).await.unwrap().written.is_empty());
     /// # });
     /// ```
     pub async fn pull(&self, local: &mut Local) -> Result<Pull, Error> {
         let stored = self.read().await?;
+        check_not_emptied(local, stored.is_empty())?;
         let names: BTreeSet<Arc<str>> = stored.keys().chain(local.files.keys()).cloned().collect();
         let mut pull = Pull::default();
         let mut conflicts = Vec::new();
@@ -171,6 +172,16 @@
     }
 }
 
+/// A store that lost everything is not an operator's removal of every file.
+pub(crate) fn check_not_emptied(local: &Local, is_empty: bool) -> Result<(), Error> {
+    if !is_empty || local.pulled.files.is_empty() {
+        return Ok(());
+    }
+    Err(Error::Emptied {
+        path: local.path().to_owned(),
+    })
+}
+
 fn settled(local: &Local, stored: &BTreeMap<Arc<str>, Stored>, name: &str) -> Settled {
     let read = local.pulled.files.get(name).map(|read| &read.digest);
     let theirs = stored.get(name).map(|stored| &stored.read.digest);
--- a/crates/crank-operator/tests/racing_operators_lose_nothing.rs
+++ b/crates/crank-operator/tests/racing_operators_lose_nothing.rs
@@ -39,7 +39,7 @@
     }
 
     fn local(&self) -> Local {
-        Local::open(self.dir.path(), &account()).unwrap()
+        Local::open(self.dir.path(), "memory", &account()).unwrap()
     }
 
     async fn push(&self) -> Result<Push, Error> {
@@ -199,3 +199,30 @@
     anna.store.remove(name).await.unwrap();
     anna.pull().await.unwrap();
 }
+
+#[tokio::test]
+async fn an_emptied_store_or_another_store_takes_no_local_file() {
+    let platform = Memory::new();
+    let anna = Operator::new(&platform);
+    anna.put("a.ini", "; 1");
+    anna.push().await.unwrap();
+    let emptied = Store::new(Memory::new(), account());
+    assert!(matches!(
+        emptied.pull(&mut anna.local()).await,
+        Err(Error::Emptied { .. })
+    ));
+    assert!(matches!(
+        emptied.push(&mut anna.local()).await,
+        Err(Error::Emptied { .. })
+    ));
+    let mut elsewhere = Local::open(anna.dir.path(), "elsewhere", &account()).unwrap();
+    assert_eq!(
+        emptied.pull(&mut elsewhere).await.unwrap().kept,
+        ["a.ini".into()]
+    );
+    assert_eq!(
+        emptied.push(&mut elsewhere).await.unwrap().written,
+        ["a.ini".into()]
+    );
+    assert_eq!(read(anna.dir.path(), "a.ini").unwrap(), "; 1");
+}
--- /dev/null
+++ b/tests/operators_with_real_processes.rs
@@ -0,0 +1,232 @@
+//! Operators at work on a small mesh of real processes.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+use crank_engine::notice::Notice;
+use crank_load::fleet::{Fleet, Layout, Signal, wait};
+use crank_protocol::status::Mesh;
+use tempfile::TempDir;
+
+const PATIENCE: Duration = Duration::from_secs(60);
+const SERVICES: [&str; 3] = ["recipes", "panels", "batches"];
+const NOTICE: &str = "[account]\nname = sutkent\nnotice_ends = 2026-12-06T23:59:59+05:00\n";
+
+struct Said {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+fn programs() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_crankctl")).parent().unwrap()
+}
+
+fn run(program: &str, arguments: &[&str]) -> Said {
+    let output = Command::new(programs().join(program))
+        .args(arguments)
+        .output()
+        .unwrap();
+    Said {
+        code: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+struct Office {
+    fleet: Fleet,
+    home: TempDir,
+    settings: PathBuf,
+}
+
+impl Office {
+    async fn open() -> Self {
+        let home = TempDir::new().unwrap();
+        let layout = Layout::new("sutkent", 3, 1, 3, &["recipes"]);
+        let mut layout = layout;
+        for (seat, service) in layout.seats.iter_mut().zip(SERVICES) {
+            seat.service = service.into();
+        }
+        let fleet = Fleet::start(layout, programs(), home.path()).await.unwrap();
+        let settings = fleet.store_settings().unwrap();
+        Self {
+            fleet,
+            home,
+            settings,
+        }
+    }
+
+    fn folder(&self, name: &str) -> PathBuf {
+        self.home.path().join(name)
+    }
+
+    fn store(&self, command: &str, operand: &str) -> Said {
+        let settings = self.settings.display().to_string();
+        run("crankctl", &[command, operand, "--settings", &settings])
+    }
+
+    fn in_folder(&self, command: &str, name: &str) -> Said {
+        self.store(command, &self.folder(name).display().to_string())
+    }
+
+    fn status(&self) -> Mesh {
+        let node = self.fleet.nodes[0].operators();
+        let said = run("crankctl", &["status", "--json", "--node", &node]);
+        assert_eq!(said.code, 0, "{}", said.err);
+        serde_json::from_str(&said.out).unwrap()
+    }
+
+    fn notice(&self) -> (i32, Notice) {
+        let node = self.fleet.nodes[0].operators();
+        let said = run("crankctl", &["notice", "--json", "--node", &node]);
+        (said.code, serde_json::from_str(&said.out).unwrap())
+    }
+
+    async fn until(&self, what: &str, holds: impl Fn(&Mesh) -> bool) {
+        let reached = wait(what, PATIENCE, async || holds(&self.status())).await;
+        assert!(reached.is_ok(), "{what}: {:?}", self.status());
+    }
+
+    async fn until_in_force(&self, version: u64) {
+        let is_in_force = |mesh: &Mesh| {
+            let head = mesh.head.as_ref().map(|head| head.version.0);
+            head == Some(version) && mesh.in_force && mesh.nodes.len() == SERVICES.len()
+        };
+        self.until(&format!("version {version} in force"), is_in_force)
+            .await;
+    }
+}
+
+fn copy_example(to: &Path) {
+    std::fs::create_dir_all(to).unwrap();
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/folder");
+    for entry in std::fs::read_dir(example).unwrap() {
+        let path = entry.unwrap().path();
+        std::fs::copy(&path, to.join(path.file_name().unwrap())).unwrap();
+    }
+}
+
+async fn answers(office: &Office) {
+    let served = async || {
+        let url = format!("{}/recipes/7", office.fleet.nodes[1].callers());
+        let answer = reqwest::get(url).await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    };
+    wait("a served request", PATIENCE, served).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_pushed_folder_is_in_force_and_the_second_of_two_operators_is_told() {
+    let office = Office::open().await;
+    copy_example(&office.folder("anna"));
+    let pushed = office.in_folder("push", "anna");
+    assert_eq!(pushed.code, 0, "{}", pushed.err);
+    office.until_in_force(1).await;
+    answers(&office).await;
+
+    assert_eq!(office.in_folder("pull", "berik").code, 0);
+    let change = |name: &str, queue: u32| {
+        let text = format!("[service recipes]\nqueue = {queue}\n");
+        std::fs::write(office.folder(name).join("90-night.ini"), text).unwrap();
+    };
+    change("anna", 3);
+    change("berik", 4);
+    assert_eq!(office.in_folder("push", "berik").code, 0);
+    let refused = office.in_folder("push", "anna");
+    assert_eq!(refused.code, 1);
+    assert!(
+        refused
+            .err
+            .contains("changed in the store since they were read: 90-night.ini")
+    );
+    office.until_in_force(2).await;
+    let history = run(
+        "crankctl",
+        &["history", "--node", &office.fleet.nodes[2].operators()],
+    );
+    assert_eq!(
+        (history.code, history.out.lines().count()),
+        (0, 3),
+        "{}",
+        history.out
+    );
+}
+
+#[tokio::test]
+async fn a_refused_folder_leaves_the_accepted_version_in_force() {
+    let office = Office::open().await;
+    copy_example(&office.folder("anna"));
+    assert_eq!(office.in_folder("push", "anna").code, 0);
+    office.until_in_force(1).await;
+    let removed = office.store("rm", "10-account.ini");
+    assert_eq!(removed.code, 0, "{}", removed.err);
+    office
+        .until("a refusal", |mesh| mesh.refused.is_some())
+        .await;
+    office.until_in_force(1).await;
+    answers(&office).await;
+    assert_eq!(office.in_folder("pull", "anna").code, 0);
+    copy_example(&office.folder("anna"));
+    assert_eq!(office.in_folder("push", "anna").code, 0);
+    let mended = |mesh: &Mesh| mesh.refused.is_none() && mesh.in_force;
+    office.until("the folder accepted again", mended).await;
+}
+
+#[tokio::test]
+async fn the_notice_is_complete_once_every_server_has_handed_over() {
+    let office = Office::open().await;
+    copy_example(&office.folder("anna"));
+    std::fs::write(office.folder("anna").join("10-account.ini"), NOTICE).unwrap();
+    assert_eq!(office.in_folder("push", "anna").code, 0);
+    office.until_in_force(1).await;
+    let all_announced = async || office.notice().1.not_handed_over.len() == 3;
+    wait("three servers", PATIENCE, all_announced)
+        .await
+        .unwrap();
+    assert_eq!(office.notice().0, 1);
+
+    office.fleet.nodes[1].node.signal(Signal::Freeze).unwrap();
+    for node in &office.fleet.nodes {
+        node.backend.signal(Signal::Terminate).unwrap();
+    }
+    let handed_over = async || office.notice().1.handed_over == 2;
+    wait("two servers handed over", PATIENCE, handed_over)
+        .await
+        .unwrap();
+    let (code, notice) = office.notice();
+    assert_eq!(
+        (code, notice.silent.len()),
+        (1, 1),
+        "a frozen node counts as done"
+    );
+
+    office.fleet.nodes[1].node.signal(Signal::Wake).unwrap();
+    let complete = async || office.notice().0 == 0;
+    wait("the end of the notice", PATIENCE, complete)
+        .await
+        .unwrap();
+}
+
+#[tokio::test]
+async fn the_report_says_which_nodes_it_did_not_hear() {
+    let office = Office::open().await;
+    copy_example(&office.folder("anna"));
+    assert_eq!(office.in_folder("push", "anna").code, 0);
+    office.until_in_force(1).await;
+    let urls: Vec<String> = office
+        .fleet
+        .nodes
+        .iter()
+        .map(|node| node.operators())
+        .collect();
+    let all: Vec<&str> = urls.iter().flat_map(|url| ["--node", url]).collect();
+    let heard = run("crank-report", &all);
+    assert_eq!(heard.code, 0, "{}{}", heard.out, heard.err);
+    let two = run("crank-report", &all[..4]);
+    assert_eq!(two.code, 1);
+    assert!(two.out.contains("unheard    node2"), "{}", two.out);
+}
