--- a/crates/crank-platform-client/tests/remote_speaks_to_the_standin.rs
+++ b/crates/crank-platform-client/tests/remote_speaks_to_the_standin.rs
@@ -109,6 +109,8 @@
 async fn a_lost_answer_to_the_head_is_settled_by_its_nonce_and_sent_once() {
     let standin = Standin::start().await;
     let (client, account) = (standin.client(TIMEOUT), name("sutkent"));
+    // A library may send again by itself on a connection that was used before.
+    assert_eq!(head::read(&client, &account).await, Ok(None));
     standin.switch(r#"{"lose_answers": 1}"#).await;
     let step = advance(None, &Digest::new(&"0a".repeat(32)).unwrap(), Nonce(7)).unwrap();
     let entry = Entry {
@@ -127,6 +129,21 @@
     assert_eq!(standin.counts().await.operations["TransactWriteItems"], 1);
 }
 
+#[tokio::test]
+async fn a_lost_answer_of_an_object_is_said_and_the_object_sent_once() {
+    let standin = Standin::start().await;
+    let client = standin.client(TIMEOUT);
+    assert_eq!(client.read("x/a").await, Ok(None));
+    standin.switch(r#"{"lose_answers": 1}"#).await;
+    let written = client.write("x/a", "a".into(), Condition::Absent).await;
+    assert!(
+        matches!(written, Err(Error::AnswerLost { .. })),
+        "{written:?}"
+    );
+    assert_eq!(standin.counts().await.operations["PutObject"], 1);
+    assert!(client.read("x/a").await.unwrap().is_some());
+}
+
 #[tokio::test]
 async fn a_lost_answer_to_a_claim_is_settled_by_its_nonce() {
     let standin = Standin::start().await;
