--- a/crates/crank-platform-client/src/claims.rs
+++ b/crates/crank-platform-client/src/claims.rs
@@ -1,5 +1,7 @@
 //! Claims of requests that may run only once.
 
+mod row;
+
 use std::future::Future;
 use std::time::Duration;
 
@@ -12,7 +14,7 @@
 
 const CLAIMS: &str = "claims";
 const TRIES: u32 = 5;
-const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE: Duration = Duration::from_millis(50);
 
 /// Claims a request under the caller's key.
 ///
@@ -64,6 +66,10 @@
                 let written = put(platform, key, mine, over.as_ref()).await;
                 let (put, error) = put_result(written);
                 failure = error.unwrap_or(failure);
+                if put == Put::Lost {
+                    // The store is in trouble, and the write may still be on its way.
+                    tokio::time::sleep(PAUSE).await;
+                }
                 claim::after_put(put)
             }
             Step::Read => claim::after_read(mine, found(platform, key).await?.as_ref()),
@@ -166,7 +172,7 @@
     for _ in 0..TRIES {
         let claimed = mark(ended.nonce, &Stage::Claimed);
         let guard = Guard::Mark(&claimed);
-        let row = table::put(key.clone(), &mark_of(ended), ended, &guard)?;
+        let row = row::write(key, &mark_of(ended), ended, &guard)?;
         last = match platform.transact(vec![row]).await {
             Ok(()) => return Ok(()),
             Err(Error::ConditionFailed) => {
@@ -192,13 +198,13 @@
 ) -> Result<(), Error> {
     let released = over.map(|nonce| mark(*nonce, &Stage::Released));
     let guard = released.as_deref().map_or(Guard::Absent, Guard::Mark);
-    let row = table::put(key.clone(), &mark_of(mine), mine, &guard)?;
+    let row = row::write(key, &mark_of(mine), mine, &guard)?;
     platform.transact(vec![row]).await
 }
 
 async fn found(platform: &impl Platform, key: &Key) -> Result<Option<Claim>, Error> {
-    let row = platform.row(key).await?;
-    row.map(|row| table::content(&row)).transpose()
+    let found = platform.row(key).await?;
+    found.map(|found| row::read(&found)).transpose()
 }
 
 async fn in_time<T>(
--- /dev/null
+++ b/crates/crank-platform-client/src/claims/row.rs
@@ -0,0 +1,51 @@
+//! The claim row. A recorded body has an attribute of its own, as bytes: JSON would make it four
+//! times as large, and the table service charges by size.
+
+use std::sync::Arc;
+
+use crank_engine::claim::{Claim, Recorded, Stage};
+use serde_bytes::ByteBuf;
+
+use crate::table::{self, Guard};
+use crate::{Error, Key, Row, RowWrite, Value};
+
+const BODY: &str = "body";
+
+pub(super) fn write(
+    key: &Key,
+    mark: &str,
+    claim: &Claim,
+    guard: &Guard<'_>,
+) -> Result<RowWrite, Error> {
+    let body = match &claim.stage {
+        Stage::Recorded(recorded) => recorded.body.clone(),
+        Stage::Claimed | Stage::Released => None,
+    };
+    let mut write = table::put(key.clone(), mark, &with_body(claim.clone(), None), guard)?;
+    if let Some(body) = body {
+        let value = Value::Bytes(body.into_vec());
+        write.row.attributes.insert(Arc::from(BODY), value);
+    }
+    Ok(write)
+}
+
+pub(super) fn read(row: &Row) -> Result<Claim, Error> {
+    let claim = table::content(row)?;
+    let body = match row.attributes.get(BODY) {
+        Some(Value::Bytes(body)) => Some(ByteBuf::from(body.clone())),
+        Some(_) => return Err(table::malformed(&row.key, &"its body is not bytes")),
+        None => None,
+    };
+    Ok(with_body(claim, body))
+}
+
+fn with_body(claim: Claim, body: Option<ByteBuf>) -> Claim {
+    let stage = match claim.stage {
+        Stage::Recorded(recorded) => Stage::Recorded(Arc::new(Recorded {
+            head: recorded.head.clone(),
+            body,
+        })),
+        stage => stage,
+    };
+    Claim { stage, ..claim }
+}
