--- a/crates/crank-platform-client/src/claims/row.rs
+++ b/crates/crank-platform-client/src/claims/row.rs
@@ -2,6 +2,7 @@
 //! times as large, and the table service charges by size.
 
 use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crank_engine::claim::{Claim, Recorded, Stage};
 use serde_bytes::ByteBuf;
@@ -10,6 +11,10 @@
 use crate::{Error, Key, Row, RowWrite, Value};
 
 const BODY: &str = "body";
+/// When the table service may remove the row, in seconds since 1970.
+const EXPIRES: &str = "expires";
+/// How long a key is remembered; a repeat after that runs again.
+const KEPT: Duration = Duration::from_secs(30 * 24 * 60 * 60);
 
 pub(super) fn write(
     key: &Key,
@@ -22,6 +27,8 @@
         Stage::Claimed | Stage::Released => None,
     };
     let mut write = table::put(key.clone(), mark, &with_body(claim.clone(), None), guard)?;
+    let expires = Value::Number(expires(SystemTime::now()));
+    write.row.attributes.insert(Arc::from(EXPIRES), expires);
     if let Some(body) = body {
         let value = Value::Bytes(body.into_vec());
         write.row.attributes.insert(Arc::from(BODY), value);
@@ -39,6 +46,11 @@
     Ok(with_body(claim, body))
 }
 
+fn expires(now: SystemTime) -> u64 {
+    let since = now.duration_since(UNIX_EPOCH).unwrap_or_default();
+    (since + KEPT).as_secs()
+}
+
 fn with_body(claim: Claim, body: Option<ByteBuf>) -> Claim {
     let stage = match claim.stage {
         Stage::Recorded(recorded) => Stage::Recorded(Arc::new(Recorded {
--- a/standins/crank-platform/src/control.rs
+++ b/standins/crank-platform/src/control.rs
@@ -1,6 +1,6 @@
 //! The switches by which a test makes the platform fail, and what is counted.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -17,6 +17,8 @@
 pub struct Switches {
     /// Whether every request is answered as unavailable.
     pub down: bool,
+    /// Operations that are answered as unavailable, such as `TransactWriteItems`.
+    pub down_operations: BTreeSet<String>,
     /// How long every request takes, in milliseconds.
     pub slow_ms: u64,
     /// How many writes that take effect shall have their answer lost from now on.
@@ -35,6 +37,7 @@
     fn default() -> Self {
         Self {
             down: false,
+            down_operations: BTreeSet::new(),
             slow_ms: 0,
             lose_answers: 0,
             delays_ms: BTreeMap::new(),
--- a/standins/crank-platform/src/gate.rs
+++ b/standins/crank-platform/src/gate.rs
@@ -74,7 +74,7 @@
             .operations
             .entry(operation.to_owned())
             .or_default() += 1;
-        if inner.switches.down {
+        if inner.switches.down || inner.switches.down_operations.contains(operation) {
             inner.counts.refused += 1;
             return Err(Stop::Down);
         }
