--- /dev/null
+++ b/crates/crank-engine/tests/publishing_waits_and_takes_turns.rs
@@ -0,0 +1,103 @@
+//! The settle window and the publisher's lease, over generated times and rivals.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by it")]
+
+use crank_engine::Moment;
+use crank_engine::publish::{LEASE, Lease, Listed, Look, RENEW, Tenure, TenureStep, Watch, pause};
+use crank_protocol::{Millis, Name};
+use proptest::prelude::*;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+const WINDOW: Millis = Millis(500);
+const LONGEST_PAUSE: Millis = Millis(5_000);
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn listing(etag: u8) -> Vec<Listed> {
+    vec![Listed {
+        name: "a.ini".into(),
+        etag: etag.to_string().into(),
+        size: 1,
+    }]
+}
+
+/// A node that took the lease with its first write, begun at this moment.
+fn holding(begun: Moment) -> Tenure {
+    let mut tenure = Tenure::new(name("n1"));
+    let TenureStep::Write(write) = tenure.after_read(None, begun) else {
+        unreachable!("a lease that nobody holds is taken");
+    };
+    tenure.after_write(write, true, begun);
+    tenure
+}
+
+proptest! {
+    #[test]
+    fn a_folder_is_read_only_after_it_stood_still_for_the_window(
+        polls in prop::collection::vec((1_u64..400, 0_u8..3), 1..60),
+    ) {
+        let mut watch = Watch::new(WINDOW);
+        let (mut now, mut still_since, mut last) = (Moment(0), Moment(0), None);
+        for (wait, etag) in polls {
+            now = now.after(Millis(wait));
+            if last != Some(etag) {
+                (last, still_since) = (Some(etag), now);
+            }
+            let look = watch.look(&listing(etag), now);
+            let stood_still = now.since(still_since) >= WINDOW;
+            prop_assert_eq!(look == Look::Read, stood_still);
+        }
+    }
+
+    #[test]
+    fn a_lease_is_taken_only_from_a_holder_that_was_silent_for_a_whole_lease(
+        looks in prop::collection::vec((1_u64..2_000, prop::bool::ANY), 1..60),
+    ) {
+        let mut tenure = Tenure::new(name("n1"));
+        let (mut now, mut silent_since) = (Moment(0), None);
+        let mut lease = Lease { holder: name("n2"), beat: 1 };
+        for (wait, renewed) in looks {
+            now = now.after(Millis(wait));
+            if renewed {
+                lease.beat += 1;
+                silent_since = None;
+            }
+            let since = *silent_since.get_or_insert(now);
+            let step = tenure.after_read(Some(lease.clone()), now);
+            let taken = matches!(step, TenureStep::Write(_));
+            prop_assert_eq!(taken, now.since(since) >= LEASE);
+        }
+    }
+
+    #[test]
+    fn a_holder_that_was_paused_for_a_lease_reads_before_it_publishes(paused in 0_u64..20_000) {
+        let mut tenure = holding(Moment(0));
+        let step = tenure.next(true, Moment(0).after(Millis(paused)));
+        match Millis(paused) {
+            short if short < RENEW => prop_assert_eq!(step, TenureStep::Hold),
+            longer if longer < LEASE => prop_assert!(matches!(step, TenureStep::Write(_))),
+            _ => {
+                prop_assert_eq!(step, TenureStep::Read);
+                prop_assert!(!tenure.is_held());
+            }
+        }
+    }
+
+    #[test]
+    fn failures_wait_longer_and_longer_up_to_a_cap(failures in 0_u32..1_000, seed in any::<u64>()) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let wait = pause(failures, &mut rng);
+        let full = Millis((250 << failures.min(5)).min(LONGEST_PAUSE.0));
+        prop_assert!(wait >= Millis(full.0 / 2) && wait <= full);
+    }
+}
+
+#[test]
+fn a_node_that_is_no_candidate_any_more_gives_the_lease_up() {
+    let mut tenure = holding(Moment(0));
+    assert_eq!(tenure.next(false, Moment(1)), TenureStep::Wait);
+    assert!(!tenure.is_held());
+}
