--- a/crates/crank-load/src/fleet/start.rs
+++ b/crates/crank-load/src/fleet/start.rs
@@ -7,6 +7,7 @@
 use super::{Layout, Process, Seat, Signal};
 use crate::Error;
 
+const SEEDS: usize = 3;
 const POLL: Duration = Duration::from_millis(50);
 
 /// A node with the backend server beside it.
@@ -120,7 +121,8 @@
     /// # Errors
     /// Whatever keeps a process from starting.
     pub async fn start_node(&self, seat: Seat) -> Result<Node, Error> {
-        let settings = self.write(&format!("{}.ini", seat.name), &self.node_settings(&seat))?;
+        let settings = self.node_settings(&seat) + &self.seeds(&seat);
+        let settings = self.write(&format!("{}.ini", seat.name), &settings)?;
         let arguments = ["--settings".to_owned(), settings.display().to_string()];
         let program = self.programs.join("crank-node");
         let node = Process::start(&seat.name, &program, &arguments, &self.folder).await?;
@@ -155,6 +157,19 @@
         .await
     }
 
+    /// Some of the other nodes, by which a node joins while the store is down.
+    fn seeds(&self, seat: &Seat) -> String {
+        let others = self.nodes.iter().filter(|node| node.seat != *seat);
+        let addresses = others
+            .filter_map(|node| node.node.address("mesh"))
+            .take(SEEDS);
+        let seeds: Vec<&str> = addresses.collect();
+        if seeds.is_empty() {
+            return String::new();
+        }
+        format!("[mesh]\nseeds = {}\n", seeds.join(", "))
+    }
+
     fn write(&self, name: &str, content: &str) -> Result<PathBuf, Error> {
         let path = self.folder.join(name);
         std::fs::write(&path, content).map_err(|source| Error::File {
--- /dev/null
+++ b/tests/requests_meet_failures.rs
@@ -0,0 +1,213 @@
+//! Requests under load while processes die, freeze and leave.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Mesh, header, load, orders};
+use crank_load::calls::{self, Told};
+use crank_load::fleet::Signal;
+
+const LOAD: Duration = Duration::from_secs(4);
+const BEFORE: Duration = Duration::from_millis(1_200);
+
+fn told(tally: &calls::Tally, told: &Told) -> u64 {
+    tally.figures().told.get(told).copied().unwrap_or(0)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_node_makes_nothing_run_twice_and_no_refusal_untrue() {
+    let mesh = Mesh::start(6, 2, 3).await;
+    let living = mesh.roster_without(&[2]);
+    let writes = tokio::spawn(calls::run(orders(&living, "/orders", LOAD)));
+    let reads = tokio::spawn(calls::run(load(&living, "/recipes/apricot", LOAD)));
+    tokio::time::sleep(BEFORE).await;
+    mesh.fleet.nodes[2].node.signal(Signal::Kill).unwrap();
+    let (writes, reads) = (
+        writes.await.unwrap().unwrap(),
+        reads.await.unwrap().unwrap(),
+    );
+
+    let runs = mesh.runs().await;
+    let audit = runs.audit(writes.done());
+    assert_eq!(
+        (audit.run_twice, audit.not_run_but_ran),
+        (0, 0),
+        "{audit:?}"
+    );
+    assert_eq!(audit.unread_ledgers, 0);
+    assert_eq!(runs.audit(reads.done()).not_run_but_ran, 0);
+    assert_eq!(
+        told(&reads, &Told::Crossed) + told(&writes, &Told::Crossed),
+        0
+    );
+    assert_eq!(
+        told(&reads, &Told::Whole),
+        reads.figures().requests,
+        "{:?}",
+        reads.figures()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_is_told_to_leave_cuts_nothing() {
+    let mut mesh = Mesh::start(6, 2, 3).await;
+    let staying = mesh.roster_without(&[1]);
+    let writes = tokio::spawn(calls::run(orders(&staying, "/orders", LOAD)));
+    let reads = tokio::spawn(calls::run(load(&staying, "/recipes/apricot", LOAD)));
+    tokio::time::sleep(BEFORE).await;
+    mesh.fleet.nodes[1].node.signal(Signal::Terminate).unwrap();
+    let code = mesh.fleet.nodes[1]
+        .node
+        .ended(common::PATIENCE)
+        .await
+        .unwrap();
+    let (writes, reads) = (
+        writes.await.unwrap().unwrap(),
+        reads.await.unwrap().unwrap(),
+    );
+
+    assert_eq!(code, Some(0));
+    for tally in [&writes, &reads] {
+        let figures = tally.figures();
+        assert_eq!(told(tally, &Told::Whole), figures.requests, "{figures:?}");
+    }
+    let audit = mesh.runs().await.audit(writes.done());
+    assert_eq!(
+        (audit.run_twice, audit.not_run_but_ran),
+        (0, 0),
+        "{audit:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_drains_cuts_nothing_and_gets_nothing_new() {
+    let mut mesh = Mesh::start(6, 2, 3).await;
+    let all = mesh.roster();
+    let writes = tokio::spawn(calls::run(orders(&all, "/orders", LOAD)));
+    tokio::time::sleep(BEFORE).await;
+    let leaving = mesh
+        .fleet
+        .layout
+        .seats
+        .iter()
+        .position(|seat| &*seat.service == "panels");
+    let leaving = leaving.unwrap();
+    mesh.fleet.nodes[leaving]
+        .backend
+        .signal(Signal::Terminate)
+        .unwrap();
+    let code = mesh.fleet.nodes[leaving]
+        .backend
+        .ended(common::PATIENCE)
+        .await
+        .unwrap();
+    let writes = writes.await.unwrap().unwrap();
+
+    assert_eq!(code, Some(0));
+    let figures = writes.figures();
+    assert_eq!(told(&writes, &Told::Whole), figures.requests, "{figures:?}");
+    let staying = mesh.roster_without(&[leaving]);
+    let backends: Vec<_> = staying
+        .posts
+        .iter()
+        .map(|post| post.backend.clone())
+        .collect();
+    let mut runs = calls::Runs::read(&backends).await.unwrap();
+    runs.add_line(&mesh.fleet.nodes[leaving].backend.last_line());
+    let audit = runs.audit(writes.done());
+    assert_eq!(
+        (audit.run_twice, audit.not_run_but_ran),
+        (0, 0),
+        "{audit:?}"
+    );
+    assert_eq!((audit.unread_ledgers, audit.runs), (0, figures.requests));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_frozen_in_the_middle_of_a_request_makes_it_unknown_and_never_twice() {
+    let mesh = Mesh::start(6, 2, 3).await;
+    let seats = &mesh.fleet.layout.seats;
+    let frozen = seats
+        .iter()
+        .position(|seat| &*seat.service == "panels")
+        .unwrap();
+    let living = mesh.roster_without(&[frozen]);
+    let mut plan = orders(&living, "/orders", LOAD);
+    plan.limit = Duration::from_secs(30);
+    let writes = tokio::spawn(calls::run(plan));
+    tokio::time::sleep(BEFORE).await;
+    mesh.fleet.nodes[frozen]
+        .node
+        .signal(Signal::Freeze)
+        .unwrap();
+    let writes = writes.await.unwrap().unwrap();
+    mesh.fleet.nodes[frozen].node.signal(Signal::Wake).unwrap();
+    mesh.roster().ready(common::PATIENCE).await.unwrap();
+
+    let audit = mesh.runs().await.audit(writes.done());
+    assert_eq!(
+        (audit.run_twice, audit.not_run_but_ran),
+        (0, 0),
+        "{audit:?}"
+    );
+    assert_eq!(audit.unread_ledgers, 0);
+    let figures = writes.figures();
+    assert_eq!(
+        told(&writes, &Told::Crossed) + told(&writes, &Told::Cut),
+        0,
+        "{figures:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_that_restarts_at_once_comes_back_whole() {
+    let mut mesh = Mesh::start(9, 2, 3).await;
+    let start = mesh.version(0).await;
+    mesh.edit(1).await;
+    let all: Vec<usize> = (0..9).collect();
+    mesh.holds(&all, start + 1).await;
+    let herd = [1, 4, 7];
+    let staying = mesh.roster_without(&herd);
+    let writes = tokio::spawn(calls::run(orders(&staying, "/orders", LOAD)));
+    for index in herd {
+        mesh.fleet.nodes[index].node.signal(Signal::Kill).unwrap();
+    }
+    for index in herd {
+        mesh.fleet.restart(index).await.unwrap();
+    }
+    mesh.holds(&all, start + 1).await;
+    mesh.roster().ready(common::PATIENCE).await.unwrap();
+    let writes = writes.await.unwrap().unwrap();
+
+    let audit = mesh.runs().await.audit(writes.done());
+    assert_eq!(
+        (audit.run_twice, audit.not_run_but_ran),
+        (0, 0),
+        "{audit:?}"
+    );
+    mesh.edit(2).await;
+    mesh.holds(&all, start + 2).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_key_sent_to_every_node_at_once_runs_once() {
+    let mesh = Mesh::start(6, 2, 3).await;
+    for round in 0..5 {
+        let key = format!("order-{round}");
+        let sent = (0..6).map(|index| mesh.release(index, &key, 10_000));
+        let answers = futures::future::join_all(sent).await;
+        let ran = answers
+            .iter()
+            .filter(|answer| answer.status() == 200)
+            .count();
+        assert!(ran >= 1, "somebody gets the answer");
+        for answer in &answers {
+            let told = (answer.status().as_u16(), header(answer, "crank-refusal"));
+            assert!(matches!(told, (200, "") | (409, "key_in_use")), "{told:?}");
+        }
+        assert_eq!(mesh.keys().await[&key], 1);
+    }
+}
