--- a/crates/crank-engine/src/spread/gate.rs
+++ b/crates/crank-engine/src/spread/gate.rs
@@ -3,15 +3,13 @@
 use crank_protocol::Millis;
 use rand::{Rng, RngExt};
 
-use crate::Moment;
+use crate::{Moment, backoff};
 
 /// Whole snapshots and member tables handed out at once.
 const BURST: u64 = 8;
 /// The time after which one more may be handed out.
 const REFILL: Millis = Millis(250);
-/// The first wait after a failure.
-const FIRST_WAIT: Millis = Millis(200);
-/// The longest wait after failures.
+/// The longest that a node waits because another one asked it to.
 const LONGEST_WAIT: Millis = Millis(10_000);
 
 /// Bounds the whole transfers that a node hands out.
@@ -76,24 +74,18 @@
 
     /// Puts the next attempt off.
     pub fn failed(&mut self, now: Moment, rng: &mut impl Rng) {
-        let doubled = FIRST_WAIT.0 << self.failures.min(10);
         self.failures = self.failures.saturating_add(1);
-        self.wait(Millis(doubled.min(LONGEST_WAIT.0)), now, rng);
+        self.next = now.after(backoff::wait(self.failures, rng));
     }
 
-    /// Puts the next attempt off as another node asked.
+    /// Puts the next attempt off as another node asked, and a little longer by chance.
     pub fn told(&mut self, retry_after: Millis, now: Moment, rng: &mut impl Rng) {
-        let wait = retry_after.0.clamp(FIRST_WAIT.0, LONGEST_WAIT.0);
-        self.wait(Millis(wait), now, rng);
+        let wait = retry_after.0.min(LONGEST_WAIT.0);
+        self.next = now.after(Millis(wait + rng.random_range(0..=wait)));
     }
 
     /// Forgets all failures.
     pub fn succeeded(&mut self) {
         *self = Self::default();
     }
-
-    fn wait(&mut self, wait: Millis, now: Moment, rng: &mut impl Rng) {
-        let jittered = wait.0 / 2 + rng.random_range(0..=wait.0);
-        self.next = now.after(Millis(jittered));
-    }
 }
--- a/crates/crank-mesh/src/actor/datagrams.rs
+++ b/crates/crank-mesh/src/actor/datagrams.rs
@@ -17,9 +17,11 @@
 use crate::traffic::{Direction, Reach};
 
 /// Tables that differ while no news is under way are compared after this.
-const TABLES_QUIET: Millis = Millis(3_000);
-/// The least time between two comparisons of tables.
+const TABLES_QUIET: Millis = Millis(1_000);
+/// The least time between two comparisons of tables within the region.
 const TABLES_PERIOD: Millis = Millis(20_000);
+/// The least time between two comparisons of tables between regions, where less is pushed.
+const FAR_TABLES_PERIOD: Millis = Millis(5_000);
 /// The time between two probes to the node at the other end of a bridge.
 const FAR_PERIOD: Millis = Millis(2_000);
 /// The time between two rounds of questions by a node that is not current yet.
@@ -200,7 +202,10 @@
         if sum == self.table.sum() || !is_quiet || now < self.next_tables || !self.joined {
             return;
         }
-        self.next_tables = now.after(TABLES_PERIOD);
+        self.next_tables = now.after(match reach {
+            Reach::Near => TABLES_PERIOD,
+            Reach::Far => FAR_TABLES_PERIOD,
+        });
         log::debug!(event = "tables_differ", peer:% = from, reach:? = reach; "asking for the table");
         self.errands.insert(from.clone(), now);
         self.run_errands(now);
--- a/crates/crank-mesh/src/actor/frames.rs
+++ b/crates/crank-mesh/src/actor/frames.rs
@@ -170,7 +170,8 @@
         let links: Vec<u64> = self
             .links
             .iter()
-            .filter(|(id, link)| Some(**id) != from && link.peer.is_some() && lacks(&link.stamp))
+            .filter(|(id, link)| Some(**id) != from && link.peer.is_some())
+            .filter(|(_, link)| lacks(&link.stamp) && self.is_eager(link))
             .map(|(id, _)| *id)
             .collect();
         let frame = match self.holder.last_delta() {
--- a/crates/crank-mesh/src/actor/links.rs
+++ b/crates/crank-mesh/src/actor/links.rs
@@ -12,7 +12,7 @@
 use xtra::Handler;
 
 use super::message::{Closed, Dial, Opened};
-use super::state::{Link, Mesh, Missing};
+use super::state::{Bridge, Link, Mesh, Missing, Plan};
 use crate::Error;
 use crate::link;
 use crate::traffic::Reach;
@@ -67,15 +67,17 @@
     async fn handle(&mut self, closed: Closed, _: &mut xtra::Context<Self>) {
         let Closed { link, dial, error } = closed;
         let now = self.now();
-        let known = link.and_then(|link| self.links.remove(&link));
-        let greeted = known.is_some_and(|link| link.peer.is_some());
+        let has_failed = match link.map(|link| self.links.remove(&link)) {
+            None => true,
+            Some(Some(link)) => link.peer.is_none() || error.is_some(),
+            // This node has closed it.
+            Some(None) => false,
+        };
         if let Some(dial) = dial {
             self.dialing.remove(&dial);
-            if !greeted || error.is_some() {
-                let backoff = self.backoffs.entry(dial.clone()).or_default();
-                backoff.failed(now, &mut self.rng);
+            if has_failed {
+                self.note_failure(&dial, now);
             }
-            self.note_failed_bridge(&dial);
         }
         let Some(error) = error else {
             return;
@@ -102,7 +104,8 @@
     pub(crate) fn keep_links(&mut self, now: Moment) {
         self.errands
             .retain(|_, since| now.since(*since) < ERRAND_TIMEOUT);
-        let mut wanted = self.near_wanted();
+        self.keep_plan();
+        let mut wanted = self.plan.near.clone();
         wanted.extend(self.far_wanted(now));
         wanted.extend(self.errands.keys().cloned());
         self.close_links(&wanted, now);
@@ -121,54 +124,87 @@
         self.dial_seed(now);
     }
 
-    fn near_wanted(&self) -> BTreeSet<Name> {
+    /// Works out neighbours and bridges again if the members have changed.
+    fn keep_plan(&mut self) {
+        let sum = self.table.sum();
+        if self.plan.sum == Some(sum) {
+            return;
+        }
+        let here = &self.settings.place.region;
         let neighbours = overlay::neighbours(self.table.me(), self.table.members());
-        neighbours.iter().map(|member| member.id.clone()).collect()
-    }
-
-    /// The nodes of other regions that this node should be connected to as a bridge.
-    fn far_wanted(&mut self, now: Moment) -> Vec<Name> {
-        let here = self.settings.place.region.clone();
-        let regions: BTreeSet<Name> = self
+        let near = neighbours.iter().map(|member| member.id.clone()).collect();
+        let regions: BTreeSet<&Name> = self
             .others()
-            .map(|member| member.place.region.clone())
+            .map(|member| &member.place.region)
             .filter(|region| *region != here)
             .collect();
-        self.missing.retain(|region, _| regions.contains(region));
+        let bridges = regions.into_iter().filter_map(|there| {
+            let mine = overlay::bridges(here, there, self.table.members());
+            let mut first = mine.iter().take(overlay::BRIDGES);
+            let rank = first.position(|member| member.id == self.settings.id)?;
+            let theirs = overlay::bridges(there, here, self.table.members());
+            let theirs = theirs.iter().map(|member| member.id.clone()).collect();
+            Some((there.clone(), Bridge { rank, theirs }))
+        });
+        let bridges = bridges.collect();
+        self.plan = Plan {
+            sum: Some(sum),
+            near,
+            bridges,
+        };
+        self.missing.clear();
+    }
+
+    /// The nodes of other regions that this node should be connected to as a bridge: the one of its
+    /// own rank there, or after failures the next; until then any to which there is a connection.
+    fn far_wanted(&mut self, now: Moment) -> Vec<Name> {
         let mut wanted = Vec::new();
-        for there in regions {
-            wanted.extend(self.far_wanted_in(&here, there, now));
+        for (there, bridge) in &self.plan.bridges {
+            let missing = self.missing.entry(there.clone()).or_insert(Missing {
+                since: now,
+                attempts: 0,
+            });
+            let choice = (bridge.rank + missing.attempts) % bridge.theirs.len().max(1);
+            let Some(choice) = bridge.theirs.get(choice) else {
+                continue;
+            };
+            let is_there = |peer: &&Name| {
+                let member = self.table.get(peer);
+                member.is_some_and(|member| member.place.region == *there)
+            };
+            let peers = self.links.values().filter_map(|link| link.peer.as_ref());
+            let linked: Vec<&Name> = peers.filter(is_there).collect();
+            if linked.contains(&choice) {
+                missing.since = now;
+                wanted.push(choice.clone());
+                continue;
+            }
+            wanted.extend(linked.first().map(|peer| (*peer).clone()));
+            let is_turn = self.settings.place.region < *there;
+            if !linked.is_empty() && !is_turn {
+                missing.since = now;
+            }
+            if is_turn || now.since(missing.since) >= FAR_TURN {
+                wanted.push(choice.clone());
+            }
         }
         wanted
     }
 
-    fn far_wanted_in(&mut self, here: &Name, there: Name, now: Moment) -> Option<Name> {
-        let mine = overlay::bridges(here, &there, self.table.members());
-        let rank = mine
-            .iter()
-            .take(overlay::BRIDGES)
-            .position(|member| member.id == self.settings.id)?;
-        let linked = self.links.values().find(|link| {
-            let place = link.peer.as_ref().and_then(|peer| self.table.get(peer));
-            place.is_some_and(|member| member.place.region == there)
-        });
-        if let Some(link) = linked {
-            self.missing.remove(&there);
-            return link.peer.clone();
-        }
-        let theirs = overlay::bridges(&there, here, self.table.members());
-        let missing = self.missing.entry(there.clone()).or_insert(Missing {
-            since: now,
-            attempts: 0,
-        });
-        if *here > there && now.since(missing.since) < FAR_TURN {
-            return None;
+    /// Whether news goes over a connection at once. Of the bridges between two regions only the
+    /// first pushes, so that each change crosses once; probes make up for what it misses.
+    pub(crate) fn is_eager(&self, link: &Link) -> bool {
+        if link.reach == Reach::Near {
+            return true;
         }
-        let choice = (rank + missing.attempts) % theirs.len().max(1);
-        theirs.get(choice).map(|member| member.id.clone())
+        let peer = link.peer.as_ref().and_then(|peer| self.table.get(peer));
+        let bridge = peer.and_then(|member| self.plan.bridges.get(&member.place.region));
+        bridge.is_some_and(|bridge| bridge.rank == 0)
     }
 
-    fn note_failed_bridge(&mut self, dial: &Dial) {
+    pub(crate) fn note_failure(&mut self, dial: &Dial, now: Moment) {
+        let backoff = self.backoffs.entry(dial.clone()).or_default();
+        backoff.failed(now, &mut self.rng);
         if let Dial::Member(id) = dial
             && let Some(member) = self.table.get(id)
             && let Some(missing) = self.missing.get_mut(&member.place.region)
@@ -286,6 +322,7 @@
         let links: Vec<(u64, Name, Reach)> = self
             .links
             .iter()
+            .filter(|(_, link)| self.is_eager(link))
             .filter_map(|(id, link)| link.peer.clone().map(|peer| (*id, peer, link.reach)))
             .collect();
         for (id, peer, reach) in links {
--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -123,6 +123,7 @@
     pub(crate) backoffs: BTreeMap<Dial, Backoff>,
     /// Nodes to connect to for their member table or configuration.
     pub(crate) errands: BTreeMap<Name, Moment>,
+    pub(crate) plan: Plan,
     pub(crate) joined: bool,
     pub(crate) next_seed: Moment,
     pub(crate) next_tables: Moment,
@@ -133,6 +134,23 @@
     pub(crate) asks: BTreeMap<u64, mpsc::Sender<Node>>,
 }
 
+/// Whom a node should be connected to, for one set of members.
+#[derive(Debug, Default)]
+pub(crate) struct Plan {
+    /// The hash of the members that it was worked out for.
+    pub(crate) sum: Option<u64>,
+    pub(crate) near: BTreeSet<Name>,
+    /// The regions to which this node is a bridge.
+    pub(crate) bridges: BTreeMap<Name, Bridge>,
+}
+
+/// This node's place among the bridges to a region, and the nodes there, first choice first.
+#[derive(Debug)]
+pub(crate) struct Bridge {
+    pub(crate) rank: usize,
+    pub(crate) theirs: Vec<Name>,
+}
+
 /// A region to which this bridge has no connection.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Missing {
@@ -187,6 +205,7 @@
             dialing: BTreeSet::new(),
             backoffs: BTreeMap::new(),
             errands: BTreeMap::new(),
+            plan: Plan::default(),
             joined: false,
             next_seed: now,
             next_tables: now,
@@ -281,7 +300,10 @@
         traffic.frame(kind, known.reach, Direction::Sent, frame.len());
         if known.sender.try_send(frame).is_err() {
             log::warn!(event = "link_slow", peer:? = known.peer; "{}", crate::Error::Slow);
-            self.links.remove(&link);
+            let dial = self.links.remove(&link).and_then(|link| link.dial);
+            if let Some(dial) = dial {
+                self.note_failure(&dial, self.now());
+            }
         }
     }
 
