Answer probes whatever the names' lengths, and join without repeating the whole table

- A datagram whose gossip holds long names was over its limit and was not sent at all.
Seen: a_probe_is_answered_however_long_the_names_in_the_gossip_are failed ('no answer') before, passes now.
It now adopts the table without telling anyone.

--- a/crates/crank-engine/src/member/table.rs
+++ b/crates/crank-engine/src/member/table.rs
@@ -151,6 +151,35 @@
         Learned::Refuted
     }
 
+    /// Takes over the table of another node on joining; its nodes know it, so nobody is told.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// let mut table = Table::new(me.clone(), Moment(0));
+    /// table.take_fresh();
+    /// let other = Member { id: Name::new("b").unwrap(), ..me };
+    /// table.adopt([other], Moment(0));
+    /// assert_eq!(table.members().count(), 2);
+    /// assert!(!table.has_fresh());
+    /// ```
+    pub fn adopt(&mut self, members: impl IntoIterator<Item = Member>, now: Moment) {
+        for member in members {
+            let id = member.id.clone();
+            let known = self.fresh.contains_key(&id);
+            if self.learn(member, None, now) != Learned::News || known {
+                continue;
+            }
+            self.fresh.remove(&id);
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.repeats_left = 0;
+            }
+        }
+    }
+
     /// Suspects a node that did not answer.
     pub fn suspect(&mut self, id: &Name, now: Moment) {
         let alive = self
--- a/crates/crank-mesh/examples/spreading/main.rs
+++ b/crates/crank-mesh/examples/spreading/main.rs
@@ -9,10 +9,13 @@
 use std::io::Write;
 use std::time::Duration;
 
+use crank_mesh::{Direction, Kind, Reach};
 use gumdrop::Options;
 use measure::Latencies;
 use scene::Fleet;
 
+const STAGES: usize = 20;
+
 /// The ways of spreading that are compared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Way {
@@ -117,8 +120,19 @@
     let crossed = fleet.crossing(&changing) / as_f64(arguments.changes as usize);
     writeln!(out, "change far_delta_bytes_per_change={crossed:.0}")?;
 
-    let stages = fleet.stages(20).await;
+    let before = fleet.usage();
+    let stages = fleet.stages(STAGES).await;
     stages.print(out, "stage")?;
+    let news = fleet.usage().since(&before);
+    let told = news.of(|kind, _, _| kind == Kind::News) / as_f64(STAGES) / as_f64(count);
+    let is_far_news = |kind, reach, direction| {
+        kind == Kind::News && reach == Reach::Far && direction == Direction::Sent
+    };
+    let far = news.of(is_far_news) / as_f64(STAGES);
+    writeln!(
+        out,
+        "stage news_bytes_per_node_per_stage={told:.0} far_news_bytes_per_stage={far:.0}"
+    )?;
     if arguments.herd > 0 {
         fleet.herd(arguments.herd, out).await?;
     }
--- a/crates/crank-mesh/src/actor/frames.rs
+++ b/crates/crank-mesh/src/actor/frames.rs
@@ -11,7 +11,7 @@
 use xtra::Handler;
 
 use super::message::Frame;
-use super::state::{Ahead, Mesh, kind_of};
+use super::state::{Ahead, Mesh, kind};
 use crate::Error;
 use crate::traffic::{Direction, Reach};
 
@@ -31,9 +31,8 @@
         } else {
             let peer = self.peer(link)?;
             let reach = self.reach(&peer);
-            let kind = kind_of(&frame);
             let traffic = &self.outputs.traffic;
-            traffic.frame(kind, reach, Direction::Received, bytes);
+            traffic.frame(kind(&frame), reach, Direction::Received, bytes);
             self.hear(&peer, now);
             self.take_frame(link, &peer, frame, now);
         }
@@ -235,13 +234,16 @@
     }
 
     fn take_members(&mut self, link: u64, peer: &Name, theirs: Vec<Member>, now: Moment) {
-        self.joined = true;
         let told: std::collections::BTreeMap<Name, (u64, State)> = theirs
             .iter()
             .map(|member| (member.id.clone(), (member.incarnation, member.state)))
             .collect();
-        for member in theirs {
-            self.learn(member, Some(peer), now);
+        if self.joined {
+            for member in theirs {
+                self.learn(member, Some(peer), now);
+            }
+        } else {
+            self.join(theirs, now);
         }
         let unknown = |member: &&Member| {
             let known = told.get(&member.id);
@@ -253,6 +255,18 @@
         }
     }
 
+    fn join(&mut self, theirs: Vec<Member>, now: Moment) {
+        self.joined = true;
+        for member in &theirs {
+            if member.place.region != self.settings.place.region {
+                self.regions.expect(&member.place.region, now);
+            }
+        }
+        self.table.adopt(theirs, now);
+        self.publish_view(now);
+        self.keep_links(now);
+    }
+
     /// Asks for a later configuration that another node is known to hold.
     pub(crate) fn keep_configuration(&mut self, now: Moment) {
         let Some(ahead) = &self.ahead else {
--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -27,7 +27,7 @@
 use crate::handle::{Alarms, Vitals};
 use crate::settings::Settings;
 use crate::traffic::{Direction, Kind, Reach, Traffic};
-use crate::{View, codec};
+use crate::{Error, View, codec};
 
 /// Pieces of news in one datagram.
 const GOSSIP: usize = 6;
@@ -247,7 +247,7 @@
             Probe::Ask { .. } | Probe::Told { .. } => 0,
             _ => GOSSIP,
         };
-        let datagram = Datagram {
+        let mut datagram = Datagram {
             account: self.account,
             from: self.settings.id.clone(),
             stamp: self.holder.stamp().cloned(),
@@ -256,27 +256,23 @@
             probe: outgoing.probe.clone(),
             gossip: self.table.gossip(Some(&outgoing.to), most),
         };
-        match codec::encode(&datagram, LARGEST_DATAGRAM_BYTES) {
-            Ok(bytes) => {
-                let reach = self.reach(&outgoing.to);
-                let traffic = &self.outputs.traffic;
-                traffic.datagram(reach, Direction::Sent, bytes.len());
-                let _ = self.socket.try_send_to(&bytes, outgoing.address);
+        let bytes = loop {
+            match codec::encode(&datagram, LARGEST_DATAGRAM_BYTES) {
+                Ok(bytes) => break bytes,
+                // Long names: what is left out spreads by other datagrams and connections.
+                Err(Error::Oversized { .. }) if datagram.gossip.pop().is_some() => {}
+                Err(error) => return log::error!(event = "datagram_not_sent"; "{error}"),
             }
-            Err(error) => log::error!(event = "datagram_not_sent"; "{error}"),
-        }
+        };
+        let reach = self.reach(&outgoing.to);
+        let traffic = &self.outputs.traffic;
+        traffic.datagram(reach, Direction::Sent, bytes.len());
+        let _ = self.socket.try_send_to(&bytes, outgoing.address);
     }
 
     /// Queues a frame on a connection; one that does not keep up is closed.
     pub(crate) fn send_frame(&mut self, link: u64, frame: &Control) {
-        let encoded = match codec::encode(frame, LARGEST_CONTROL_BYTES) {
-            Ok(bytes) => Bytes::from(bytes),
-            Err(error) => {
-                log::error!(event = "frame_not_sent"; "{error}");
-                return;
-            }
-        };
-        self.queue(link, kind(frame), encoded);
+        self.send_frames(&[link], frame);
     }
 
     /// Queues one frame on several connections, encoded once.
@@ -299,7 +295,7 @@
         let traffic = &self.outputs.traffic;
         traffic.frame(kind, known.reach, Direction::Sent, frame.len());
         if known.sender.try_send(frame).is_err() {
-            log::warn!(event = "link_slow", peer:? = known.peer; "{}", crate::Error::Slow);
+            log::warn!(event = "link_slow", peer:? = known.peer; "{}", Error::Slow);
             let dial = self.links.remove(&link).and_then(|link| link.dial);
             if let Some(dial) = dial {
                 self.note_failure(&dial, self.now());
@@ -364,7 +360,8 @@
     }
 }
 
-fn kind(frame: &Control) -> Kind {
+/// What a frame counts as.
+pub(crate) fn kind(frame: &Control) -> Kind {
     match frame {
         Control::News(_) => Kind::News,
         Control::Members(_) => Kind::Members,
@@ -374,11 +371,6 @@
     }
 }
 
-/// What a received frame counts as.
-pub(crate) fn kind_of(frame: &Control) -> Kind {
-    kind(frame)
-}
-
 impl Actor for Mesh {
     type Stop = ();
 
--- a/crates/crank-mesh/tests/frames.rs
+++ b/crates/crank-mesh/tests/frames.rs
@@ -3,11 +3,15 @@
 
 mod support;
 
-use crank_protocol::member::{Member, State};
-use crank_protocol::wire::{Control, Hello, LARGEST_CONTROL_BYTES, PROTOCOL};
+use crank_protocol::member::{Member, Place, State};
+use crank_protocol::wire::{
+    Control, Datagram, Hello, LARGEST_CONTROL_BYTES, LARGEST_DATAGRAM_BYTES, Members, PROTOCOL,
+    Probe,
+};
 use futures::{SinkExt, StreamExt};
 use support::{Node, fleet, knows, name, snapshot, until, version};
 use tokio::net::{TcpStream, UdpSocket};
+use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
 use tokio_tungstenite::{MaybeTlsStream, WebSocketStream, connect_async};
@@ -108,3 +112,53 @@
     assert_eq!(*nodes[0].mesh.config().borrow(), held);
     assert_eq!(nodes[0].mesh.alarms().conflicts(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_probe_is_answered_however_long_the_names_in_the_gossip_are() {
+    let long = |index: usize| name(&format!("{index}{}", "n".repeat(63)));
+    let place = Place {
+        region: long(0),
+        data_centre: long(1),
+    };
+    let mut settings = support::settings(0, 1, Vec::new());
+    settings.place = place.clone();
+    let node = support::launch(settings).await;
+    let members = (0..9).map(|index| Member {
+        id: long(index),
+        place: place.clone(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        incarnation: 1,
+        state: State::Left,
+        endpoint: None,
+    });
+    let mut socket = connect(&node).await;
+    let alive = |member| Member {
+        state: State::Alive,
+        ..member
+    };
+    let news = Control::News(Members(members.map(alive).collect()));
+    for frame in [hello("sutkent", PROTOCOL), news] {
+        socket.send(binary(&frame)).await.unwrap();
+    }
+    until("told", || knows(&node, 11)).await;
+
+    let prober = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let ping = Datagram {
+        account: crank_engine::overlay::tag(&name("sutkent")),
+        from: name("prober"),
+        stamp: None,
+        table: 0,
+        regions: Vec::new(),
+        probe: Probe::Ping { number: 7 },
+        gossip: Vec::new(),
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&ping, &mut bytes).unwrap();
+    prober.send_to(&bytes, node.mesh.address()).await.unwrap();
+    let mut buffer = [0; 2 * LARGEST_DATAGRAM_BYTES];
+    let answered = timeout(support::PATIENCE, prober.recv(&mut buffer)).await;
+    let length = answered.expect("no answer").unwrap();
+    let answer: Datagram = ciborium::from_reader(&buffer[..length]).unwrap();
+    assert_eq!(answer.probe, Probe::Ack { number: 7 });
+    assert!(!answer.gossip.is_empty() && length <= LARGEST_DATAGRAM_BYTES);
+}
