--- a/crates/crank-mesh/src/actor/datagrams.rs
+++ b/crates/crank-mesh/src/actor/datagrams.rs
@@ -23,8 +23,10 @@
 const TABLES_PERIOD: Millis = Millis(20_000);
 /// The least time between two comparisons of tables between regions, where less is pushed.
 const FAR_TABLES_PERIOD: Millis = Millis(5_000);
-/// The time between two probes to the node at the other end of a bridge.
+/// The time between two probes over the first bridge to a region.
 const FAR_PERIOD: Millis = Millis(2_000);
+/// Of so many times the other bridges, which stand by, are probed once.
+const STANDBY_TURNS: u64 = 3;
 /// The time between two rounds of questions by a node that is not current yet.
 const REPORT_PERIOD: Millis = Millis(500);
 
@@ -224,10 +226,13 @@
             return;
         }
         self.next_far = now.after(FAR_PERIOD);
+        self.far_turn += 1;
+        let is_standby_turn = self.far_turn.is_multiple_of(STANDBY_TURNS);
         let far = self
             .links
             .values()
-            .filter(|link| link.reach == Reach::Far && link.dial.is_some());
+            .filter(|link| link.reach == Reach::Far && link.dial.is_some())
+            .filter(|link| is_standby_turn || self.is_eager(link));
         let peers: Vec<Name> = far.filter_map(|link| link.peer.clone()).collect();
         for peer in peers {
             let number = self.prober.next_number();
--- a/crates/crank-mesh/src/actor/links.rs
+++ b/crates/crank-mesh/src/actor/links.rs
@@ -22,7 +22,7 @@
 /// A connection that nothing needs is closed after this.
 const LINGER: Millis = Millis(5_000);
 /// A connection to another region on which nothing is heard for this long is closed.
-const FAR_SILENCE: Millis = Millis(8_000);
+const FAR_SILENCE: Millis = Millis(20_000);
 /// The region that is later in the alphabet waits this long to be connected to.
 const FAR_TURN: Millis = Millis(3_000);
 /// The time between two attempts to join through a seed.
--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -128,6 +128,7 @@
     pub(crate) next_seed: Moment,
     pub(crate) next_tables: Moment,
     pub(crate) next_far: Moment,
+    pub(crate) far_turn: u64,
     pub(crate) next_reports: Moment,
     /// Since when a region has no connection, and how many attempts have failed.
     pub(crate) missing: BTreeMap<Name, Missing>,
@@ -210,6 +211,7 @@
             next_seed: now,
             next_tables: now,
             next_far: now,
+            far_turn: 0,
             next_reports: now,
             missing: BTreeMap::new(),
             asks: BTreeMap::new(),
