--- /dev/null
+++ b/crates/crank-engine/examples/requests/world.rs
@@ -0,0 +1,659 @@
+//! One service's requests as a discrete-event simulation of the engine's own decisions.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use crank_engine::Moment;
+use crank_engine::admit::Admission;
+use crank_engine::balance::{Choice, Distance, End, Pool};
+use crank_engine::limit::{Size, Step, Ticket};
+use crank_engine::retry::{self, Attempt, Budget};
+use crank_protocol::call::{Load, Refusal};
+use crank_protocol::config::{Importance, Service};
+use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
+use crank_protocol::{Millis, Name, Permille};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SECOND: u64 = 1_000_000;
+const MILLI: u64 = 1_000;
+
+/// How a target is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Chooser {
+    /// Any, with equal chance.
+    Random,
+    /// As the engine does.
+    Engine,
+}
+
+/// What a target's node does with more than its slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Queueing {
+    /// Queues everything, in order of arrival.
+    Endless,
+    /// As the engine does.
+    Engine,
+}
+
+/// What is wrong with a server for a while.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Fault {
+    /// It takes this many times as long.
+    Slow(f64),
+    /// It is not there; attempts fail at once.
+    Dead,
+    /// It takes requests and never answers.
+    Silent,
+    /// It joins at the start, takes this many times as long, and gets better until the end.
+    Cold(f64),
+}
+
+/// A fault of one server from a time until another, in seconds.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Trouble {
+    /// The server's number.
+    pub(crate) server: usize,
+    /// What is wrong.
+    pub(crate) fault: Fault,
+    /// Since when.
+    pub(crate) from: f64,
+    /// Until when.
+    pub(crate) until: f64,
+}
+
+/// What is simulated.
+#[derive(Debug, Clone)]
+pub(crate) struct Setup {
+    /// Where the entry nodes stand.
+    pub(crate) entries: Vec<Place>,
+    /// Where the servers stand.
+    pub(crate) servers: Vec<Place>,
+    /// Slots of a server.
+    pub(crate) slots: u32,
+    /// Queue of a server.
+    pub(crate) queue: u32,
+    /// Mean service time in milliseconds (exponential).
+    pub(crate) mean: f64,
+    /// Time limit of a request.
+    pub(crate) timeout: Millis,
+    /// Arrivals as a share of the capacity of all servers.
+    pub(crate) load: f64,
+    /// Length in seconds; the first quarter is not counted.
+    pub(crate) seconds: f64,
+    /// The choice of a target.
+    pub(crate) chooser: Chooser,
+    /// The queue at the target.
+    pub(crate) queueing: Queueing,
+    /// Whether failures and latencies are told to the pool.
+    pub(crate) ejection: bool,
+    /// The share of retries.
+    pub(crate) retry_budget: Permille,
+    /// Gentle start.
+    pub(crate) warm_up: Millis,
+    /// Faults.
+    pub(crate) troubles: Vec<Trouble>,
+    /// The seed.
+    pub(crate) seed: u64,
+}
+
+/// What came of it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Figures {
+    /// Requests that came in.
+    pub(crate) offered: u64,
+    /// Latencies of those answered in time, in microseconds, sorted.
+    pub(crate) latencies: Vec<u64>,
+    /// Requests refused as not run.
+    pub(crate) refused: u64,
+    /// Requests whose fate is unknown.
+    pub(crate) unknown: u64,
+    /// Attempts.
+    pub(crate) attempts: u64,
+    /// Attempts at targets in another region.
+    pub(crate) far: u64,
+    /// The capacity of all servers over the counted time, in requests.
+    pub(crate) capacity: f64,
+}
+
+impl Figures {
+    /// A quantile of the latencies in milliseconds.
+    pub(crate) fn quantile(&self, share: f64) -> f64 {
+        let index = (self.latencies.len() as f64 * share) as usize;
+        let micros = self
+            .latencies
+            .get(index.min(self.latencies.len().saturating_sub(1)));
+        micros.copied().unwrap_or(0) as f64 / MILLI as f64
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive {
+        entry: usize,
+    },
+    Reach {
+        attempt: usize,
+    },
+    Served {
+        attempt: usize,
+    },
+    Back {
+        attempt: usize,
+        answer: Reply,
+        load: Option<Seen>,
+    },
+    Expire {
+        request: usize,
+    },
+    Members,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Reply {
+    Answered,
+    Full,
+    TooLate,
+    Unreached,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Seen {
+    running: u32,
+    waiting: u32,
+    slots: u32,
+}
+
+struct Request {
+    entry: usize,
+    began: u64,
+    deadline: u64,
+    tried: Vec<Name>,
+    is_done: bool,
+    open: Option<usize>,
+}
+
+struct Sent {
+    request: usize,
+    server: usize,
+    began: u64,
+    runs: bool,
+}
+
+struct Server {
+    id: Name,
+    place: Place,
+    admission: Admission,
+}
+
+struct Entry {
+    place: Place,
+    pool: Pool,
+    budget: Budget,
+}
+
+/// The simulation.
+pub(crate) struct World {
+    setup: Setup,
+    rng: ChaCha8Rng,
+    now: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    order: u64,
+    entries: Vec<Entry>,
+    servers: Vec<Server>,
+    requests: Vec<Request>,
+    sent: Vec<Sent>,
+    figures: Figures,
+}
+
+impl World {
+    /// A world at its beginning.
+    pub(crate) fn new(setup: Setup) -> Self {
+        let queue = match setup.queueing {
+            Queueing::Endless => u32::MAX,
+            Queueing::Engine => setup.queue,
+        };
+        let size = Size {
+            slots: setup.slots,
+            queue,
+        };
+        let servers = setup.servers.iter().enumerate().map(|(number, place)| {
+            let mut admission = Admission::new(size);
+            admission.announce(Moment(0), Stage::Ready, Millis(0));
+            Server {
+                id: name("server", number),
+                place: place.clone(),
+                admission,
+            }
+        });
+        let entries = setup
+            .entries
+            .iter()
+            .enumerate()
+            .map(|(number, place)| Entry {
+                place: place.clone(),
+                pool: Pool::new(name("entry", number), place.clone()),
+                budget: Budget::new(setup.retry_budget),
+            });
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(setup.seed),
+            now: 0,
+            events: BinaryHeap::new(),
+            order: 0,
+            entries: entries.collect(),
+            servers: servers.collect(),
+            requests: Vec::new(),
+            sent: Vec::new(),
+            figures: Figures::default(),
+            setup,
+        }
+    }
+
+    /// Runs to the end.
+    pub(crate) fn run(mut self) -> Figures {
+        let joins: Vec<f64> = self
+            .setup
+            .troubles
+            .iter()
+            .map(|trouble| trouble.from)
+            .collect();
+        self.at(0, Event::Members);
+        for join in joins {
+            self.at(micros(join), Event::Members);
+        }
+        for entry in 0..self.entries.len() {
+            self.next_arrival(entry);
+        }
+        let end = micros(self.setup.seconds);
+        while let Some(Reverse((time, _, event))) = self.events.pop() {
+            if time > end {
+                break;
+            }
+            self.now = time;
+            self.step(event);
+        }
+        self.figures.latencies.sort_unstable();
+        let counted = self.setup.seconds * 0.75;
+        self.figures.capacity = self.capacity() * counted;
+        self.figures
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Arrive { entry } => self.arrive(entry),
+            Event::Reach { attempt } => self.reach(attempt),
+            Event::Served { attempt } => self.served(attempt),
+            Event::Back {
+                attempt,
+                answer,
+                load,
+            } => self.back(attempt, answer, load),
+            Event::Expire { request } => self.expire(request),
+            Event::Members => self.members(),
+        }
+    }
+
+    fn at(&mut self, time: u64, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((time, self.order, event)));
+    }
+
+    fn capacity(&self) -> f64 {
+        let slots = f64::from(self.setup.slots) * self.servers.len() as f64;
+        slots * 1_000.0 / self.setup.mean
+    }
+
+    fn next_arrival(&mut self, entry: usize) {
+        let rate = self.setup.load * self.capacity() / self.entries.len() as f64;
+        let gap = self.exponential(SECOND as f64 / rate);
+        self.at(self.now + gap, Event::Arrive { entry });
+    }
+
+    fn exponential(&mut self, mean: f64) -> u64 {
+        let draw: f64 = self.rng.random();
+        (-(1.0 - draw).ln() * mean) as u64
+    }
+
+    fn members(&mut self) {
+        let service = service(&self.setup);
+        let name = crate::named("service");
+        let now = Moment(self.now);
+        let members: Vec<Member> = (0..self.servers.len())
+            .filter(|server| !self.is_absent(*server))
+            .map(|server| member(&self.servers[server], self.setup.slots))
+            .collect();
+        for entry in &mut self.entries {
+            entry.pool.update(now, &name, &service, &members);
+        }
+    }
+
+    fn is_absent(&self, server: usize) -> bool {
+        self.setup.troubles.iter().any(|trouble| {
+            trouble.server == server
+                && matches!(trouble.fault, Fault::Cold(_))
+                && self.now < micros(trouble.from)
+        })
+    }
+
+    fn trouble(&self, server: usize) -> Option<Trouble> {
+        let mut troubles = self.setup.troubles.iter();
+        troubles
+            .find(|trouble| {
+                let time = micros(trouble.from)..micros(trouble.until);
+                trouble.server == server && time.contains(&self.now)
+            })
+            .copied()
+    }
+
+    fn counts(&self, request: usize) -> bool {
+        self.requests[request].began as f64 > self.setup.seconds * SECOND as f64 / 4.0
+    }
+
+    fn arrive(&mut self, entry: usize) {
+        self.next_arrival(entry);
+        let deadline = Moment(self.now).after(self.setup.timeout).0;
+        let request = self.requests.len();
+        self.requests.push(Request {
+            entry,
+            began: self.now,
+            deadline,
+            tried: Vec::new(),
+            is_done: false,
+            open: None,
+        });
+        self.at(deadline, Event::Expire { request });
+        self.entries[entry].budget.earn();
+        self.figures.offered += u64::from(self.counts(request));
+        self.send(request);
+    }
+
+    fn send(&mut self, request: usize) {
+        let Some(server) = self.choose(request) else {
+            self.fail(request, false);
+            return;
+        };
+        let attempt = self.sent.len();
+        self.sent.push(Sent {
+            request,
+            server,
+            began: self.now,
+            runs: false,
+        });
+        let held = &mut self.requests[request];
+        held.tried.push(self.servers[server].id.clone());
+        held.open = Some(attempt);
+        if self.counts(request) {
+            self.figures.attempts += 1;
+            self.figures.far += u64::from(self.distance(attempt) == Distance::Far);
+        }
+        self.at(self.now + self.delay(attempt), Event::Reach { attempt });
+    }
+
+    fn choose(&mut self, request: usize) -> Option<usize> {
+        let held = &self.requests[request];
+        match self.setup.chooser {
+            Chooser::Random => {
+                let open: Vec<usize> = (0..self.servers.len())
+                    .filter(|server| !self.is_absent(*server))
+                    .filter(|server| !held.tried.contains(&self.servers[*server].id))
+                    .collect();
+                (!open.is_empty()).then(|| open[self.rng.random_range(0..open.len())])
+            }
+            Chooser::Engine => {
+                let pool = &mut self.entries[held.entry].pool;
+                let Choice { id, .. } =
+                    pool.choose(Moment(self.now), &held.tried, &mut self.rng)?;
+                self.servers.iter().position(|server| server.id == id)
+            }
+        }
+    }
+
+    fn distance(&self, attempt: usize) -> Distance {
+        let sent = &self.sent[attempt];
+        let entry = &self.entries[self.requests[sent.request].entry];
+        Distance::between(&entry.place, &self.servers[sent.server].place)
+    }
+
+    /// One way.
+    fn delay(&self, attempt: usize) -> u64 {
+        match self.distance(attempt) {
+            Distance::Near => MILLI / 10,
+            Distance::Region => MILLI,
+            Distance::Far => 8 * MILLI,
+        }
+    }
+
+    fn reach(&mut self, attempt: usize) {
+        let (server, request) = (self.sent[attempt].server, self.sent[attempt].request);
+        match self.trouble(server).map(|trouble| trouble.fault) {
+            Some(Fault::Dead) => self.reply(attempt, Reply::Unreached, None),
+            Some(Fault::Silent) => {}
+            _ => {
+                let deadline = match self.setup.queueing {
+                    Queueing::Endless => Moment(u64::MAX),
+                    Queueing::Engine => Moment(self.requests[request].deadline),
+                };
+                let ticket = Ticket {
+                    id: attempt as u64,
+                    importance: Importance::Normal,
+                    deadline,
+                };
+                let admission = &mut self.servers[server].admission;
+                let steps = admission.enter(Moment(self.now), ticket);
+                self.carry_out(steps);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Run { id } => self.serve(id as usize),
+                Step::Refuse { id, refusal } => {
+                    let reply = match refusal {
+                        Refusal::TooLate => Reply::TooLate,
+                        _ => Reply::Full,
+                    };
+                    self.reply(id as usize, reply, Some(self.load(id as usize)));
+                }
+            }
+        }
+    }
+
+    fn serve(&mut self, attempt: usize) {
+        self.sent[attempt].runs = true;
+        let factor = match self.trouble(self.sent[attempt].server) {
+            Some(Trouble {
+                fault: Fault::Slow(factor),
+                ..
+            }) => factor,
+            Some(Trouble {
+                fault: Fault::Cold(factor),
+                from,
+                until,
+                ..
+            }) => {
+                let age = (self.now as f64 / SECOND as f64 - from) / (until - from);
+                1.0 + (factor - 1.0) * (1.0 - age)
+            }
+            _ => 1.0,
+        };
+        let took = self.exponential(self.setup.mean * MILLI as f64 * factor);
+        self.at(self.now + took, Event::Served { attempt });
+    }
+
+    fn load(&self, attempt: usize) -> Seen {
+        let Load {
+            running,
+            waiting,
+            slots,
+        } = self.servers[self.sent[attempt].server].admission.load();
+        Seen {
+            running,
+            waiting,
+            slots,
+        }
+    }
+
+    fn served(&mut self, attempt: usize) {
+        let server = self.sent[attempt].server;
+        let steps = self.servers[server]
+            .admission
+            .leave(Moment(self.now), attempt as u64);
+        self.carry_out(steps);
+        self.reply(attempt, Reply::Answered, Some(self.load(attempt)));
+    }
+
+    fn reply(&mut self, attempt: usize, answer: Reply, load: Option<Seen>) {
+        let time = self.now + self.delay(attempt);
+        self.at(
+            time,
+            Event::Back {
+                attempt,
+                answer,
+                load,
+            },
+        );
+    }
+
+    fn back(&mut self, attempt: usize, answer: Reply, load: Option<Seen>) {
+        let (request, began) = (self.sent[attempt].request, self.sent[attempt].began);
+        if self.requests[request].is_done {
+            return;
+        }
+        let micros = self.now - began;
+        let (end, refusal) = match answer {
+            Reply::Answered => (End::Answered { micros }, None),
+            Reply::Full => (End::Full, Some(full())),
+            Reply::TooLate => (End::Unrelated, Some(Refusal::TooLate)),
+            Reply::Unreached => (End::Failed, Some(Refusal::NotSent)),
+        };
+        self.finish(attempt, end, load);
+        match refusal {
+            None => self.succeed(request),
+            Some(refusal) => self.again(request, refusal),
+        }
+    }
+
+    fn finish(&mut self, attempt: usize, end: End, load: Option<Seen>) {
+        let sent = &self.sent[attempt];
+        let id = &self.servers[sent.server].id;
+        let entry = self.requests[sent.request].entry;
+        let end = if self.setup.ejection {
+            end
+        } else {
+            End::Unrelated
+        };
+        let load = load.map(
+            |Seen {
+                 running,
+                 waiting,
+                 slots,
+             }| Load {
+                running,
+                waiting,
+                slots,
+            },
+        );
+        let pool = &mut self.entries[entry].pool;
+        pool.finish(Moment(self.now), id, end, load);
+    }
+
+    fn again(&mut self, request: usize, refusal: Refusal) {
+        let held = &self.requests[request];
+        let attempt = Attempt {
+            idempotent: false,
+            depth: 0,
+            made: held.tried.len() as u32,
+            deadline: Moment(held.deadline),
+        };
+        let budget = &mut self.entries[held.entry].budget;
+        let refused = retry::refused(refusal, None);
+        if retry::again(Moment(self.now), attempt, &refused, budget) {
+            self.send(request);
+        } else {
+            self.fail(request, false);
+        }
+    }
+
+    fn succeed(&mut self, request: usize) {
+        self.requests[request].is_done = true;
+        if self.counts(request) {
+            let took = self.now - self.requests[request].began;
+            self.figures.latencies.push(took);
+        }
+    }
+
+    fn fail(&mut self, request: usize, unknown: bool) {
+        self.requests[request].is_done = true;
+        if self.counts(request) {
+            self.figures.unknown += u64::from(unknown);
+            self.figures.refused += u64::from(!unknown);
+        }
+    }
+
+    fn expire(&mut self, request: usize) {
+        if self.requests[request].is_done {
+            return;
+        }
+        self.fail(request, true);
+        if let Some(attempt) = self.requests[request].open {
+            let micros = self.now - self.sent[attempt].began;
+            self.finish(attempt, End::Slow { micros }, None);
+            self.leave_queue(attempt);
+        }
+    }
+
+    /// The caller's leaving takes a request out of a queue, but does not stop one that runs.
+    fn leave_queue(&mut self, attempt: usize) {
+        if self.setup.queueing == Queueing::Engine && !self.sent[attempt].runs {
+            let server = self.sent[attempt].server;
+            let admission = &mut self.servers[server].admission;
+            let steps = admission.leave(Moment(self.now), attempt as u64);
+            self.carry_out(steps);
+        }
+    }
+}
+
+fn full() -> Refusal {
+    Refusal::Overloaded {
+        retry_after: Millis(10),
+    }
+}
+
+fn micros(seconds: f64) -> u64 {
+    (seconds * SECOND as f64) as u64
+}
+
+fn name(kind: &str, number: usize) -> Name {
+    crate::named(&format!("{kind}-{number}"))
+}
+
+fn member(server: &Server, slots: u32) -> Member {
+    Member {
+        id: server.id.clone(),
+        place: server.place.clone(),
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: 1,
+        state: State::Alive,
+        endpoint: Some(Endpoint {
+            service: crate::named("service"),
+            stage: Stage::Ready,
+            slots,
+        }),
+    }
+}
+
+fn service(setup: &Setup) -> Service {
+    Service {
+        slots: setup.slots,
+        connections: 110,
+        queue: setup.queue,
+        timeout: setup.timeout,
+        retry_budget: setup.retry_budget,
+        importance: Importance::Normal,
+        warm_up: setup.warm_up,
+        drain_grace: Millis(10_000),
+        objective: None,
+    }
+}
