--- a/crates/crank-engine/examples/requests/main.rs
+++ b/crates/crank-engine/examples/requests/main.rs
@@ -1,8 +1,9 @@
 //! Measures the policy of requests against baselines, all parts or those named:
-//! `cargo run --release -p crank-engine --example requests -- choice overload faults cold`.
+//! `cargo run --release -p crank-engine --example requests -- choice overload faults cold shared`.
 //!
 //! Every line is the median of five seeds, in simulated time.
 
+mod shared;
 mod world;
 
 use std::io::{self, Write};
@@ -234,6 +235,24 @@
     Ok(())
 }
 
+fn hanging(out: &mut impl Write) -> io::Result<()> {
+    writeln!(
+        out,
+        "\nanother service hangs at the same entry: quick service's good answers"
+    )?;
+    for places in [shared::Places::Shared, shared::Places::Apart] {
+        let mut shares: Vec<f64> = SEEDS
+            .iter()
+            .map(|seed| shared::run(places, *seed))
+            .map(|quick| 100.0 * quick.good as f64 / quick.offered as f64)
+            .collect();
+        shares.sort_by(f64::total_cmp);
+        let median = shares[shares.len() / 2];
+        writeln!(out, "places {places:<44?} {median:>6.2}%")?;
+    }
+    Ok(())
+}
+
 fn main() -> io::Result<()> {
     let out = &mut io::stdout().lock();
     let wanted: Vec<String> = std::env::args().skip(1).collect();
@@ -250,5 +269,8 @@
     if runs("cold") {
         cold(out)?;
     }
+    if runs("shared") {
+        hanging(out)?;
+    }
     Ok(())
 }
--- a/crates/crank-engine/src/balance/eject.rs
+++ b/crates/crank-engine/src/balance/eject.rs
@@ -30,12 +30,14 @@
 pub(super) struct Record {
     failures: u32,
     times: u32,
+    on_trial: bool,
     out_until: Option<Moment>,
 }
 
 impl Record {
     pub(super) fn answered(&mut self) {
         self.failures = 0;
+        self.on_trial = false;
     }
 
     pub(super) fn failed(&mut self) {
@@ -63,6 +65,20 @@
         self.out_until = Some(now.after(time));
         self.times = self.times.saturating_add(1);
         self.failures = 0;
+        self.on_trial = true;
+    }
+
+    /// A target that comes back is on trial until it answers: one failure ejects it again.
+    fn most_failures(&self) -> u32 {
+        if self.on_trial {
+            1
+        } else {
+            CONSECUTIVE_FAILURES
+        }
+    }
+
+    fn fewest_samples(&self) -> u32 {
+        if self.on_trial { 1 } else { FEWEST_SAMPLES }
     }
 }
 
@@ -71,7 +87,7 @@
     let Some(target) = known.get(id) else {
         return;
     };
-    let fails = target.record.failures >= CONSECUTIVE_FAILURES;
+    let fails = target.record.failures >= target.record.most_failures();
     if target.is_ejected(now) || !(fails || is_slow(known, id, target)) {
         return;
     }
@@ -89,7 +105,7 @@
 }
 
 fn is_slow(known: &BTreeMap<Name, Target>, id: &Name, target: &Target) -> bool {
-    if target.latency.samples < FEWEST_SAMPLES {
+    if target.latency.samples < target.record.fewest_samples() {
         return false;
     }
     let mut others: Vec<f64> = known
