Property tests of routing, admission, retries and the choice; keep far regions for full targets

The test of spilling failed first: a target counted as full with its last slot free, and the handicap of distance counted as use, so the far region was weighed while the region had room.

--- a/crates/crank-engine/src/balance.rs
+++ b/crates/crank-engine/src/balance.rs
@@ -20,8 +20,8 @@
 pub use eject::{CONSECUTIVE_FAILURES, LONGEST_EJECTION, SHORTEST_EJECTION};
 pub use subset::{FEWEST_TARGETS, SPARE_TARGETS};
 
-/// The estimated use of a near target's slots from which farther ones are weighed too.
-pub const SPILL_AT: f64 = 1.0;
+/// The share of a target's slots beyond which farther targets are weighed too.
+const FULL: f64 = 1.0;
 
 /// How far a target is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -67,7 +67,7 @@
         match self {
             Self::Near => 0.0,
             Self::Region => 0.1,
-            Self::Far => 0.5,
+            Self::Far => 1.5,
         }
     }
 }
@@ -214,11 +214,11 @@
             let Some(found) = self.better_of_two(now, distance, tried, rng) else {
                 continue;
             };
-            let found_is_better = best.as_ref().is_none_or(|best| found.score < best.score);
-            if found_is_better {
+            let has_room = found.used <= FULL;
+            if best.as_ref().is_none_or(|best| found.score < best.score) {
                 best = Some(found);
             }
-            if best.as_ref().is_some_and(|best| best.score < SPILL_AT) {
+            if has_room {
                 break;
             }
         }
@@ -278,8 +278,10 @@
 
     fn score(&self, now: Moment, distance: Distance, id: &Name) -> Option<Scored> {
         let target = self.known.get(id)?;
+        let used = target.used(now, self.warm_up);
         Some(Scored {
-            score: target.score(now, self.warm_up) + distance.handicap(),
+            used,
+            score: used + distance.handicap(),
             id: id.clone(),
         })
     }
@@ -352,6 +354,7 @@
 
 #[derive(Debug)]
 struct Scored {
+    used: f64,
     score: f64,
     id: Name,
 }
--- a/crates/crank-engine/src/balance/target.rs
+++ b/crates/crank-engine/src/balance/target.rs
@@ -142,7 +142,7 @@
     }
 
     /// The estimated use of its slots if it is given one more request.
-    pub(super) fn score(&self, now: Moment, warm_up: Millis) -> f64 {
+    pub(super) fn used(&self, now: Moment, warm_up: Millis) -> f64 {
         let busy = self.others(now) + f64::from(self.in_flight) + 1.0;
         let slots = f64::from(self.slots.max(1)) * self.warmth(now, warm_up);
         let handicap = if self.suspect { SUSPECT_HANDICAP } else { 0.0 };
--- /dev/null
+++ b/crates/crank-engine/tests/admission.rs
@@ -0,0 +1,208 @@
+//! What a target's node runs, lets wait and refuses, whatever the order of events.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crank_engine::Moment;
+use crank_engine::admit::Admission;
+use crank_engine::drain::Progress;
+use crank_engine::limit::{Size, Step, Ticket};
+use crank_protocol::Millis;
+use crank_protocol::call::Refusal;
+use crank_protocol::config::Importance;
+use crank_protocol::member::Stage;
+use proptest::prelude::*;
+
+#[derive(Debug, Clone)]
+enum Act {
+    Enter { importance: Importance, time: u64 },
+    Leave { pick: usize },
+    Announce { stage: Stage },
+    Resize { slots: u32, queue: u32 },
+    Drain,
+    Wait { micros: u64 },
+}
+
+fn importance() -> impl Strategy<Value = Importance> {
+    prop_oneof![
+        Just(Importance::Low),
+        Just(Importance::Normal),
+        Just(Importance::High),
+    ]
+}
+
+fn stage() -> impl Strategy<Value = Stage> {
+    prop_oneof![
+        Just(Stage::Starting),
+        Just(Stage::Ready),
+        Just(Stage::Draining),
+        Just(Stage::Gone),
+    ]
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        8 => (importance(), 0..5_000_u64)
+            .prop_map(|(importance, time)| Act::Enter { importance, time }),
+        6 => (0..64_usize).prop_map(|pick| Act::Leave { pick }),
+        1 => stage().prop_map(|stage| Act::Announce { stage }),
+        1 => (0..4_u32, 0..4_u32).prop_map(|(slots, queue)| Act::Resize { slots, queue }),
+        1 => Just(Act::Drain),
+        3 => (0..1_000_u64).prop_map(|micros| Act::Wait { micros }),
+    ]
+}
+
+/// Keeps its own account of every ticket and checks each step against it.
+struct Account {
+    admission: Admission,
+    now: Moment,
+    next: u64,
+    slots: u32,
+    stage: Stage,
+    is_leaving: bool,
+    waiting: BTreeMap<u64, Ticket>,
+    running: BTreeSet<u64>,
+    ended: BTreeSet<u64>,
+}
+
+impl Account {
+    fn new() -> Self {
+        let mut admission = Admission::new(Size { slots: 2, queue: 2 });
+        admission.announce(Moment(0), Stage::Ready, Millis(1));
+        Self {
+            admission,
+            now: Moment(0),
+            next: 0,
+            slots: 2,
+            stage: Stage::Ready,
+            is_leaving: false,
+            waiting: BTreeMap::new(),
+            running: BTreeSet::new(),
+            ended: BTreeSet::new(),
+        }
+    }
+
+    fn act(&mut self, act: Act) -> Result<(), TestCaseError> {
+        let steps = match act {
+            Act::Enter { importance, time } => return self.enter(importance, time),
+            Act::Leave { pick } => {
+                let inside = self.running.iter().chain(self.waiting.keys());
+                let Some(id) = inside.copied().nth(pick % 8) else {
+                    return Ok(());
+                };
+                self.running.remove(&id);
+                self.waiting.remove(&id);
+                self.ended.insert(id);
+                self.admission.leave(self.now, id)
+            }
+            Act::Announce { stage } => {
+                self.stage = stage;
+                self.admission.announce(self.now, stage, Millis(1))
+            }
+            Act::Resize { slots, queue } => {
+                self.slots = slots;
+                self.admission.resize(self.now, Size { slots, queue })
+            }
+            Act::Drain => {
+                self.is_leaving = true;
+                self.admission.drain(self.now, Millis(1));
+                Vec::new()
+            }
+            Act::Wait { micros } => {
+                self.now = Moment(self.now.0 + micros);
+                Vec::new()
+            }
+        };
+        self.take(steps)
+    }
+
+    fn enter(&mut self, importance: Importance, time: u64) -> Result<(), TestCaseError> {
+        let ticket = Ticket {
+            id: self.next,
+            importance,
+            deadline: Moment(self.now.0 + time),
+        };
+        self.next += 1;
+        self.waiting.insert(ticket.id, ticket);
+        let steps = self.admission.enter(self.now, ticket);
+        for step in &steps {
+            if let Step::Refuse { id, .. } = step
+                && *id != ticket.id
+            {
+                prop_assert!(self.waiting[id].importance < importance);
+            }
+        }
+        let takes_new = self.stage == Stage::Ready && !self.is_leaving;
+        if !takes_new {
+            let refused = Step::Refuse {
+                id: ticket.id,
+                refusal: Refusal::Leaving,
+            };
+            prop_assert_eq!(&steps[..], &[refused]);
+        }
+        self.take(steps)
+    }
+
+    fn take(&mut self, steps: Vec<Step>) -> Result<(), TestCaseError> {
+        for step in steps {
+            match step {
+                Step::Run { id } => {
+                    let ticket = self.waiting.remove(&id);
+                    let ticket = ticket.ok_or_else(|| TestCaseError::fail("ran twice"))?;
+                    prop_assert!(self.now < ticket.deadline, "ran after its deadline");
+                    prop_assert!(self.stage == Stage::Ready, "ran on a leaving server");
+                    prop_assert!(self.running.len() < self.slots as usize, "no slot");
+                    self.running.insert(id);
+                }
+                Step::Refuse { id, .. } => {
+                    let was_waiting = self.waiting.remove(&id).is_some();
+                    prop_assert!(was_waiting, "refused after it ran or ended");
+                    self.ended.insert(id);
+                }
+            }
+        }
+        self.check()
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        let load = self.admission.load();
+        prop_assert_eq!(load.running as usize, self.running.len());
+        prop_assert_eq!(load.waiting as usize, self.waiting.len());
+        let inside = self.running.len() + self.waiting.len();
+        match self.admission.progress(self.now) {
+            Progress::Drained => prop_assert_eq!(inside, 0),
+            Progress::Draining { in_flight, .. } | Progress::Overdue { in_flight, .. } => {
+                prop_assert_eq!(in_flight as usize, inside);
+            }
+            Progress::Serving => prop_assert!(!self.is_leaving),
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #[test]
+    fn every_ticket_runs_once_in_a_slot_or_is_refused_without_having_run(
+        acts in prop::collection::vec(act(), 1..80),
+    ) {
+        let mut account = Account::new();
+        for act in acts {
+            account.act(act)?;
+        }
+    }
+
+    #[test]
+    fn a_drain_runs_or_refuses_all_that_waits(
+        acts in prop::collection::vec(act(), 1..40),
+    ) {
+        let mut account = Account::new();
+        for act in acts {
+            account.act(act)?;
+        }
+        account.act(Act::Drain)?;
+        for _ in 0..200 {
+            account.act(Act::Leave { pick: 0 })?;
+        }
+        let progress = account.admission.progress(account.now);
+        prop_assert_eq!(progress, Progress::Drained);
+    }
+}
--- /dev/null
+++ b/crates/crank-engine/tests/balancing.rs
@@ -0,0 +1,221 @@
+//! Which targets are chosen, ejected and connected to.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use crank_engine::Moment;
+use crank_engine::balance::{Distance, End, FEWEST_TARGETS, LONGEST_EJECTION, Pool};
+use crank_protocol::call::Load;
+use crank_protocol::config::{Importance, Service};
+use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
+use crank_protocol::{Millis, Name, Permille};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const SLOTS: u32 = 6;
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn place(region: usize, data_centre: usize) -> Place {
+    Place {
+        region: name(&format!("r{region}")),
+        data_centre: name(&format!("d{data_centre}")),
+    }
+}
+
+fn service() -> Service {
+    Service {
+        slots: SLOTS,
+        connections: 110,
+        queue: 12,
+        timeout: Millis(1_000),
+        retry_budget: Permille(100),
+        importance: Importance::Normal,
+        warm_up: Millis(10_000),
+        drain_grace: Millis(0),
+        objective: None,
+    }
+}
+
+fn member(id: &str, place: Place, stage: Option<Stage>) -> Member {
+    Member {
+        id: name(id),
+        place,
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: 1,
+        state: State::Alive,
+        endpoint: stage.map(|stage| Endpoint {
+            service: name("recipes"),
+            stage,
+            slots: SLOTS,
+        }),
+    }
+}
+
+fn pool(members: &[Member]) -> Pool {
+    let mut pool = Pool::new(name("me"), place(0, 0));
+    pool.update(Moment(0), &name("recipes"), &service(), members);
+    pool
+}
+
+fn near(count: usize) -> Vec<Member> {
+    (0..count)
+        .map(|number| member(&format!("s{number}"), place(0, 0), Some(Stage::Ready)))
+        .collect()
+}
+
+proptest! {
+    #[test]
+    fn half_of_the_targets_stay_in_however_all_fail(
+        count in 1..9_usize,
+        ends in prop::collection::vec((0..9_usize, 0..3_u8, 0..3_000_u64), 1..300),
+    ) {
+        let members = near(count);
+        let mut pool = pool(&members);
+        let mut now = Moment(1);
+        let mut rng = ChaCha8Rng::seed_from_u64(7);
+        for (pick, kind, millis) in ends {
+            now = now.after(Millis(millis));
+            let end = match kind {
+                0 => End::Answered { micros: millis * 1_000 },
+                1 => End::Slow { micros: 1_000_000 },
+                _ => End::Failed,
+            };
+            pool.finish(now, &members[pick % count].id, end, None);
+            prop_assert!(pool.ejected(now).count() <= count / 2);
+            prop_assert!(pool.choose(now, &[], &mut rng).is_some());
+        }
+        prop_assert_eq!(pool.ejected(now.after(LONGEST_EJECTION)).count(), 0);
+    }
+
+    #[test]
+    fn only_ready_targets_that_were_not_tried_are_chosen(
+        stages in prop::collection::vec(
+            prop_oneof![
+                Just(None),
+                Just(Some(Stage::Starting)),
+                Just(Some(Stage::Ready)),
+                Just(Some(Stage::Draining)),
+            ],
+            1..8,
+        ),
+        seed in any::<u64>(),
+    ) {
+        let members: Vec<Member> = stages
+            .iter()
+            .enumerate()
+            .map(|(number, stage)| member(&format!("s{number}"), place(0, number), *stage))
+            .collect();
+        let mut pool = pool(&members);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut tried = Vec::new();
+        while let Some(choice) = pool.choose(Moment(1), &tried, &mut rng) {
+            prop_assert!(!tried.contains(&choice.id));
+            tried.push(choice.id);
+        }
+        let ready = stages.iter().filter(|stage| **stage == Some(Stage::Ready));
+        prop_assert_eq!(tried.len(), ready.count());
+    }
+}
+
+#[test]
+fn a_farther_target_is_chosen_only_when_the_nearer_one_is_full() {
+    let members = [
+        member("near", place(0, 0), Some(Stage::Ready)),
+        member("region", place(0, 1), Some(Stage::Ready)),
+        member("far", place(1, 2), Some(Stage::Ready)),
+    ];
+    let mut pool = pool(&members);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let chosen: Vec<Name> = (0..SLOTS * 2)
+        .filter_map(|_| pool.choose(Moment(1), &[], &mut rng))
+        .map(|choice| choice.id)
+        .collect();
+    let count = |id: &str| chosen.iter().filter(|chosen| chosen.as_str() == id).count();
+    let slots = SLOTS as usize;
+    assert!(chosen[..slots].iter().all(|id| id.as_str() == "near"));
+    assert_eq!([count("region"), count("far")], [slots, 0]);
+}
+
+#[test]
+fn a_target_that_told_of_much_load_is_passed_over_until_that_is_old() {
+    let mut pool = pool(&near(2));
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let busy = Load {
+        running: SLOTS,
+        waiting: 4,
+        slots: SLOTS,
+    };
+    let end = End::Answered { micros: 1_000 };
+    pool.finish(Moment(1), &name("s0"), end, Some(busy));
+    for now in [Moment(2), Moment(3)] {
+        let choice = pool.choose(now, &[], &mut rng).unwrap();
+        assert_eq!(choice.id, name("s1"));
+    }
+    let later = Moment(1).after(Millis(1_000));
+    let choice = pool.choose(later, &[], &mut rng).unwrap();
+    assert_eq!(choice.id, name("s0"));
+}
+
+#[test]
+fn a_fresh_target_gets_a_small_and_growing_share() {
+    let mut members = near(3);
+    let mut pool = pool(&members);
+    members.push(member("fresh", place(0, 0), Some(Stage::Ready)));
+    pool.update(Moment(0), &name("recipes"), &service(), &members);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let shares = [0, 5_000, 10_000].map(|millis| {
+        let now = Moment(0).after(Millis(millis));
+        let mut fresh = 0;
+        for _ in 0..1_000 {
+            let choice = pool.choose(now, &[], &mut rng).unwrap();
+            pool.finish(now, &choice.id, End::Unrelated, None);
+            fresh += u32::from(choice.id == name("fresh"));
+        }
+        fresh
+    });
+    assert!(shares[0] <= 50, "{shares:?}");
+    assert!(
+        shares[0] < shares[2] && shares[1] <= shares[2],
+        "{shares:?}"
+    );
+    assert!(shares[2] >= 200, "{shares:?}");
+}
+
+#[test]
+fn the_subset_is_bounded_and_the_same_after_a_restart() {
+    let servers: Vec<Member> = (0..88)
+        .map(|number| {
+            let place = place(number % 8 / 4, number % 8);
+            member(&format!("s{number}"), place, Some(Stage::Ready))
+        })
+        .collect();
+    let others = (0..542).map(|number| member(&format!("n{number}"), place(0, number % 8), None));
+    let members: Vec<Member> = servers.iter().cloned().chain(others).collect();
+    let mut taken: BTreeMap<Name, usize> = BTreeMap::new();
+    for entry in &members {
+        let targets = || {
+            let mut pool = Pool::new(entry.id.clone(), entry.place.clone());
+            pool.update(Moment(0), &name("recipes"), &service(), &members);
+            pool.targets().cloned().collect::<Vec<Name>>()
+        };
+        let chosen = targets();
+        assert_eq!(chosen, targets());
+        for id in chosen {
+            let target = servers.iter().find(|server| server.id == id).unwrap();
+            if Distance::between(&entry.place, &target.place) == Distance::Near {
+                *taken.entry(id).or_default() += 1;
+            }
+        }
+    }
+    let most = taken.values().max().copied().unwrap_or(0);
+    assert!(
+        most <= service().connections as usize,
+        "{most} near connections"
+    );
+    assert!(FEWEST_TARGETS * members.len() / 2 <= taken.values().sum());
+}
--- /dev/null
+++ b/crates/crank-engine/tests/routing.rs
@@ -0,0 +1,123 @@
+//! Which route a path and method lead to.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crank_engine::config::digest;
+use crank_engine::route::Table;
+use crank_protocol::call::Refusal;
+use crank_protocol::config::{
+    Account, Config, Importance, Method, Route, Service, Snapshot, Stamp, Version,
+};
+use crank_protocol::{Millis, Name, Permille};
+use proptest::prelude::*;
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn service() -> Service {
+    Service {
+        slots: 6,
+        connections: 110,
+        queue: 12,
+        timeout: Millis(1_000),
+        retry_budget: Permille(100),
+        importance: Importance::Normal,
+        warm_up: Millis(0),
+        drain_grace: Millis(0),
+        objective: None,
+    }
+}
+
+fn table(paths: &[(String, Method)]) -> Table {
+    let routes: BTreeMap<Name, Route> = paths
+        .iter()
+        .enumerate()
+        .map(|(number, (path, method))| {
+            let route = Route {
+                path: Arc::from(path.as_str()),
+                methods: [*method].into(),
+                service: name("recipes"),
+                timeout: None,
+                idempotent: true,
+                once: false,
+            };
+            (name(&format!("r{number}")), route)
+        })
+        .collect();
+    let account = Account {
+        name: name("sutkent"),
+        notice_ends: None,
+    };
+    let config = Config {
+        account,
+        services: [(name("recipes"), service())].into(),
+        routes,
+    };
+    let stamp = Stamp {
+        version: Version(1),
+        digest: digest(&config),
+    };
+    Table::new(&Snapshot { stamp, config })
+}
+
+fn path() -> impl Strategy<Value = String> {
+    prop::collection::vec("[ab]{1,2}", 0..5).prop_map(|parts| format!("/{}", parts.join("/")))
+}
+
+fn method() -> impl Strategy<Value = Method> {
+    prop_oneof![Just(Method::Get), Just(Method::Post)]
+}
+
+/// The longest route by comparing segments one by one.
+fn expected<'a>(routes: &'a [(String, Method)], wanted: Method, path: &str) -> Option<&'a str> {
+    let segments = |path: &str| -> Vec<String> {
+        let parts = path.split('/').filter(|part| !part.is_empty());
+        parts.map(String::from).collect()
+    };
+    let asked = segments(path);
+    routes
+        .iter()
+        .filter(|(route, method)| *method == wanted && asked.starts_with(&segments(route)))
+        .map(|(route, _)| route.as_str())
+        .max_by_key(|route| route.len())
+}
+
+proptest! {
+    #[test]
+    fn the_longest_prefix_at_a_segment_border_wins(
+        routes in prop::collection::vec((path(), method()), 0..8),
+        asked in path(),
+        wanted in method(),
+        query in prop::option::of("[a-z/.]{0,6}"),
+    ) {
+        let table = table(&routes);
+        let whole = match query {
+            Some(query) => format!("{asked}?{query}"),
+            None => asked.clone(),
+        };
+        let found = table.find(wanted, &whole).map(|rule| rule.route.path.to_string());
+        match expected(&routes, wanted, &asked) {
+            Some(route) => prop_assert_eq!(found, Ok(route.to_string())),
+            None => prop_assert_eq!(found, Err(Refusal::NoRoute)),
+        }
+    }
+
+    #[test]
+    fn a_path_that_could_be_read_as_another_is_refused(
+        before in path(),
+        dots in prop_oneof!["\\.{1,2}", "%2[eE]", "(%2[eE]|\\.){2}"],
+        after in path(),
+    ) {
+        let table = table(&[("/".to_string(), Method::Get)]);
+        let whole = format!("{before}/{dots}{after}");
+        let is_refused = matches!(
+            table.find(Method::Get, &whole),
+            Err(Refusal::BadRequest { .. })
+        );
+        prop_assert!(is_refused, "{whole}");
+    }
+}
