--- a/crates/crank-mesh/src/actor/datagrams.rs
+++ b/crates/crank-mesh/src/actor/datagrams.rs
@@ -14,14 +14,19 @@
 
 use super::message::{Heard, Unreadable};
 use super::state::{Ahead, Mesh};
+use crate::handle::Vitals;
 use crate::traffic::{Direction, Reach};
 
 /// Tables that differ while no news is under way are compared after this.
-const TABLES_QUIET: Millis = Millis(3_000);
-/// The least time between two comparisons of tables.
+const TABLES_QUIET: Millis = Millis(1_000);
+/// The least time between two comparisons of tables within the region.
 const TABLES_PERIOD: Millis = Millis(20_000);
-/// The time between two probes to the node at the other end of a bridge.
+/// The least time between two comparisons of tables between regions, where less is pushed.
+const FAR_TABLES_PERIOD: Millis = Millis(5_000);
+/// The time between two probes over the first bridge to a region.
 const FAR_PERIOD: Millis = Millis(2_000);
+/// Of so many times the other bridges, which stand by, are probed once.
+const STANDBY_TURNS: u64 = 3;
 /// The time between two rounds of questions by a node that is not current yet.
 const REPORT_PERIOD: Millis = Millis(500);
 
@@ -109,7 +114,13 @@
                 current,
                 ready,
                 in_flight,
-            } => self.told(from, stamp, *number, *current, (*ready, *in_flight)),
+            } => {
+                let vitals = Vitals {
+                    ready: *ready,
+                    in_flight: *in_flight,
+                };
+                self.told(from, stamp, *number, *current, vitals);
+            }
             _ => {
                 let due = self.prober.receive(&self.table, from, address, probe);
                 self.send_all(due);
@@ -123,7 +134,7 @@
         stamp: Option<Stamp>,
         number: u64,
         current: bool,
-        (ready, in_flight): (bool, u32),
+        vitals: Vitals,
     ) {
         let Some(member) = self.table.get(from).cloned() else {
             return;
@@ -140,8 +151,8 @@
             let node = Node {
                 member,
                 applied: stamp,
-                ready,
-                in_flight,
+                ready: vitals.ready,
+                in_flight: vitals.in_flight,
             };
             let _ = asker.try_send(node);
         }
@@ -200,7 +211,10 @@
         if sum == self.table.sum() || !is_quiet || now < self.next_tables || !self.joined {
             return;
         }
-        self.next_tables = now.after(TABLES_PERIOD);
+        self.next_tables = now.after(match reach {
+            Reach::Near => TABLES_PERIOD,
+            Reach::Far => FAR_TABLES_PERIOD,
+        });
         log::debug!(event = "tables_differ", peer:% = from, reach:? = reach; "asking for the table");
         self.errands.insert(from.clone(), now);
         self.run_errands(now);
@@ -212,10 +226,13 @@
             return;
         }
         self.next_far = now.after(FAR_PERIOD);
+        self.far_turn += 1;
+        let is_standby_turn = self.far_turn.is_multiple_of(STANDBY_TURNS);
         let far = self
             .links
             .values()
-            .filter(|link| link.reach == Reach::Far && link.dial.is_some());
+            .filter(|link| link.reach == Reach::Far && link.dial.is_some())
+            .filter(|link| is_standby_turn || self.is_eager(link));
         let peers: Vec<Name> = far.filter_map(|link| link.peer.clone()).collect();
         for peer in peers {
             let number = self.prober.next_number();
