--- a/crates/crank-engine/src/publish.rs
+++ b/crates/crank-engine/src/publish.rs
@@ -14,7 +14,6 @@
 pub use watch::{Listed, Look, Watch};
 
 use crank_protocol::Millis;
-use rand::{Rng, RngExt};
 
 /// The time between two listings of the folder, in milliseconds.
 pub const POLL: Millis = Millis(250);
@@ -26,22 +25,3 @@
 pub const RENEW: Millis = Millis(1_000);
 /// The time between two looks of a candidate at the lease and the head, in milliseconds.
 pub const LOOK: Millis = Millis(500);
-
-const SHORTEST_PAUSE_MILLIS: u64 = 250;
-const LONGEST_PAUSE_MILLIS: u64 = 5_000;
-const MOST_DOUBLINGS: u32 = 5;
-
-/// How long to leave the store alone after so many failures in a row, jittered and capped.
-///
-/// ```
-/// # use rand::SeedableRng;
-/// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
-/// let pause = crank_engine::publish::pause(3, &mut rng);
-/// assert!((1_000..=2_000).contains(&pause.0));
-/// ```
-#[must_use]
-pub fn pause(failures: u32, rng: &mut impl Rng) -> Millis {
-    let doubled = SHORTEST_PAUSE_MILLIS << failures.min(MOST_DOUBLINGS);
-    let longest = doubled.min(LONGEST_PAUSE_MILLIS);
-    Millis(rng.random_range(longest / 2..=longest))
-}
--- a/crates/crank-node/src/publisher.rs
+++ b/crates/crank-node/src/publisher.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
-use crank_engine::Moment;
-use crank_engine::publish::{self, LOOK, SETTLE, Tenure, Watch};
+use crank_engine::publish::{LOOK, SETTLE, Tenure, Watch};
+use crank_engine::{Moment, backoff};
 use crank_platform_client::{Error, Platform};
 use crank_protocol::config::{Snapshot, Stamp};
 use crank_protocol::{Millis, Name};
@@ -113,8 +113,8 @@
     type Stop = ();
 
     async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), Self::Stop> {
-        let jitter = publish::pause(0, &mut self.rng);
-        send_later(mailbox.address(), jitter);
+        let wait = backoff::wait(1, &mut self.rng);
+        send_later(mailbox.address(), wait);
         Ok(())
     }
 
@@ -142,9 +142,8 @@
             Err(Error::ConditionFailed) => LOOK,
             Err(error) => {
                 log::warn!(node = self.settings.node.as_str(), failures = self.failures; "publishing waits: {error}");
-                let wait = publish::pause(self.failures, &mut self.rng);
                 self.failures = self.failures.saturating_add(1);
-                wait
+                backoff::wait(self.failures, &mut self.rng)
             }
         }
     }
