Let a node tell where it answers operators, so that the report needs one address

crank-report had to be given the address of each of 630 nodes, for members tell only where the mesh finds them. Told (the answer to a question for the status) and status::Node now carry the operators' address; other probes are not a byte longer, as the field is left out of their encoding. A node that listens on all IP numbers tells the mesh's.

Ruled out: the address in the membership entry, which travels with all gossip.

The process test asks one node and hears three; with one frozen, it is named and the code is 1.

--- a/crates/crank-command/tests/support/mod.rs
+++ b/crates/crank-command/tests/support/mod.rs
@@ -74,6 +74,7 @@
             applied: self.applied.clone(),
             ready: self.applied.is_some(),
             in_flight: self.in_flight,
+            operators: None,
         };
         let mut nodes = vec![Answer::Node(node)];
         if self.silent {
--- a/crates/crank-engine/tests/notice_never_counts_silence_as_done.rs
+++ b/crates/crank-engine/tests/notice_never_counts_silence_as_done.rs
@@ -44,6 +44,7 @@
         applied: Some(stamp(version)),
         ready: true,
         in_flight,
+        operators: None,
     })
 }
 
--- a/crates/crank-mesh/src/actor/datagrams.rs
+++ b/crates/crank-mesh/src/actor/datagrams.rs
@@ -14,6 +14,7 @@
 
 use super::message::{Heard, Unreadable};
 use super::state::{Ahead, Mesh};
+use crate::handle::Vitals;
 use crate::traffic::{Direction, Reach};
 
 /// Tables that differ while no news is under way are compared after this.
@@ -96,6 +97,7 @@
                     current: *self.outputs.ready.borrow(),
                     ready: vitals.ready,
                     in_flight: vitals.in_flight,
+                    operators: vitals.operators,
                 };
                 let to = from.clone();
                 self.send_all(vec![Outgoing {
@@ -109,7 +111,15 @@
                 current,
                 ready,
                 in_flight,
-            } => self.told(from, stamp, *number, *current, (*ready, *in_flight)),
+                operators,
+            } => {
+                let vitals = Vitals {
+                    ready: *ready,
+                    in_flight: *in_flight,
+                    operators: *operators,
+                };
+                self.told(from, stamp, *number, *current, vitals);
+            }
             _ => {
                 let due = self.prober.receive(&self.table, from, address, probe);
                 self.send_all(due);
@@ -123,7 +133,7 @@
         stamp: Option<Stamp>,
         number: u64,
         current: bool,
-        (ready, in_flight): (bool, u32),
+        vitals: Vitals,
     ) {
         let Some(member) = self.table.get(from).cloned() else {
             return;
@@ -140,8 +150,9 @@
             let node = Node {
                 member,
                 applied: stamp,
-                ready,
-                in_flight,
+                ready: vitals.ready,
+                in_flight: vitals.in_flight,
+                operators: vitals.operators,
             };
             let _ = asker.try_send(node);
         }
--- a/crates/crank-mesh/src/actor/requests.rs
+++ b/crates/crank-mesh/src/actor/requests.rs
@@ -72,6 +72,7 @@
             applied: self.holder.stamp().cloned(),
             ready: vitals.ready,
             in_flight: vitals.in_flight,
+            operators: vitals.operators,
         });
         self.asks.insert(number, begin.sender);
         let members = self.table.members().cloned().collect();
--- a/crates/crank-mesh/src/handle.rs
+++ b/crates/crank-mesh/src/handle.rs
@@ -34,6 +34,8 @@
     pub ready: bool,
     /// Requests that its backend server runs or that wait for it.
     pub in_flight: u32,
+    /// Where it answers operators.
+    pub operators: Option<SocketAddr>,
 }
 
 /// Counts of what must not happen.
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -1,5 +1,6 @@
 //! The life of a node: start, serve, leave.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -77,13 +78,14 @@
 }
 
 impl Node {
-    async fn start(settings: Settings) -> Result<Self, Error> {
+    async fn start(mut settings: Settings) -> Result<Self, Error> {
         let clock = Clock::new();
         let leaving = CancellationToken::new();
         let platform = Remote::new(&settings.platform.access())?;
         let announcements = Announcements::new(settings.listen.servers).await?;
         let edge = crank_caller::Edge::new(settings.listen.callers).await?;
         let operators = listen(&settings).await?;
+        settings.listen.operators = operators.local_addr().unwrap_or(settings.listen.operators);
         let (sockets, accepted) = mpsc::channel(CALL_SOCKETS);
         let mesh = crank_mesh::start(mesh_settings(&settings), sockets).await?;
         let (ready, is_ready) = watch::channel(false);
@@ -123,7 +125,7 @@
             burn,
             metrics: metrics.clone(),
         };
-        say_addresses(&settings, &mesh, &announcements, &edge, &operators);
+        say_addresses(&settings, &mesh, &announcements, &edge);
         tokio::spawn(crank_operator::listener::serve(
             operators,
             office,
@@ -171,7 +173,8 @@
             self.mesh.clone(),
         ));
         let (mesh, ready, target) = (self.mesh.clone(), self.ready.clone(), self.target.clone());
-        tokio::spawn(vitals(mesh, ready, target));
+        let operators = reachable(self.settings.listen.operators, &self.mesh);
+        tokio::spawn(vitals(mesh, ready, target, operators));
     }
 
     fn publish(&self, platform: Remote) {
@@ -261,14 +264,13 @@
     mesh: &Handle,
     announcements: &Announcements,
     edge: &crank_caller::Edge,
-    operators: &TcpListener,
 ) {
-    let operators = operators.local_addr().unwrap_or(settings.listen.operators);
     println!(
-        "listening callers={} mesh={} servers={} operators={operators}",
+        "listening callers={} mesh={} servers={} operators={}",
         edge.address(),
         mesh.address(),
         announcements.address(),
+        settings.listen.operators,
     );
 }
 
@@ -323,8 +325,22 @@
     Endpoint { stage, ..endpoint }
 }
 
+/// Where others reach a listener: by the mesh's IP number where it listens on all of them.
+fn reachable(listener: SocketAddr, mesh: &Handle) -> SocketAddr {
+    if listener.ip().is_unspecified() {
+        SocketAddr::new(mesh.address().ip(), listener.port())
+    } else {
+        listener
+    }
+}
+
 /// Keeps what the mesh tells of this node, and whether it takes requests, up to date.
-async fn vitals(mesh: Handle, ready: Arc<watch::Sender<bool>>, target: NodeTarget) {
+async fn vitals(
+    mesh: Handle,
+    ready: Arc<watch::Sender<bool>>,
+    target: NodeTarget,
+    operators: SocketAddr,
+) {
     let mut mesh_ready = mesh.ready();
     loop {
         let leaving = target.progress() != Progress::Serving;
@@ -334,6 +350,7 @@
         mesh.set_vitals(Vitals {
             ready: is_ready,
             in_flight: load.running + load.waiting,
+            operators: Some(operators),
         });
         let _ = tokio::time::timeout(VITALS_PERIOD, mesh_ready.changed()).await;
     }
--- a/crates/crank-protocol/src/compact.rs
+++ b/crates/crank-protocol/src/compact.rs
@@ -27,9 +27,17 @@
 #[derive(Serialize, Deserialize)]
 pub(crate) struct Age(Name, u64);
 
-/// A [`wire::Probe`]: kind, number, target, current and ready, requests in flight.
+/// A [`wire::Probe`]: kind, number, target, current and ready, requests in flight, and where
+/// operators are answered, which most probes leave out.
 #[derive(Serialize, Deserialize)]
-pub(crate) struct Probe(u8, u64, Option<Name>, u8, u32);
+pub(crate) struct Probe(
+    u8,
+    u64,
+    Option<Name>,
+    u8,
+    u32,
+    #[serde(default, skip_serializing_if = "Option::is_none")] Option<ByteBuf>,
+);
 
 /// A [`member::Member`]: id, region, data centre, address, incarnation, state, endpoint.
 #[derive(Serialize, Deserialize)]
@@ -103,18 +111,21 @@
 impl From<wire::Probe> for Probe {
     fn from(probe: wire::Probe) -> Self {
         match probe {
-            wire::Probe::Ping { number } => Self(PING, number, None, 0, 0),
-            wire::Probe::Ack { number } => Self(ACK, number, None, 0, 0),
-            wire::Probe::PingFor { number, target } => Self(PING_FOR, number, Some(target), 0, 0),
-            wire::Probe::Ask { number } => Self(ASK, number, None, 0, 0),
+            wire::Probe::Ping { number } => Self(PING, number, None, 0, 0, None),
+            wire::Probe::Ack { number } => Self(ACK, number, None, 0, 0, None),
+            wire::Probe::PingFor { number, target } => {
+                Self(PING_FOR, number, Some(target), 0, 0, None)
+            }
+            wire::Probe::Ask { number } => Self(ASK, number, None, 0, 0, None),
             wire::Probe::Told {
                 number,
                 current,
                 ready,
                 in_flight,
+                operators,
             } => {
                 let flags = u8::from(current) | (u8::from(ready) << 1);
-                Self(TOLD, number, None, flags, in_flight)
+                Self(TOLD, number, None, flags, in_flight, operators.map(packed))
             }
         }
     }
@@ -124,7 +135,8 @@
     type Error = Error;
 
     fn try_from(short: Probe) -> Result<Self, Error> {
-        let Probe(kind, number, target, flags, in_flight) = short;
+        let Probe(kind, number, target, flags, in_flight, operators) = short;
+        let operators = operators.map(|bytes| unpacked(&bytes)).transpose()?;
         match (kind, target) {
             (PING, None) => Ok(Self::Ping { number }),
             (ACK, None) => Ok(Self::Ack { number }),
@@ -135,6 +147,7 @@
                 current: flags & 1 != 0,
                 ready: flags & 2 != 0,
                 in_flight,
+                operators,
             }),
             _ => Err(Error::BadProbe),
         }
--- a/crates/crank-protocol/src/status.rs
+++ b/crates/crank-protocol/src/status.rs
@@ -1,6 +1,7 @@
 //! What operators are told: nodes, versions, refused folders, history.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -22,6 +23,8 @@
     pub ready: bool,
     /// Requests that its backend server runs or that wait for it.
     pub in_flight: u32,
+    /// Where it answers operators.
+    pub operators: Option<SocketAddr>,
 }
 
 /// What a node knows of another when asked for the status of the mesh.
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -1,5 +1,7 @@
 //! What nodes say to each other: datagrams, control frames and call frames.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -83,6 +85,8 @@
         ready: bool,
         /// Requests that its backend server runs or that wait for it.
         in_flight: u32,
+        /// Where it answers operators.
+        operators: Option<SocketAddr>,
     },
 }
 
--- a/crates/crank-report/src/ask.rs
+++ b/crates/crank-report/src/ask.rs
@@ -1,16 +1,18 @@
 //! Asking the nodes.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crank_engine::burn;
 use crank_operator::{Client, Error};
+use crank_protocol::status::{Answer, Mesh};
 use futures::StreamExt;
 
 use crate::{Report, Unreached};
 
 const ASKED_AT_ONCE: usize = 32;
 
-/// Asks every node for its counts, and the first that answers for who there is.
+/// Asks these nodes for their counts, and every node that the first to answer knows of.
 ///
 /// ```
 /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
@@ -19,39 +21,50 @@
 /// # });
 /// ```
 pub async fn ask(addresses: &[Arc<str>]) -> Report {
-    let answers: Vec<(Arc<str>, Result<burn::Report, Error>)> =
-        futures::stream::iter(addresses.iter().cloned())
-            .map(async |address| {
-                let answer = ask_one(&address).await;
-                (address, answer)
-            })
-            .buffered(ASKED_AT_ONCE)
-            .collect()
-            .await;
+    let mesh = who_there_is(addresses).await;
+    let mut all: BTreeSet<Arc<str>> = addresses.iter().cloned().collect();
+    all.extend(mesh.iter().flat_map(addresses_of));
+    let answers: Vec<Result<burn::Report, Unreached>> = futures::stream::iter(all)
+        .map(ask_one)
+        .buffered(ASKED_AT_ONCE)
+        .collect()
+        .await;
     let mut reports = Vec::new();
     let mut unreached = Vec::new();
-    let mut mesh = None;
-    for (address, answer) in answers {
+    for answer in answers {
         match answer {
-            Ok(report) => {
-                if mesh.is_none() {
-                    mesh = status(&address).await;
-                }
-                reports.push(report);
-            }
-            Err(error) => unreached.push(Unreached {
-                address,
-                problem: error.to_string().into(),
-            }),
+            Ok(report) => reports.push(report),
+            Err(problem) => unreached.push(problem),
         }
     }
     Report::new(&reports, unreached, mesh.as_ref())
 }
 
-async fn ask_one(address: &str) -> Result<burn::Report, Error> {
-    Client::new(address)?.burn().await
+async fn who_there_is(addresses: &[Arc<str>]) -> Option<Mesh> {
+    for address in addresses {
+        if let Ok(mesh) = status(address).await {
+            return Some(mesh);
+        }
+    }
+    None
+}
+
+async fn status(address: &str) -> Result<Mesh, Error> {
+    Client::new(address)?.status().await
+}
+
+fn addresses_of(mesh: &Mesh) -> Vec<Arc<str>> {
+    let address = |answer: &Answer| match answer {
+        Answer::Node(node) => node.operators.map(|address| address.to_string().into()),
+        Answer::Silent(_) => None,
+    };
+    mesh.nodes.iter().filter_map(address).collect()
 }
 
-async fn status(address: &str) -> Option<crank_protocol::status::Mesh> {
-    Client::new(address).ok()?.status().await.ok()
+async fn ask_one(address: Arc<str>) -> Result<burn::Report, Unreached> {
+    let answer = async { Client::new(&address)?.burn().await }.await;
+    answer.map_err(|error: Error| Unreached {
+        problem: error.to_string().into(),
+        address: Arc::clone(&address),
+    })
 }
--- a/crates/crank-report/src/run.rs
+++ b/crates/crank-report/src/run.rs
@@ -21,11 +21,15 @@
     #[options(help = "print this help")]
     help: bool,
     #[options(
-        help = "a node's operators' address; once for each node",
+        help = "any node's operators' address; it tells of the others",
         meta = "IP:PORT"
     )]
     node: Vec<String>,
-    #[options(help = "a file with one such address a line", meta = "FILE", no_short)]
+    #[options(
+        help = "a file with more such addresses, one a line",
+        meta = "FILE",
+        no_short
+    )]
     nodes: Option<PathBuf>,
     #[options(help = "print JSON", no_short)]
     json: bool,
@@ -103,9 +107,6 @@
         let lines = text.lines().map(str::trim);
         addresses.extend(lines.filter(|line| !line.is_empty()).map(Arc::from));
     }
-    // A node that is named twice must not be counted twice.
-    addresses.sort();
-    addresses.dedup();
     if addresses.is_empty() {
         return Err(Error::NoNode);
     }
--- a/tests/operators_with_real_processes.rs
+++ b/tests/operators_with_real_processes.rs
@@ -217,16 +217,13 @@
     copy_example(&office.folder("anna"));
     assert_eq!(office.in_folder("push", "anna").code, 0);
     office.until_in_force(1).await;
-    let urls: Vec<String> = office
-        .fleet
-        .nodes
-        .iter()
-        .map(|node| node.operators())
-        .collect();
-    let all: Vec<&str> = urls.iter().flat_map(|url| ["--node", url]).collect();
-    let heard = run("crank-report", &all);
+    // One node tells of the others.
+    let node = office.fleet.nodes[0].operators();
+    let heard = run("crank-report", &["--node", &node]);
     assert_eq!(heard.code, 0, "{}{}", heard.out, heard.err);
-    let two = run("crank-report", &all[..4]);
+    assert!(heard.out.contains("heard      3 nodes"), "{}", heard.out);
+    office.fleet.nodes[2].node.signal(Signal::Freeze).unwrap();
+    let two = run("crank-report", &["--node", &node]);
     assert_eq!(two.code, 1);
     assert!(two.out.contains("unheard    node2"), "{}", two.out);
 }
