Hand over by itself when the notice period ends

Nothing acted on notice_ends: the servers of an account went on taking work past the end, and 'crankctl notice' could only watch. Each node now announces its backend server as draining from its service's drain_grace before the end (engine::notice::is_due), in one place, before both the target's gate and the mesh hear of it. A folder with a later end or none takes it back. An end that has passed takes effect at once, so push says so. Ruled out: refusing such an end in the merge, which has no clock, and which would refuse every later edit of the folder.

For the lead: run.rs wires handover::follow between the announcements and their two readers.

--- a/crates/crank-command/src/commands/push.rs
+++ b/crates/crank-command/src/commands/push.rs
@@ -4,7 +4,9 @@
 
 use crank_operator::{Local, Store};
 use crank_platform_client::{Platform, Settings};
+use crank_protocol::config::Config;
 use gumdrop::Options;
+use time::OffsetDateTime;
 
 use super::check;
 use crate::{Error, Report, settings, words};
@@ -29,27 +31,31 @@
         open: impl Fn(&Settings) -> Result<P, Error>,
     ) -> Result<Report, Error> {
         let settings = settings::read(&self.settings)?;
-        self.check(&settings)?;
+        let config = self.check(&settings)?;
         let mut local = Local::open(&self.dir, &settings::store(&settings), &settings.account)?;
         let store = Store::new(open(&settings)?, settings.account);
         let push = store.push(&mut local).await?;
         let mut text = words::passed_over(&push.passed_over);
         text += &words::files("wrote", &push.written);
         text += &words::files("removed", &push.removed);
+        if has_ended(&config, OffsetDateTime::now_utc()) {
+            text += "the notice period has ended: every backend server hands over at once; \
+                mend [account] notice_ends if that is not meant\n";
+        }
         if push.written.is_empty() && push.removed.is_empty() {
             text += "nothing to push: the store holds what is here\n";
         }
         Ok(Report::new(text))
     }
 
-    fn check(&self, settings: &Settings) -> Result<(), Error> {
+    fn check(&self, settings: &Settings) -> Result<Config, Error> {
         let merged = check::merged(&self.dir)?.map_err(|faults| Error::Faulty {
             path: self.dir.clone(),
             faults,
         })?;
-        let folder = merged.config.account.name;
+        let folder = merged.config.account.name.clone();
         if folder == settings.account {
-            return Ok(());
+            return Ok(merged.config);
         }
         Err(Error::OtherAccount {
             path: self.dir.clone(),
@@ -58,3 +64,7 @@
         })
     }
 }
+
+fn has_ended(config: &Config, now: OffsetDateTime) -> bool {
+    config.account.notice_ends.is_some_and(|ends| ends <= now)
+}
--- a/crates/crank-engine/src/notice.rs
+++ b/crates/crank-engine/src/notice.rs
@@ -1,9 +1,9 @@
 //! The end of a notice period, counted from what the nodes say.
 
-use crank_protocol::Name;
-use crank_protocol::config::{Account, Stamp};
+use crank_protocol::config::{Account, Config, Stamp};
 use crank_protocol::member::{Member, Stage, State};
 use crank_protocol::status::{Answer, Mesh, Node};
+use crank_protocol::{Millis, Name};
 use serde::{Deserialize, Serialize};
 use time::OffsetDateTime;
 
@@ -91,6 +91,35 @@
     notice
 }
 
+/// Whether a service's backend servers must hand over, so that they are done when the notice ends.
+///
+/// That is their grace before the end, and ever after.
+///
+/// ```
+/// use crank_engine::folder::{File, merge};
+/// use crank_engine::notice;
+/// use crank_protocol::Name;
+/// use time::{Duration, OffsetDateTime};
+/// let text = "[account]\nname = a\nnotice_ends = 2026-12-06T23:59:59Z\n\
+///     [service recipes]\nslots = 6\ndrain_grace = 1m\n";
+/// let file = File { name: "all.ini".into(), content: text.into() };
+/// let config = merge(&[file]).unwrap().config;
+/// let recipes = Name::new("recipes").unwrap();
+/// let ends = config.account.notice_ends.unwrap();
+/// assert!(!notice::is_due(&config, &recipes, ends - Duration::seconds(61)));
+/// assert!(notice::is_due(&config, &recipes, ends - Duration::seconds(60)));
+/// ```
+#[must_use]
+pub fn is_due(config: &Config, service: &Name, now: OffsetDateTime) -> bool {
+    let Some(ends) = config.account.notice_ends else {
+        return false;
+    };
+    let service = config.services.get(service);
+    let grace = service.map_or(Millis(0), |service| service.drain_grace);
+    let left = ends - now;
+    left <= std::time::Duration::from(grace)
+}
+
 impl Notice {
     /// Whether it is complete once these silent nodes, which the operator knows to be gone, are
     /// left out; a node that answered is never left out.
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod entry;
 pub mod front;
 pub mod gate;
+pub mod handover;
 pub mod join;
 pub mod logs;
 pub mod metrics;
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -25,6 +25,7 @@
 use crate::desk::Office;
 use crate::entry::{self, Entry};
 use crate::front::Front;
+use crate::handover;
 use crate::join::Join;
 use crate::metrics::Metrics;
 use crate::publisher;
@@ -70,7 +71,8 @@
     mesh: Handle,
     entry: NodeEntry,
     target: NodeTarget,
-    announcements: Announcements,
+    _announcements: Announcements,
+    announced: watch::Receiver<Option<Announcement>>,
     ready: Arc<watch::Sender<bool>>,
     draining: CancellationToken,
     leaving: CancellationToken,
@@ -89,10 +91,11 @@
         let (sockets, accepted) = mpsc::channel(CALL_SOCKETS);
         let mesh = crank_mesh::start(mesh_settings(&settings), sockets).await?;
         let (ready, is_ready) = watch::channel(false);
+        let announced = handover::follow(announcements.watch(), mesh.config());
         let target = Target::new(target::Parts {
             clock,
             config: mesh.config(),
-            announced: announcements.watch(),
+            announced: announced.clone(),
             account: settings.platform.account.clone(),
             platform: platform.clone(),
             forwarder: crank_server::Forwarder::new()?,
@@ -144,7 +147,8 @@
             mesh,
             entry,
             target,
-            announcements,
+            _announcements: announcements,
+            announced,
             ready: Arc::new(ready),
             draining: CancellationToken::new(),
             leaving,
@@ -166,9 +170,8 @@
         tokio::spawn(join.clone().until_ready());
         tokio::spawn(join.keep_contact());
         self.publish(platform);
-        let announced = self.announcements.watch();
         tokio::spawn(announce(
-            announced,
+            self.announced.clone(),
             self.draining.clone(),
             self.mesh.clone(),
         ));
