--- a/crates/crank-load/src/command/fleet.rs
+++ b/crates/crank-load/src/command/fleet.rs
@@ -3,18 +3,15 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use crank_engine::ini::Document;
-use crank_platform_client::{Condition, Remote, Settings, folder};
 use gumdrop::Options;
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::print;
-use crate::Error;
 use crate::fleet::{Fleet, Layout};
 use crate::roster::Roster;
+use crate::{Error, folder};
 
 const READY_LIMIT: Duration = Duration::from_secs(60);
-const FOLDER_FILE: &str = "10-services.ini";
 
 #[derive(Debug, Options)]
 pub(super) struct Arguments {
@@ -79,7 +76,7 @@
     );
     let layout = layout.with_work(arguments.slots, arguments.work_ms);
     let fleet = Fleet::start(layout, &programs, directory).await?;
-    fill_folder(&fleet, &services, arguments.slots).await?;
+    folder::fill(&fleet, &services).await?;
     let roster = Roster::new(&fleet)?;
     roster.ready(READY_LIMIT).await?;
     roster.write(&directory.join("roster.json"))?;
@@ -95,32 +92,3 @@
     let own = std::env::current_exe().map_err(Error::Print)?;
     Ok(own.parent().unwrap_or(Path::new(".")).to_owned())
 }
-
-async fn fill_folder(fleet: &Fleet, services: &[&str], slots: u32) -> Result<(), Error> {
-    let path = fleet.store_settings()?;
-    let name = path.display().to_string();
-    let content = std::fs::read(&path).map_err(|source| Error::File {
-        path: path.clone(),
-        source,
-    })?;
-    let faults = |faults| Error::Settings { faults };
-    let document = Document::read(name.as_str().into(), &content).map_err(faults)?;
-    let settings = Settings::read(&name, &document).map_err(faults)?;
-    let remote = Remote::new(&settings.access())?;
-    let mut text = format!("[account]\nname = {}\n", settings.account);
-    for service in services {
-        text.push_str(&section(service, slots));
-    }
-    let always = Condition::Always;
-    folder::write(&remote, &settings.account, FOLDER_FILE, text.into(), always).await?;
-    Ok(())
-}
-
-fn section(service: &str, slots: u32) -> String {
-    format!(
-        "[service {service}]\nslots = {slots}\nconnections = 110\ntimeout = 2s\n\
-         [route {service}]\npath = /{service}\nmethods = GET\nservice = {service}\n\
-         idempotent = yes\n\
-         [route {service}-writes]\npath = /{service}\nmethods = POST\nservice = {service}\n"
-    )
-}
--- a/crates/crank-load/src/converge.rs
+++ b/crates/crank-load/src/converge.rs
@@ -1,15 +1,16 @@
 //! How long a change of the folder takes until it is in force everywhere.
 
+use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crank_engine::ini::Document;
-use crank_platform_client::{Condition, Remote, Settings, folder};
+use crank_platform_client::{Condition, Remote, folder};
 use futures::future::join_all;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
 use crate::Error;
+use crate::folder::settings;
 use crate::roster::Roster;
 
 const FILE: &str = "90-experiment.ini";
@@ -65,7 +66,7 @@
 /// }
 /// ```
 pub async fn run(plan: &Plan) -> Result<Figures, Error> {
-    let settings = settings(&plan.roster.store)?;
+    let settings = settings(Path::new(&*plan.roster.store))?;
     let remote = Remote::new(&settings.access())?;
     let client = reqwest::Client::builder().no_proxy().build();
     let client = client.map_err(|source| Error::Http {
@@ -103,16 +104,6 @@
     })
 }
 
-fn settings(path: &str) -> Result<Settings, Error> {
-    let content = std::fs::read(path).map_err(|source| Error::File {
-        path: path.into(),
-        source,
-    })?;
-    let faults = |faults| Error::Settings { faults };
-    let document = Document::read(path.into(), &content).map_err(faults)?;
-    Settings::read(path, &document).map_err(faults)
-}
-
 fn change_text(service: &str, change: u64) -> String {
     let timeout = FIRST_TIMEOUT_MS + change;
     format!("[service {service}]\ntimeout = {timeout}ms\n")
--- a/crates/crank-load/src/lib.rs
+++ b/crates/crank-load/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod converge;
 pub mod demo;
 pub mod fleet;
+pub mod folder;
 pub mod roster;
 pub mod usage;
 
