--- a/crates/crank-engine/src/member/table.rs
+++ b/crates/crank-engine/src/member/table.rs
@@ -11,6 +11,10 @@
 const FORGET_AFTER: Millis = Millis(24 * 3_600_000);
 /// A suspect that has not refuted by then is dead.
 const SUSPICION: Millis = Millis(4_000);
+/// The first wait before a name that another process claims is claimed back.
+const FIRST_CLAIM: Millis = Millis(1_000);
+/// The longest such wait.
+const LONGEST_CLAIM: Millis = Millis(60_000);
 /// The share of the usual number of times that gossip repeats a piece of news.
 const REPEATS_PER_DOUBLING: u32 = 1;
 
@@ -23,6 +27,8 @@
     News,
     /// It was wrong about this node, which now says otherwise.
     Refuted,
+    /// Another process claims this node's name; this node claims it back after a growing wait.
+    Contested,
 }
 
 #[derive(Debug, Clone)]
@@ -32,6 +38,14 @@
     repeats_left: u32,
 }
 
+/// Another process under this node's name.
+#[derive(Debug, Clone, Default)]
+struct Rival {
+    incarnation: u64,
+    claims: u32,
+    next: Moment,
+}
+
 /// What a node believes of every node, itself included.
 #[derive(Debug, Clone)]
 pub struct Table {
@@ -40,6 +54,7 @@
     /// News that no neighbour has been sent, and who told it.
     fresh: BTreeMap<Name, Option<Name>>,
     sum: u64,
+    rival: Rival,
 }
 
 impl Table {
@@ -62,6 +77,7 @@
             entries: BTreeMap::new(),
             fresh: BTreeMap::new(),
             sum: 0,
+            rival: Rival::default(),
         };
         table.put(me, None, now);
         table
@@ -146,11 +162,37 @@
         if me.state == State::Left || *news == me || news.incarnation < me.incarnation {
             return Learned::Nothing;
         }
+        if news.address != me.address && is_there(news) {
+            return self.contest(news.incarnation, now);
+        }
         me.incarnation = news.incarnation + 1;
         self.put(me, None, now);
         Learned::Refuted
     }
 
+    /// A restarted node claims its name at once; two processes that run under one name take turns
+    /// that grow longer, and fill no network with it.
+    fn contest(&mut self, incarnation: u64, now: Moment) -> Learned {
+        self.rival.incarnation = self.rival.incarnation.max(incarnation);
+        if now < self.rival.next {
+            return Learned::Contested;
+        }
+        self.claim(now);
+        Learned::Refuted
+    }
+
+    fn claim(&mut self, now: Moment) {
+        let mut me = self.me().clone();
+        if me.state == State::Left || me.incarnation > self.rival.incarnation {
+            return;
+        }
+        me.incarnation = self.rival.incarnation + 1;
+        let wait = FIRST_CLAIM.0 << self.rival.claims.min(10);
+        self.rival.claims += 1;
+        self.rival.next = now.after(Millis(wait.min(LONGEST_CLAIM.0)));
+        self.put(me, None, now);
+    }
+
     /// Takes over the table of another node on joining; its nodes know it, so nobody is told.
     ///
     /// ```
@@ -207,6 +249,9 @@
             member.state = State::Dead;
             self.put(member, None, now);
         }
+        if now >= self.rival.next {
+            self.claim(now);
+        }
         let me = self.me.clone();
         self.entries.retain(|id, entry| {
             *id == me || is_there(&entry.member) || now.since(entry.since) < FORGET_AFTER
--- a/crates/crank-engine/tests/membership.rs
+++ b/crates/crank-engine/tests/membership.rs
@@ -212,3 +212,27 @@
     let believed = table.get(&member(1, "r").id).unwrap();
     assert_eq!(believed.state, State::Suspect);
 }
+
+#[test]
+fn two_processes_under_one_name_contest_it_ever_more_slowly() {
+    let mut twins = [0, 1].map(|port| {
+        let me = Member {
+            address: format!("127.0.0.1:{}", 1_000 + port).parse().unwrap(),
+            ..member(0, "r")
+        };
+        Table::new(me, Moment(0))
+    });
+    let mut now = Moment(0);
+    let mut claims = 0;
+    for _ in 0..6_000 {
+        now = now.after(Millis(100));
+        for index in 0..2 {
+            let news = twins[1 - index].me().clone();
+            let before = twins[index].me().incarnation;
+            twins[index].learn(news, None, now);
+            twins[index].expire(1, now);
+            claims += usize::from(twins[index].me().incarnation > before);
+        }
+    }
+    assert!((2..40).contains(&claims), "{claims} claims in ten minutes");
+}
--- a/crates/crank-mesh/src/actor/datagrams.rs
+++ b/crates/crank-mesh/src/actor/datagrams.rs
@@ -176,12 +176,20 @@
         if news.place.region != self.settings.place.region {
             self.regions.expect(&news.place.region, now);
         }
-        let was_wrong = news.id == self.settings.id;
-        if self.table.learn(news, from, now) == Learned::Refuted && was_wrong && self.joined {
-            self.prober.strained();
+        let address = news.address;
+        match self.table.learn(news, from, now) {
+            Learned::Refuted if self.joined => self.prober.strained(),
+            Learned::Contested => self.contested(address),
+            _ => {}
         }
     }
 
+    pub(crate) fn contested(&self, address: std::net::SocketAddr) {
+        let alarms = &self.outputs.alarms;
+        alarms.contested.fetch_add(1, Ordering::Relaxed);
+        log::error!(event = "name_contested", rival:% = address; "another process runs under this node's name: give each node its own");
+    }
+
     /// Compares what another node holds with what this one holds.
     pub(crate) fn compare(&mut self, from: &Name, theirs: Option<&Stamp>, now: Moment) {
         let links = self.links.values_mut();
--- a/crates/crank-mesh/src/actor/frames.rs
+++ b/crates/crank-mesh/src/actor/frames.rs
@@ -65,7 +65,11 @@
             let theirs = hello.account;
             return Err(Error::Account { node, theirs });
         }
-        if node == self.settings.id || self.settings.cut.holds(hello.member.address) {
+        let is_rival = node == self.settings.id;
+        if is_rival && hello.member.address != self.table.me().address {
+            self.contested(hello.member.address);
+        }
+        if is_rival || self.settings.cut.holds(hello.member.address) {
             self.links.remove(&link);
             return Ok(());
         }
--- a/crates/crank-mesh/src/handle.rs
+++ b/crates/crank-mesh/src/handle.rs
@@ -41,6 +41,7 @@
 pub struct Alarms {
     pub(crate) conflicts: AtomicU64,
     pub(crate) malformed: AtomicU64,
+    pub(crate) contested: AtomicU64,
 }
 
 impl Alarms {
@@ -50,6 +51,12 @@
         self.conflicts.load(Ordering::Relaxed)
     }
 
+    /// How often another process claimed this node's name.
+    #[must_use]
+    pub fn contested(&self) -> u64 {
+        self.contested.load(Ordering::Relaxed)
+    }
+
     /// How many datagrams, frames and configurations were malformed or oversized.
     #[must_use]
     pub fn malformed(&self) -> u64 {
--- a/crates/crank-mesh/tests/failures.rs
+++ b/crates/crank-mesh/tests/failures.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 
+use crank_engine::overlay::bridges;
 use crank_mesh::{Head, Step};
 use crank_protocol::member::State;
 use support::{Node, fleet, knows, launch, name, settings, snapshot, until, version};
@@ -159,3 +160,30 @@
     nodes[0].mesh.nodes().await.unwrap();
     assert!(nodes.iter().all(|node| !*node.mesh.ready().borrow()));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_crosses_regions_while_the_first_bridge_is_frozen() {
+    let nodes = fleet(12, 2).await;
+    until("full tables", || nodes.iter().all(|node| knows(node, 12))).await;
+    nodes[0].mesh.offer(snapshot(1)).await.unwrap();
+    until("version 1", || {
+        nodes.iter().all(|node| version(node) == Some(1))
+    })
+    .await;
+    let view = nodes[0].mesh.view().borrow().clone();
+    let (here, there) = (name("region-0"), name("region-1"));
+    let first = &bridges(&here, &there, view.members())[0].id;
+    let frozen = |node: &&Node| node.settings.id == *first;
+    let frozen = nodes.iter().find(frozen).unwrap();
+    let rest: Vec<&Node> = nodes
+        .iter()
+        .filter(|node| node.settings.id != *first)
+        .collect();
+    frozen.cut.set(rest.iter().map(|node| node.mesh.address()));
+    let publisher = rest.iter().find(|node| node.settings.place.region == here);
+    publisher.unwrap().mesh.offer(snapshot(2)).await.unwrap();
+    until("version 2", || {
+        rest.iter().all(|node| version(node) == Some(2))
+    })
+    .await;
+}
