--- a/crates/crank-engine/tests/overlay.rs
+++ b/crates/crank-engine/tests/overlay.rs
@@ -87,6 +87,19 @@
                 member.state = State::Dead;
             }
         }
+        let is_alive = |member: &&Member| member.state == State::Alive;
+        let alive = members.iter().filter(is_alive).count();
+        if let Some(start) = members.iter().find(is_alive) {
+            let (mut ring, mut at) = (0, start);
+            while let Some(next) = neighbours(at, &members).first() {
+                prop_assert_eq!(next.state, State::Alive);
+                (ring, at) = (ring + 1, *next);
+                if at.id == start.id || ring > alive {
+                    break;
+                }
+            }
+            prop_assert!(ring == alive || alive == 1, "the ring closes after {ring} of {alive}");
+        }
         let links = links(&members);
         for from in links.keys() {
             prop_assert_eq!(flood(&links, from).1, links.len());
--- a/crates/crank-mesh/tests/failures.rs
+++ b/crates/crank-mesh/tests/failures.rs
@@ -6,7 +6,7 @@
 
 use crank_engine::overlay::bridges;
 use crank_mesh::{Head, Step};
-use crank_protocol::member::State;
+use crank_protocol::member::{Endpoint, Member, Stage, State};
 use support::{Node, fleet, knows, launch, name, settings, snapshot, until, version};
 
 fn state(node: &Node, id: &str) -> Option<State> {
@@ -14,6 +14,14 @@
     view.get(&name(id)).map(|member| member.state)
 }
 
+fn draining() -> Endpoint {
+    Endpoint {
+        service: name("recipes"),
+        stage: Stage::Draining,
+        slots: 6,
+    }
+}
+
 fn addresses(nodes: &[Node]) -> Vec<SocketAddr> {
     nodes.iter().map(|node| node.mesh.address()).collect()
 }
@@ -98,6 +106,9 @@
                 .set(theirs.iter().map(|(_, other)| other.mesh.address()));
         }
     }
+    for (_, node) in &even {
+        node.mesh.announce(Some(draining())).await.unwrap();
+    }
     until("unreachable", || nodes.iter().all(|node| knows(node, 6))).await;
     nodes[0].mesh.offer(snapshot(2)).await.unwrap();
     until("version 2 here", || {
@@ -116,6 +127,34 @@
     })
     .await;
     until("reachable", || nodes.iter().all(|node| knows(node, 12))).await;
+    let told = || {
+        odd.iter().all(|(_, node)| {
+            let view = node.mesh.view().borrow().clone();
+            let draining = |member: &&Member| member.endpoint == Some(draining());
+            view.members().filter(draining).count() == 6
+        })
+    };
+    until("what was announced meanwhile", told).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn data_centres_that_declared_each_other_dead_find_each_other_again() {
+    let nodes = fleet(8, 1).await;
+    until("full tables", || nodes.iter().all(|node| knows(node, 8))).await;
+    // Seeds would heal the cut too; without them the dead must be asked.
+    for node in &nodes {
+        node.mesh.seeds(Vec::new()).await.unwrap();
+    }
+    let (even, odd): (Vec<_>, Vec<_>) = nodes.iter().enumerate().partition(|(i, _)| i % 2 == 0);
+    for (mine, theirs) in [(&even, &odd), (&odd, &even)] {
+        for (_, node) in mine.iter() {
+            node.cut
+                .set(theirs.iter().map(|(_, other)| other.mesh.address()));
+        }
+    }
+    until("dead", || nodes.iter().all(|node| knows(node, 4))).await;
+    nodes.iter().for_each(|node| node.cut.set([]));
+    until("alive", || nodes.iter().all(|node| knows(node, 8))).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
