--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -27,7 +27,7 @@
 use crate::handle::{Alarms, Vitals};
 use crate::settings::Settings;
 use crate::traffic::{Direction, Kind, Reach, Traffic};
-use crate::{View, codec};
+use crate::{Error, View, codec};
 
 /// Pieces of news in one datagram.
 const GOSSIP: usize = 6;
@@ -123,16 +123,35 @@
     pub(crate) backoffs: BTreeMap<Dial, Backoff>,
     /// Nodes to connect to for their member table or configuration.
     pub(crate) errands: BTreeMap<Name, Moment>,
+    pub(crate) plan: Plan,
     pub(crate) joined: bool,
     pub(crate) next_seed: Moment,
     pub(crate) next_tables: Moment,
     pub(crate) next_far: Moment,
+    pub(crate) far_turn: u64,
     pub(crate) next_reports: Moment,
     /// Since when a region has no connection, and how many attempts have failed.
     pub(crate) missing: BTreeMap<Name, Missing>,
     pub(crate) asks: BTreeMap<u64, mpsc::Sender<Node>>,
 }
 
+/// Whom a node should be connected to, for one set of members.
+#[derive(Debug, Default)]
+pub(crate) struct Plan {
+    /// The hash of the members that it was worked out for.
+    pub(crate) sum: Option<u64>,
+    pub(crate) near: BTreeSet<Name>,
+    /// The regions to which this node is a bridge.
+    pub(crate) bridges: BTreeMap<Name, Bridge>,
+}
+
+/// This node's place among the bridges to a region, and the nodes there, first choice first.
+#[derive(Debug)]
+pub(crate) struct Bridge {
+    pub(crate) rank: usize,
+    pub(crate) theirs: Vec<Name>,
+}
+
 /// A region to which this bridge has no connection.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Missing {
@@ -187,10 +206,12 @@
             dialing: BTreeSet::new(),
             backoffs: BTreeMap::new(),
             errands: BTreeMap::new(),
+            plan: Plan::default(),
             joined: false,
             next_seed: now,
             next_tables: now,
             next_far: now,
+            far_turn: 0,
             next_reports: now,
             missing: BTreeMap::new(),
             asks: BTreeMap::new(),
@@ -228,7 +249,7 @@
             Probe::Ask { .. } | Probe::Told { .. } => 0,
             _ => GOSSIP,
         };
-        let datagram = Datagram {
+        let mut datagram = Datagram {
             account: self.account,
             from: self.settings.id.clone(),
             stamp: self.holder.stamp().cloned(),
@@ -237,27 +258,23 @@
             probe: outgoing.probe.clone(),
             gossip: self.table.gossip(Some(&outgoing.to), most),
         };
-        match codec::encode(&datagram, LARGEST_DATAGRAM_BYTES) {
-            Ok(bytes) => {
-                let reach = self.reach(&outgoing.to);
-                let traffic = &self.outputs.traffic;
-                traffic.datagram(reach, Direction::Sent, bytes.len());
-                let _ = self.socket.try_send_to(&bytes, outgoing.address);
+        let bytes = loop {
+            match codec::encode(&datagram, LARGEST_DATAGRAM_BYTES) {
+                Ok(bytes) => break bytes,
+                // Long names: what is left out spreads by other datagrams and connections.
+                Err(Error::Oversized { .. }) if datagram.gossip.pop().is_some() => {}
+                Err(error) => return log::error!(event = "datagram_not_sent"; "{error}"),
             }
-            Err(error) => log::error!(event = "datagram_not_sent"; "{error}"),
-        }
+        };
+        let reach = self.reach(&outgoing.to);
+        let traffic = &self.outputs.traffic;
+        traffic.datagram(reach, Direction::Sent, bytes.len());
+        let _ = self.socket.try_send_to(&bytes, outgoing.address);
     }
 
     /// Queues a frame on a connection; one that does not keep up is closed.
     pub(crate) fn send_frame(&mut self, link: u64, frame: &Control) {
-        let encoded = match codec::encode(frame, LARGEST_CONTROL_BYTES) {
-            Ok(bytes) => Bytes::from(bytes),
-            Err(error) => {
-                log::error!(event = "frame_not_sent"; "{error}");
-                return;
-            }
-        };
-        self.queue(link, kind(frame), encoded);
+        self.send_frames(&[link], frame);
     }
 
     /// Queues one frame on several connections, encoded once.
@@ -280,8 +297,11 @@
         let traffic = &self.outputs.traffic;
         traffic.frame(kind, known.reach, Direction::Sent, frame.len());
         if known.sender.try_send(frame).is_err() {
-            log::warn!(event = "link_slow", peer:? = known.peer; "{}", crate::Error::Slow);
-            self.links.remove(&link);
+            log::warn!(event = "link_slow", peer:? = known.peer; "{}", Error::Slow);
+            let dial = self.links.remove(&link).and_then(|link| link.dial);
+            if let Some(dial) = dial {
+                self.note_failure(&dial, self.now());
+            }
         }
     }
 
@@ -342,7 +362,8 @@
     }
 }
 
-fn kind(frame: &Control) -> Kind {
+/// What a frame counts as.
+pub(crate) fn kind(frame: &Control) -> Kind {
     match frame {
         Control::News(_) => Kind::News,
         Control::Members(_) => Kind::Members,
@@ -352,11 +373,6 @@
     }
 }
 
-/// What a received frame counts as.
-pub(crate) fn kind_of(frame: &Control) -> Kind {
-    kind(frame)
-}
-
 impl Actor for Mesh {
     type Stop = ();
 
