Take deeper calls for two seconds while the news of a drain spreads

Cause: only the first layer of a call chain retries, so a deeper call that a leaving node refused failed for its caller, although nothing was wrong. Callers' requests are still refused at once, since their entry tries another target for free; calls with a depth are taken for at most LINGER (2 s, within the grace) after the node begins to leave, and the node is not drained before. A backend server that leaves by itself gets nothing new, as before. The entry took its readiness from the node's, which goes with the drain: a leaving node refused what its own backend server asked of others. It now takes the mesh's. Seen to fail without the guard: a_call_that_nobody_tries_again_is_taken_while_news_of_the_drain_spreads and both properties of admission.

--- a/crates/crank-engine/examples/requests/shared.rs
+++ b/crates/crank-engine/examples/requests/shared.rs
@@ -69,6 +69,7 @@
                     id,
                     importance: Importance::Normal,
                     deadline: Moment(now).after(TIMEOUT),
+                    depth: 0,
                 };
                 limits[index(places, hangs)].enter(Moment(now), ticket)
             }
--- a/crates/crank-engine/examples/requests/world.rs
+++ b/crates/crank-engine/examples/requests/world.rs
@@ -437,6 +437,7 @@
                     id: attempt as u64,
                     importance: Importance::Normal,
                     deadline,
+                    depth: 0,
                 };
                 let admission = &mut self.servers[server].admission;
                 let steps = admission.enter(Moment(self.now), ticket);
--- a/crates/crank-engine/src/admit.rs
+++ b/crates/crank-engine/src/admit.rs
@@ -20,7 +20,7 @@
 /// use crank_engine::limit::{Size, Step, Ticket};
 /// use crank_protocol::{Millis, call::Refusal, member::Stage};
 /// let mut admission = Admission::new(Size { slots: 1, queue: 1 });
-/// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000) };
+/// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
 /// let refused = Step::Refuse { id: 1, refusal: Refusal::Leaving };
 /// assert_eq!(admission.enter(Moment(0), ticket(1)), [refused]);
 /// admission.announce(Moment(0), Stage::Ready, Millis(100));
@@ -56,11 +56,11 @@
     /// # use crank_engine::admit::Admission;
     /// # use crank_engine::limit::{Size, Ticket};
     /// let mut admission = Admission::new(Size { slots: 1, queue: 1 });
-    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000) };
+    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
     /// assert_eq!(admission.enter(Moment(0), ticket).len(), 1);
     /// ```
     pub fn enter(&mut self, now: Moment, ticket: Ticket) -> Vec<Step> {
-        match self.drain.admit() {
+        match self.drain.admit(now, ticket.depth) {
             Ok(()) => self.limit.enter(now, ticket),
             Err(refusal) => vec![Step::Refuse {
                 id: ticket.id,
@@ -116,7 +116,8 @@
         }
     }
 
-    /// The node begins to leave: new work is refused, and what runs or waits is finished.
+    /// The node begins to leave: new work is refused as [`Drain::admit`] says, and what runs or
+    /// waits is finished.
     ///
     /// ```
     /// # use crank_engine::Moment;
@@ -126,7 +127,7 @@
     /// # use crank_protocol::Millis;
     /// let mut admission = Admission::new(Size { slots: 1, queue: 1 });
     /// admission.drain(Moment(0), Millis(100));
-    /// assert_eq!(admission.progress(Moment(0)), Progress::Drained);
+    /// assert_eq!(admission.progress(Moment(100_000)), Progress::Drained);
     /// ```
     pub fn drain(&mut self, now: Moment, grace: Millis) {
         self.drain.leave(now, grace);
--- a/crates/crank-engine/src/drain.rs
+++ b/crates/crank-engine/src/drain.rs
@@ -7,6 +7,10 @@
 
 use crate::Moment;
 
+/// How long a leaving node still takes calls from within the mesh, which their entry does not try
+/// again, while the news that it leaves spreads.
+pub const LINGER: Millis = Millis(2_000);
+
 /// How far a leaving node or backend server has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -46,10 +50,10 @@
 /// use crank_protocol::{Millis, call::Refusal, member::Stage};
 /// let mut drain = Drain::new();
 /// drain.announce(Moment(0), Stage::Ready, Millis(100));
-/// assert_eq!(drain.admit(), Ok(()));
+/// assert_eq!(drain.admit(Moment(0), 0), Ok(()));
 /// drain.leave(Moment(0), Millis(100));
-/// assert_eq!(drain.admit(), Err(Refusal::Leaving));
-/// assert_eq!(drain.progress(Moment(0), 0), Progress::Drained);
+/// assert_eq!(drain.admit(Moment(0), 0), Err(Refusal::Leaving));
+/// assert_eq!(drain.progress(Moment(100_000), 0), Progress::Drained);
 /// ```
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -69,8 +73,8 @@
     /// A node whose backend server has not announced itself.
     ///
     /// ```
-    /// use crank_engine::drain::Drain;
-    /// assert!(Drain::new().admit().is_err());
+    /// use crank_engine::{Moment, drain::Drain};
+    /// assert!(Drain::new().admit(Moment(0), 0).is_err());
     /// ```
     #[must_use]
     pub fn new() -> Self {
@@ -117,24 +121,39 @@
         self.stage = stage;
     }
 
-    /// Whether new work is taken.
+    /// Whether new work of this layer of a call chain is taken.
+    ///
+    /// A leaving node refuses callers' requests at once, for their entry tries another target.
+    /// Calls of deeper layers are tried only once: they are taken until [`LINGER`] is over.
     ///
     /// # Errors
     /// [`Refusal::Leaving`] where it is not.
     ///
     /// ```
-    /// # use crank_engine::drain::Drain;
-    /// # use crank_protocol::call::Refusal;
-    /// assert_eq!(Drain::new().admit(), Err(Refusal::Leaving));
+    /// # use crank_engine::{Moment, drain::Drain};
+    /// # use crank_protocol::{Millis, call::Refusal, member::Stage};
+    /// let mut drain = Drain::new();
+    /// drain.announce(Moment(0), Stage::Ready, Millis(9_000));
+    /// drain.leave(Moment(0), Millis(9_000));
+    /// assert_eq!(drain.admit(Moment(1_999_999), 1), Ok(()));
+    /// assert_eq!(drain.admit(Moment(2_000_000), 1), Err(Refusal::Leaving));
     /// ```
-    pub fn admit(&self) -> Result<(), Refusal> {
-        if self.node.is_none() && self.server_takes_work() {
+    pub fn admit(&self, now: Moment, depth: u32) -> Result<(), Refusal> {
+        let is_in_time = depth > 0 && !self.has_lingered(now);
+        if self.server_takes_work() && (self.node.is_none() || is_in_time) {
             Ok(())
         } else {
             Err(Refusal::Leaving)
         }
     }
 
+    fn has_lingered(&self, now: Moment) -> bool {
+        self.node.is_none_or(|leaving| {
+            let linger = leaving.grace.min(LINGER);
+            leaving.since.after(linger) <= now
+        })
+    }
+
     /// Whether work that waits at the node may still be given to the backend server.
     ///
     /// ```
@@ -164,7 +183,7 @@
             .max();
         match ends {
             None => Progress::Serving,
-            Some(_) if in_flight == 0 => Progress::Drained,
+            Some(_) if in_flight == 0 && self.has_lingered(now) => Progress::Drained,
             Some(end) if now < end => Progress::Draining {
                 in_flight,
                 left: end.since(now),
--- a/crates/crank-engine/src/limit.rs
+++ b/crates/crank-engine/src/limit.rs
@@ -30,6 +30,8 @@
     pub importance: Importance,
     /// When its time is over.
     pub deadline: Moment,
+    /// The layer of the call chain; zero for a caller outside the mesh.
+    pub depth: u32,
 }
 
 /// What becomes of a ticket.
@@ -87,7 +89,7 @@
     /// use crank_engine::Moment;
     /// use crank_engine::limit::{Limit, Size, Step, Ticket};
     /// let mut limit = Limit::new(Size { slots: 1, queue: 1 });
-    /// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000) };
+    /// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
     /// assert_eq!(limit.enter(Moment(0), ticket(1)), [Step::Run { id: 1 }]);
     /// assert_eq!(limit.enter(Moment(0), ticket(2)), []);
     /// assert!(matches!(limit.enter(Moment(0), ticket(3))[..], [Step::Refuse { id: 3, .. }]));
@@ -109,7 +111,7 @@
     /// # use crank_engine::Moment;
     /// # use crank_engine::limit::{Limit, Size, Step, Ticket};
     /// # let mut limit = Limit::new(Size { slots: 0, queue: 1 });
-    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000) };
+    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
     /// assert_eq!(limit.enter(Moment(0), ticket), []);
     /// assert_eq!(limit.resize(Moment(0), Size { slots: 1, queue: 1 }), [Step::Run { id: 1 }]);
     /// ```
@@ -125,7 +127,7 @@
     /// # use crank_engine::limit::{Limit, Size, Step, Ticket};
     /// # use crank_protocol::call::Refusal;
     /// let mut limit = Limit::new(Size { slots: 1, queue: 1 });
-    /// let late = Ticket { id: 1, importance: Default::default(), deadline: Moment(5) };
+    /// let late = Ticket { id: 1, importance: Default::default(), deadline: Moment(5), depth: 0 };
     /// let refused = Step::Refuse { id: 1, refusal: Refusal::TooLate };
     /// assert_eq!(limit.enter(Moment(5), late), [refused]);
     /// ```
@@ -181,7 +183,7 @@
     /// # use crank_engine::limit::{Limit, Size, Ticket};
     /// # use crank_protocol::call::Refusal;
     /// let mut limit = Limit::new(Size { slots: 0, queue: 1 });
-    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000) };
+    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
     /// limit.enter(Moment(0), ticket);
     /// assert_eq!(limit.clear(&Refusal::Leaving).len(), 1);
     /// ```
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -54,7 +54,8 @@
     pub config: watch::Receiver<Option<Arc<Snapshot>>>,
     /// All members, this node included: `crank_mesh::Handle::view`.
     pub view: watch::Receiver<Arc<View>>,
-    /// Whether the node may serve: `crank_mesh::Handle::ready`.
+    /// Whether the node holds the fleet's configuration: `crank_mesh::Handle::ready`. A leaving
+    /// node stays ready in this sense.
     pub ready: watch::Receiver<bool>,
     /// The way to the targets' nodes: [`crate::wire::Wire`].
     pub links: L,
@@ -157,12 +158,15 @@
         let rule = table.find(request.method, &request.path)?.clone();
         let asked = Asked::read(&request, &rule)?;
         if asked.depth == 0 {
-            self.shared.drain.lock().admit()?;
+            self.shared.drain.lock().admit(began, asked.depth)?;
         }
         let deadline = began.after(asked.timeout);
         let lane = self.lane(&rule);
         self.refresh(&lane, table.version(), &rule);
-        let turn = lane.gate().enter(rule.service.importance, deadline).await;
+        let gate = lane.gate();
+        let turn = gate
+            .enter(rule.service.importance, deadline, asked.depth)
+            .await;
         let pass = turn.inspect_err(|_| self.record(&rule, false, began))?;
         let journey = Journey {
             head: asked.head(&request, &rule, table.version()),
--- a/crates/crank-node/src/gate.rs
+++ b/crates/crank-node/src/gate.rs
@@ -27,9 +27,9 @@
 /// let gate = Gate::new(clock, Size { slots: 1, queue: 0 });
 /// gate.announce(Stage::Ready, Millis(100));
 /// let deadline = clock.now().after(Millis(60_000));
-/// let pass = gate.enter(Importance::Normal, deadline).await;
+/// let pass = gate.enter(Importance::Normal, deadline, 0).await;
 /// assert!(pass.is_ok());
-/// assert!(gate.enter(Importance::Normal, deadline).await.is_err());
+/// assert!(gate.enter(Importance::Normal, deadline, 0).await.is_err());
 /// # }
 /// ```
 #[derive(Debug, Clone)]
@@ -100,7 +100,7 @@
         }
     }
 
-    /// Waits for a place.
+    /// Waits for a place for a request of this layer of a call chain.
     ///
     /// # Errors
     /// What [`Admission`] refuses with, and [`Refusal::TooLate`] once the deadline is over. In
@@ -112,13 +112,18 @@
     /// # use crank_node::{clock::Clock, gate::Gate};
     /// # use crank_protocol::{call::Refusal, config::Importance};
     /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
-    /// let refused = gate.enter(Importance::Normal, Moment(u64::MAX)).await;
+    /// let refused = gate.enter(Importance::Normal, Moment(u64::MAX), 0).await;
     /// assert_eq!(refused.err(), Some(Refusal::Leaving));
     /// # }
     /// ```
-    pub async fn enter(&self, importance: Importance, deadline: Moment) -> Result<Pass, Refusal> {
+    pub async fn enter(
+        &self,
+        importance: Importance,
+        deadline: Moment,
+        depth: u32,
+    ) -> Result<Pass, Refusal> {
         let (sender, receiver) = oneshot::channel();
-        let pass = self.ask(importance, deadline, sender);
+        let pass = self.ask(importance, deadline, depth, sender);
         let turn = tokio::time::timeout_at(self.clock.instant(deadline), receiver);
         match turn.await {
             Ok(Ok(Ok(()))) => Ok(pass),
@@ -131,6 +136,7 @@
         &self,
         importance: Importance,
         deadline: Moment,
+        depth: u32,
         sender: oneshot::Sender<Result<(), Refusal>>,
     ) -> Pass {
         let mut state = self.state.lock();
@@ -141,6 +147,7 @@
             id,
             importance,
             deadline,
+            depth,
         };
         let steps = state.admission.enter(self.clock.now(), ticket);
         state.carry_out(steps);
@@ -187,7 +194,7 @@
     /// # use crank_node::{clock::Clock, gate::Gate};
     /// # use crank_protocol::Millis;
     /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
-    /// gate.drain(Millis(5_000));
+    /// gate.drain(Millis(0));
     /// assert_eq!(gate.progress(), Progress::Drained);
     /// ```
     pub fn drain(&self, grace: Millis) {
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -108,7 +108,7 @@
             place: settings.place.clone(),
             config: mesh.config(),
             view: mesh.view(),
-            ready: is_ready.clone(),
+            ready: mesh.ready(),
             links: Wire::new(
                 settings.name.clone(),
                 target.clone(),
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -213,7 +213,8 @@
         if !serves {
             return Err(self.refused(Refusal::Leaving));
         }
-        let pass = self.shared.gate.enter(head.importance, deadline).await;
+        let gate = &self.shared.gate;
+        let pass = gate.enter(head.importance, deadline, head.depth).await;
         pass.map_err(|refusal| self.refused(refusal))
     }
 
@@ -245,7 +246,9 @@
         }
     }
 
-    /// The node begins to leave: new work is refused at once, and what is in flight is finished.
+    /// The node begins to leave: new work is refused, and what is in flight is finished.
+    ///
+    /// Calls of deeper layers are taken for [`crank_engine::drain::LINGER`].
     ///
     /// ```
     /// # use crank_node::target::{Forwarder, Target};
--- a/crates/crank-node/tests/admission_at_the_target.rs
+++ b/crates/crank-node/tests/admission_at_the_target.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use common::{FakeServer, announcement, head, side, text, until};
-use crank_engine::drain::Progress;
+use std::time::{Duration, Instant};
+
+use common::{FakeServer, LONG, announcement, head, side, text, until};
+use crank_engine::drain::{LINGER, Progress};
 use crank_platform_client::Memory;
 use crank_protocol::Millis;
 use crank_protocol::call::{Outcome, Refusal};
@@ -61,6 +63,21 @@
     assert!(!server.runs.lock().contains_key(&9));
 }
 
+#[tokio::test]
+async fn a_call_that_nobody_tries_again_is_taken_while_news_of_the_drain_spreads() {
+    let server = FakeServer::new();
+    let side = side("orders", Memory::new(), server.clone());
+    let began = Instant::now();
+    side.target.drain(LONG);
+    let caller = side.target.run(head("orders", 1, None), "".into()).await;
+    assert_eq!(caller.err().unwrap().refusal, Refusal::Leaving);
+    let mut deeper = head("orders", 2, None);
+    deeper.depth = 1;
+    let result = side.target.run(deeper, "".into()).await;
+    let was_in_time = began.elapsed() < Duration::from(LINGER);
+    assert!(result.is_ok() || !was_in_time);
+}
+
 #[tokio::test]
 async fn a_drain_of_the_backend_server_gives_it_none_of_what_waits() {
     let server = FakeServer::held();
