Keep faults short and harmless, whatever the folder holds

A fault quoted what it refused at full length: one 64 KiB line gave a fault of 48 kB in the new test, and 200 of them would not fit a row of the table service, so that the refusal itself could not be noted; and control characters went to the operator's terminal. Quotes are cut at 80 letters and stripped.

ini::Problem's 'given' and 'line' are ini::Quote now; text.into() still makes one.

A proptest merges scraps of INI and bytes: never a panic, and the order of listing is nothing.

--- a/crates/crank-engine/src/folder/merge.rs
+++ b/crates/crank-engine/src/folder/merge.rs
@@ -7,7 +7,7 @@
 use crank_protocol::{Name, status};
 
 use super::{File, Problem, account, is_leaving, route, service};
-use crate::ini::{self, Document, Fault, Section};
+use crate::ini::{self, Document, Fault, Section, value};
 
 pub(crate) const MOST_FILES: usize = 256;
 pub(crate) const LARGEST_FILE_BYTES: usize = 64 * 1024;
@@ -214,10 +214,10 @@
         faults.push(section.fault(Problem::Nameless { kind }.into()));
         return None;
     };
-    match Name::new(name) {
+    match value::name(name) {
         Ok(name) => Some(name),
-        Err(error) => {
-            faults.push(section.fault(error.into()));
+        Err(problem) => {
+            faults.push(section.fault(problem));
             None
         }
     }
--- a/crates/crank-engine/src/ini/fault.rs
+++ b/crates/crank-engine/src/ini/fault.rs
@@ -6,6 +6,8 @@
 use crank_protocol::status;
 use thiserror::Error as ThisError;
 
+use super::Quote;
+
 /// What is wrong, and what to do.
 #[derive(Debug, Clone, PartialEq, Eq, ThisError)]
 pub enum Problem {
@@ -13,13 +15,13 @@
     #[error("'{line}' is not understood: write 'key = value', '[section]' or '; comment'")]
     NoEquals {
         /// The line.
-        line: Arc<str>,
+        line: Quote,
     },
     /// A header is not closed or is empty.
     #[error("'{line}' is not a section header: write '[section]' alone on the line")]
     BadHeader {
         /// The line.
-        line: Arc<str>,
+        line: Quote,
     },
     /// There is nothing before the `=`.
     #[error("there is no key before '=': write 'key = value'")]
@@ -69,7 +71,7 @@
     #[error("'{given}' does not fit: write {wanted}")]
     BadValue {
         /// What was given.
-        given: Arc<str>,
+        given: Quote,
         /// What the key takes.
         wanted: &'static str,
     },
@@ -77,7 +79,7 @@
     #[error("'{given}' has no unit: write {wanted}")]
     NoUnit {
         /// What was given.
-        given: Arc<str>,
+        given: Quote,
         /// What the key takes.
         wanted: &'static str,
     },
@@ -85,7 +87,7 @@
     #[error("{given} is out of range: write {least} to {most}")]
     OutOfRange {
         /// What was given.
-        given: Arc<str>,
+        given: Quote,
         /// The least that is taken.
         least: Arc<str>,
         /// The most that is taken.
@@ -196,11 +198,11 @@
 impl From<Fault> for status::Fault {
     fn from(fault: Fault) -> Self {
         Self {
-            problem: fault.problem.to_string().into(),
-            file: fault.file,
+            file: Quote::from(&*fault.file).into(),
             line: fault.line,
-            section: fault.section,
-            key: fault.key,
+            section: Quote::from(&*fault.section).into(),
+            key: Quote::from(&*fault.key).into(),
+            problem: fault.problem.to_string().into(),
         }
     }
 }
--- /dev/null
+++ b/crates/crank-engine/src/ini/quote.rs
@@ -0,0 +1,49 @@
+//! Words of a document as they are shown in a fault.
+
+use std::fmt;
+use std::sync::Arc;
+
+const LONGEST_QUOTE_LETTERS: usize = 80;
+const CUT: char = '…';
+
+/// A text that is cut to a bounded length and stripped of control characters, so that a fault stays
+/// small enough to be kept and harmless on a terminal.
+///
+/// ```
+/// use crank_engine::ini::Quote;
+/// assert_eq!(Quote::from("a\u{1b}[2J").to_string(), "a\u{fffd}[2J");
+/// assert_eq!(Quote::from("x".repeat(1_000).as_str()).to_string().chars().count(), 81);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Quote(Arc<str>);
+
+impl From<&str> for Quote {
+    fn from(text: &str) -> Self {
+        let shown = |letter: char| match letter.is_control() {
+            true => char::REPLACEMENT_CHARACTER,
+            false => letter,
+        };
+        let mut letters = text.chars();
+        let mut quote: String = letters
+            .by_ref()
+            .take(LONGEST_QUOTE_LETTERS)
+            .map(shown)
+            .collect();
+        if letters.next().is_some() {
+            quote.push(CUT);
+        }
+        Self(quote.into())
+    }
+}
+
+impl From<Quote> for Arc<str> {
+    fn from(quote: Quote) -> Self {
+        quote.0
+    }
+}
+
+impl fmt::Display for Quote {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- a/crates/crank-engine/src/ini/value.rs
+++ b/crates/crank-engine/src/ini/value.rs
@@ -6,7 +6,7 @@
 use time::OffsetDateTime;
 use time::format_description::well_known::Rfc3339;
 
-use super::Problem;
+use super::{Problem, Quote};
 
 const MILLIS_PER_SECOND: u64 = 1_000;
 const MILLIS_PER_MINUTE: u64 = 60_000;
@@ -184,7 +184,10 @@
 /// assert_eq!(value::name("recipes").unwrap().as_str(), "recipes");
 /// ```
 pub fn name(text: &str) -> Result<Name, Problem> {
-    Ok(Name::new(text)?)
+    Name::new(text).map_err(|_| {
+        let given = Quote::from(text).to_string();
+        Problem::BadName(crank_protocol::Error::BadName { given })
+    })
 }
 
 /// Reads a wall time with its offset, as RFC 3339 writes it.
--- a/crates/crank-engine/tests/folder_is_refused_whole.rs
+++ b/crates/crank-engine/tests/folder_is_refused_whole.rs
@@ -365,3 +365,24 @@
     let wanted = [("10.ini", 2), ("10.ini", 4), ("20.ini", 1), ("20.ini", 3)];
     assert_eq!(places, wanted);
 }
+
+#[test]
+fn faults_stay_short_and_harmless_whatever_the_folder_holds() {
+    let long = "\u{1b}[2J".repeat(8_000);
+    let contents = [
+        format!("[service recipes]\ntimeout = {long}\n"),
+        format!("[service recipes]\n{long} = 1\n"),
+        format!("[service {long}]\nslots = 1\n"),
+        format!("[{long}]\n"),
+        format!("[{long}\n"),
+        format!("{long}\n"),
+        format!("[route r]\npath = {long}\nmethods = {long}\nservice = {long}\n"),
+    ];
+    for content in contents {
+        for fault in faults(&[file("10.ini", GOOD), file("20.ini", &content)]) {
+            let text = fault.to_string();
+            assert!(text.len() < 600, "{} bytes", text.len());
+            assert!(!text.contains('\u{1b}'), "{text}");
+        }
+    }
+}
--- a/crates/crank-engine/tests/folder_merges_in_order.rs
+++ b/crates/crank-engine/tests/folder_merges_in_order.rs
@@ -5,6 +5,7 @@
 use crank_engine::folder::{File, merge};
 use crank_protocol::config::Method;
 use crank_protocol::{Millis, Permille};
+use proptest::prelude::*;
 
 fn file(name: &str, content: &str) -> File {
     File {
@@ -85,3 +86,51 @@
     assert!(release.once && !release.idempotent);
     assert!(config.account.notice_ends.is_some());
 }
+
+fn scrap() -> impl Strategy<Value = Vec<u8>> {
+    let words = [
+        "[service a]",
+        "[route r]",
+        "[account]",
+        "slots = 6",
+        "path = /a",
+        "name = a",
+        "[",
+        "]",
+        "=",
+        "\r",
+        "\n",
+        " ",
+        ";",
+        "#",
+        "timeout = 5",
+        "methods = GET",
+        "service = a",
+        "\u{feff}",
+    ];
+    let word = prop::sample::select(words.to_vec()).prop_map(|word| word.as_bytes().to_vec());
+    let bytes = prop::collection::vec(any::<u8>(), 0..4);
+    prop::collection::vec(prop_oneof![4 => word, 1 => bytes], 0..30)
+        .prop_map(|words| words.concat())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+
+    #[test]
+    fn any_content_is_merged_or_refused_and_the_order_of_listing_does_not_matter(
+        contents in prop::collection::vec(scrap(), 0..4),
+    ) {
+        let named = |(index, content): (usize, Vec<u8>)| File {
+            name: format!("{index}.ini").into(),
+            content,
+        };
+        let mut files: Vec<File> = contents.into_iter().enumerate().map(named).collect();
+        let merged = merge(&files);
+        if let Err(faults) = &merged {
+            prop_assert!(!faults.is_empty());
+        }
+        files.reverse();
+        prop_assert_eq!(merge(&files), merged);
+    }
+}
--- a/crates/crank-node/src/settings.rs
+++ b/crates/crank-node/src/settings.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::Arc;
 
 use crank_engine::ini::{Document, Fault, Problem, Reader, Section, value};
 use crank_protocol::member::Place;
@@ -199,7 +198,7 @@
         "debug" => Ok(log::LevelFilter::Debug),
         "trace" => Ok(log::LevelFilter::Trace),
         _ => Err(Problem::BadValue {
-            given: Arc::from(text),
+            given: text.into(),
             wanted: LEVELS,
         }),
     }
