--- a/crates/crank-engine/src/ini/fault.rs
+++ b/crates/crank-engine/src/ini/fault.rs
@@ -198,7 +198,7 @@
 impl From<Fault> for status::Fault {
     fn from(fault: Fault) -> Self {
         Self {
-            file: Quote::from(&*fault.file).into(),
+            file: Quote::path(&fault.file).into(),
             line: fault.line,
             section: Quote::from(&*fault.section).into(),
             key: Quote::from(&*fault.key).into(),
--- a/crates/crank-engine/src/ini/quote.rs
+++ b/crates/crank-engine/src/ini/quote.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 const LONGEST_QUOTE_LETTERS: usize = 80;
+const LONGEST_PATH_LETTERS: usize = 512;
 const CUT: char = '…';
 
 /// A text that is cut to a bounded length and stripped of control characters, so that a fault stays
@@ -17,18 +18,26 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Quote(Arc<str>);
 
-impl From<&str> for Quote {
-    fn from(text: &str) -> Self {
+impl Quote {
+    /// The path of a file, which may be longer than other words.
+    ///
+    /// ```
+    /// use crank_engine::ini::Quote;
+    /// let path = "/etc/".repeat(50);
+    /// assert_eq!(Quote::path(&path).to_string(), path);
+    /// ```
+    #[must_use]
+    pub fn path(text: &str) -> Self {
+        Self::cut(text, LONGEST_PATH_LETTERS)
+    }
+
+    fn cut(text: &str, most: usize) -> Self {
         let shown = |letter: char| match letter.is_control() {
             true => char::REPLACEMENT_CHARACTER,
             false => letter,
         };
         let mut letters = text.chars();
-        let mut quote: String = letters
-            .by_ref()
-            .take(LONGEST_QUOTE_LETTERS)
-            .map(shown)
-            .collect();
+        let mut quote: String = letters.by_ref().take(most).map(shown).collect();
         if letters.next().is_some() {
             quote.push(CUT);
         }
@@ -36,6 +45,12 @@
     }
 }
 
+impl From<&str> for Quote {
+    fn from(text: &str) -> Self {
+        Self::cut(text, LONGEST_QUOTE_LETTERS)
+    }
+}
+
 impl From<Quote> for Arc<str> {
     fn from(quote: Quote) -> Self {
         quote.0
