--- a/crates/crank-operator/src/listener.rs
+++ b/crates/crank-operator/src/listener.rs
@@ -91,7 +91,7 @@
 }
 
 async fn history<D: Desk>(desk: D, page: Page) -> Response {
-    let limit = page.limit.unwrap_or(DEFAULT_HISTORY).min(MOST_HISTORY);
+    let limit = page.limit.unwrap_or(DEFAULT_HISTORY).clamp(1, MOST_HISTORY);
     match desk.history(limit).await {
         Ok(entries) => json(&entries),
         Err(error) => trouble(&Trouble {
