Open one connection at a time to a silent node, and bound slow requests

A caller that gave up waiting took its attempt to connect with it, so that the next one began anew and no failure was ever noted for the back-off. Seen: 20 impatient callers opened 20 connections to a silent node; now 1, and the failure is noted. The test failed before and passes now.

A request's body has to be whole within 30 s. A caller's connection may idle for 100 s, longer than HTTP clients usually keep one, so that no request meets a closing connection.

--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -20,7 +20,9 @@
 use crate::{Error, Gateway, reply, request};
 
 const MOST_CONNECTIONS: usize = 4_096;
-const HEADER_LIMIT: Duration = Duration::from_secs(10);
+/// Also how long a connection may idle; above the usual 90 s of HTTP clients, so that they close
+/// first and no request meets a closing connection.
+const HEADER_LIMIT: Duration = Duration::from_secs(100);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 const GENTLE_CLOSE: Duration = Duration::from_secs(1);
 
--- a/crates/crank-caller/src/request.rs
+++ b/crates/crank-caller/src/request.rs
@@ -1,6 +1,7 @@
 //! From an HTTP request to a [`Request`].
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use crank_protocol::call::{Header, Outcome, Refusal, Refused, Request};
@@ -8,8 +9,12 @@
 use futures::{Stream, StreamExt};
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
 
+use tokio::time::timeout;
+
 use crate::LARGEST_BODY_BYTES;
 
+const BODY_LIMIT: Duration = Duration::from_secs(30);
+
 const ONE_HOP: [&str; 8] = [
     "connection",
     "keep-alive",
@@ -76,7 +81,9 @@
         method,
         path,
         headers: end_to_end(&headers),
-        body: whole(body).await?,
+        body: timeout(BODY_LIMIT, whole(body))
+            .await
+            .map_err(|_| Fault::Body)??,
     })
 }
 
--- a/crates/crank-mesh/src/call/link.rs
+++ b/crates/crank-mesh/src/call/link.rs
@@ -1,7 +1,6 @@
 //! The client's side of a call connection.
 
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +15,7 @@
 use serde_bytes::ByteBuf;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, Sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
@@ -340,7 +339,6 @@
     shared: Arc<Shared>,
     events: mpsc::UnboundedReceiver<Event>,
     deadline: Instant,
-    late: Pin<Box<Sleep>>,
     taken: u64,
     is_ended: bool,
 }
@@ -357,7 +355,6 @@
             shared,
             events,
             deadline,
-            late: Box::pin(sleep_until(deadline)),
             taken: 0,
             is_ended: false,
         }
@@ -394,10 +391,9 @@
         if self.is_ended {
             return None;
         }
-        let event = tokio::select! {
-            biased;
-            event = self.events.recv() => event,
-            () = &mut self.late => Some(Event::Refused(refused(Refusal::TimedOut, Outcome::Ran))),
+        let event = timeout_at(self.deadline, self.events.recv()).await;
+        let Ok(event) = event else {
+            return Some(Err(self.fail(Refusal::TimedOut)));
         };
         match event {
             Some(Event::Data(data)) => {
--- a/crates/crank-mesh/src/call/pool.rs
+++ b/crates/crank-mesh/src/call/pool.rs
@@ -109,10 +109,12 @@
         }
         let started = Instant::now();
         let time_left = Duration::from(head.time_left);
-        let connect = self.connect(&slot, peer);
+        // In a task of its own, so that its end is noted even if this caller does not wait for it.
+        let connect = tokio::spawn(self.clone().connect(slot, peer.clone()));
         let limit = time_left.min(CONNECT_LIMIT);
         let connected = tokio::time::timeout(limit, connect).await;
-        let link = connected.ok().flatten().ok_or_else(not_sent)?;
+        let link = connected.ok().and_then(Result::ok).flatten();
+        let link = link.ok_or_else(not_sent)?;
         head.time_left = time_left.saturating_sub(started.elapsed()).into();
         link.run(head, body).await
     }
@@ -131,7 +133,7 @@
         Some(slots.entry(peer.clone()).or_default().clone())
     }
 
-    async fn connect(&self, slot: &Slot, peer: &Peer) -> Option<Link> {
+    async fn connect(self, slot: Arc<Slot>, peer: Peer) -> Option<Link> {
         let mut failures = slot.connecting.lock().await;
         if let Some(link) = slot.open_link() {
             return Some(link);
--- a/crates/crank-mesh/tests/call_connections.rs
+++ b/crates/crank-mesh/tests/call_connections.rs
@@ -11,8 +11,9 @@
 use common::{LIMIT, answer, head, hello, link, name, node};
 use crank_mesh::Error;
 use crank_mesh::call::{CREDIT_BYTES, Link, Peer, Pool, Target};
+use crank_protocol::Millis;
 use crank_protocol::call::{Answer, Body, Head, Outcome, Refusal, Refused};
-use futures::{TryStreamExt, stream};
+use futures::{FutureExt, TryStreamExt, stream};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -189,3 +190,26 @@
         (Refusal::NotSent, Outcome::NotRun)
     );
 }
+
+#[tokio::test]
+async fn callers_who_wait_for_a_silent_node_share_one_attempt_to_connect() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = Peer {
+        id: name("target"),
+        address: listener.local_addr().unwrap(),
+    };
+    let pool = Pool::new(hello("entry", "sutkent"));
+    let impatient = (0..20).map(|_| {
+        let mut head = head("/echo");
+        head.time_left = Millis(50);
+        pool.run(&peer, head, Bytes::new())
+    });
+    for result in futures::future::join_all(impatient).await {
+        assert_eq!(result.err().unwrap().refusal, Refusal::NotSent);
+    }
+    let mut connections = 0;
+    while let Some(Ok(_)) = listener.accept().now_or_never() {
+        connections += 1;
+    }
+    assert_eq!(connections, 1);
+}
--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -14,7 +14,7 @@
 use crank_protocol::config::Method;
 use futures::{Stream, StreamExt};
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
-use tokio::time::{Instant, Sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::Error;
 use crate::whole::End;
@@ -224,7 +224,7 @@
 struct Piece<S> {
     body: Pin<Box<S>>,
     left: Option<u64>,
-    late: Pin<Box<Sleep>>,
+    deadline: Instant,
     is_ended: bool,
 }
 
@@ -241,7 +241,7 @@
         let piece = Self {
             body,
             left,
-            late: Box::pin(sleep_until(deadline)),
+            deadline,
             is_ended: false,
         };
         Box::pin(futures::stream::unfold(piece, |mut piece| async move {
@@ -254,10 +254,9 @@
         if self.is_ended {
             return None;
         }
-        let next = tokio::select! {
-            biased;
-            next = self.body.next() => self.check(next),
-            () = &mut self.late => Some(Err(Refusal::TimedOut)),
+        let next = match timeout_at(self.deadline, self.body.next()).await {
+            Ok(next) => self.check(next),
+            Err(_) => Some(Err(Refusal::TimedOut)),
         };
         self.is_ended = !matches!(next, Some(Ok(_)));
         next
