--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -1,5 +1,6 @@
 //! The life of a node: start, serve, leave.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 use crate::desk::Office;
 use crate::entry::{self, Entry};
 use crate::front::Front;
+use crate::handover;
 use crate::join::Join;
 use crate::metrics::Metrics;
 use crate::publisher;
@@ -69,7 +71,8 @@
     mesh: Handle,
     entry: NodeEntry,
     target: NodeTarget,
-    announcements: Announcements,
+    _announcements: Announcements,
+    announced: watch::Receiver<Option<Announcement>>,
     ready: Arc<watch::Sender<bool>>,
     draining: CancellationToken,
     leaving: CancellationToken,
@@ -77,20 +80,22 @@
 }
 
 impl Node {
-    async fn start(settings: Settings) -> Result<Self, Error> {
+    async fn start(mut settings: Settings) -> Result<Self, Error> {
         let clock = Clock::new();
         let leaving = CancellationToken::new();
         let platform = Remote::new(&settings.platform.access())?;
         let announcements = Announcements::new(settings.listen.servers).await?;
         let edge = crank_caller::Edge::new(settings.listen.callers).await?;
         let operators = listen(&settings).await?;
+        settings.listen.operators = operators.local_addr().unwrap_or(settings.listen.operators);
         let (sockets, accepted) = mpsc::channel(CALL_SOCKETS);
         let mesh = crank_mesh::start(mesh_settings(&settings), sockets).await?;
         let (ready, is_ready) = watch::channel(false);
+        let announced = handover::follow(announcements.watch(), mesh.config());
         let target = Target::new(target::Parts {
             clock,
             config: mesh.config(),
-            announced: announcements.watch(),
+            announced: announced.clone(),
             account: settings.platform.account.clone(),
             platform: platform.clone(),
             forwarder: crank_server::Forwarder::new()?,
@@ -123,7 +128,7 @@
             burn,
             metrics: metrics.clone(),
         };
-        say_addresses(&settings, &mesh, &announcements, &edge, &operators);
+        say_addresses(&settings, &mesh, &announcements, &edge);
         tokio::spawn(crank_operator::listener::serve(
             operators,
             office,
@@ -142,7 +147,8 @@
             mesh,
             entry,
             target,
-            announcements,
+            _announcements: announcements,
+            announced,
             ready: Arc::new(ready),
             draining: CancellationToken::new(),
             leaving,
@@ -164,15 +170,15 @@
         tokio::spawn(join.clone().until_ready());
         tokio::spawn(join.keep_contact());
         self.publish(platform);
-        let announced = self.announcements.watch();
         tokio::spawn(announce(
-            announced,
+            self.announced.clone(),
             self.draining.clone(),
             self.mesh.clone(),
         ));
+        let operators = reachable(self.settings.listen.operators, &self.mesh);
         let (mesh, ready) = (self.mesh.clone(), self.ready.clone());
         let (target, draining) = (self.target.clone(), self.draining.clone());
-        tokio::spawn(vitals(mesh, ready, target, draining));
+        tokio::spawn(vitals(mesh, ready, target, draining, operators));
     }
 
     fn publish(&self, platform: Remote) {
@@ -262,14 +268,13 @@
     mesh: &Handle,
     announcements: &Announcements,
     edge: &crank_caller::Edge,
-    operators: &TcpListener,
 ) {
-    let operators = operators.local_addr().unwrap_or(settings.listen.operators);
     println!(
-        "listening callers={} mesh={} servers={} operators={operators}",
+        "listening callers={} mesh={} servers={} operators={}",
         edge.address(),
         mesh.address(),
         announcements.address(),
+        settings.listen.operators,
     );
 }
 
@@ -324,12 +329,22 @@
     Endpoint { stage, ..endpoint }
 }
 
+/// Where others reach a listener: by the mesh's IP number where it listens on all of them.
+fn reachable(listener: SocketAddr, mesh: &Handle) -> SocketAddr {
+    if listener.ip().is_unspecified() {
+        SocketAddr::new(mesh.address().ip(), listener.port())
+    } else {
+        listener
+    }
+}
+
 /// Keeps what the mesh tells of this node, and whether it takes requests, up to date.
 async fn vitals(
     mesh: Handle,
     ready: Arc<watch::Sender<bool>>,
     target: NodeTarget,
     draining: CancellationToken,
+    operators: SocketAddr,
 ) {
     let mut mesh_ready = mesh.ready();
     loop {
@@ -340,6 +355,7 @@
         mesh.set_vitals(Vitals {
             ready: is_ready,
             in_flight: load.running + load.waiting,
+            operators: Some(operators),
         });
         let _ = tokio::time::timeout(VITALS_PERIOD, mesh_ready.changed()).await;
     }
