Do not refuse a folder before anything was put into it

A new mesh noted the empty folder as refused ('[account] is missing') and showed it in status. Seen to fail first: the test read that verdict. Once something is accepted, an empty folder is refused as before.

--- a/crates/crank-node/src/publisher/round.rs
+++ b/crates/crank-node/src/publisher/round.rs
@@ -124,7 +124,9 @@
             return Ok(());
         }
         let faults = oversize(&listing);
-        if !faults.is_empty() {
+        if listing.is_empty() && before.head.is_none() {
+            log::debug!("nothing has been put into the folder yet");
+        } else if !faults.is_empty() {
             self.refuse(before, faults).await?;
         } else if let Some(files) = self.files(&listing).await? {
             if self.list().await? != listing {
--- a/crates/crank-node/tests/publisher_survives_faults.rs
+++ b/crates/crank-node/tests/publisher_survives_faults.rs
@@ -230,3 +230,13 @@
     assert_eq!(slots(&second.next().await.config), (2, 2));
     assert_eq!(versions(&memory).await, [2, 1]);
 }
+
+#[tokio::test]
+async fn a_folder_is_not_refused_before_anything_was_put_into_it() {
+    let memory = Memory::new();
+    let mut running = Running::new(&memory, "n1", Millis(0));
+    until(async || memory.counts().reads > 30).await;
+    assert_eq!(verdict::read(&memory, &account()).await, Ok(None));
+    edit(&memory, 1).await;
+    assert_eq!(running.next().await.stamp.version, Version(1));
+}
