--- a/crates/crank-caller/src/reply.rs
+++ b/crates/crank-caller/src/reply.rs
@@ -20,6 +20,8 @@
 use crate::request::Fault;
 
 const MILLIS_PER_SECOND: u64 = 1_000;
+/// How long a caller leaves alone what is not there for the moment.
+const PASSING: Millis = Millis(1_000);
 
 /// What a caller reads in the body of a refusal.
 #[derive(Serialize)]
@@ -45,10 +47,7 @@
 }
 
 fn with_status(refused: &Refused, status: StatusCode) -> warp::reply::Response {
-    let retry_after = match refused.refusal {
-        Refusal::Overloaded { retry_after } => Some(retry_after),
-        _ => None,
-    };
+    let retry_after = retry_after(&refused.refusal);
     let refusal = name(&refused.refusal);
     let note = Note {
         refusal,
@@ -71,6 +70,17 @@
     response
 }
 
+/// When to try again what was not run for a reason that passes.
+fn retry_after(refusal: &Refusal) -> Option<Millis> {
+    match refusal {
+        Refusal::Overloaded { retry_after } => Some(*retry_after),
+        Refusal::NotReady | Refusal::NoServer | Refusal::Leaving | Refusal::StoreDown => {
+            Some(PASSING)
+        }
+        _ => None,
+    }
+}
+
 fn outcome(outcome: Outcome) -> HeaderValue {
     HeaderValue::from_static(match outcome {
         Outcome::NotRun => "not-run",
