Hand the publisher's lease on when its holder leaves

It now writes the row as released, on the condition of its own beat, and a candidate takes it at its next look. A holder that is lost still has to lapse. run.rs gives it up when the node drains.

--- a/crates/crank-engine/src/publish/tenure.rs
+++ b/crates/crank-engine/src/publish/tenure.rs
@@ -17,6 +17,8 @@
     pub holder: Name,
     /// Raised by every write of the row.
     pub beat: u64,
+    /// Whether the holder gave it up, so that another may take it at once.
+    pub released: bool,
 }
 
 /// A conditional write of the lease row.
@@ -93,8 +95,7 @@
     /// ```
     pub fn next(&mut self, candidate: bool, now: Moment) -> TenureStep {
         if !candidate {
-            self.held = None;
-            return TenureStep::Wait;
+            return self.give_up();
         }
         let Some((lease, since)) = self.held.clone() else {
             return TenureStep::Read;
@@ -116,7 +117,7 @@
     /// # use crank_engine::{Moment, publish::{Lease, Tenure, TenureStep}};
     /// # use crank_protocol::Name;
     /// let mut tenure = Tenure::new(Name::new("n1")?);
-    /// let other = Lease { holder: Name::new("n2")?, beat: 7 };
+    /// let other = Lease { holder: Name::new("n2")?, beat: 7, released: false };
     /// assert_eq!(tenure.after_read(Some(other.clone()), Moment(0)), TenureStep::Wait);
     /// let later = Moment(0).after(crank_engine::publish::LEASE);
     /// assert!(matches!(tenure.after_read(Some(other), later), TenureStep::Write(_)));
@@ -126,7 +127,8 @@
         let Some(lease) = found else {
             return TenureStep::Write(self.next_write(None));
         };
-        if lease.holder == self.node || self.silence(&lease, now) >= LEASE {
+        let is_free = lease.released || lease.holder == self.node;
+        if is_free || self.silence(&lease, now) >= LEASE {
             return TenureStep::Write(self.next_write(Some(lease)));
         }
         TenureStep::Wait
@@ -144,7 +146,25 @@
     /// # Ok::<(), crank_protocol::Error>(())
     /// ```
     pub fn after_write(&mut self, write: LeaseWrite, took_effect: bool, begun: Moment) {
-        self.held = took_effect.then_some((write.to, begun));
+        let holds = took_effect && !write.to.released;
+        self.held = holds.then_some((write.to, begun));
+    }
+
+    /// Gives the lease up, if it is held, so that nobody waits for it to lapse.
+    ///
+    /// ```
+    /// # use crank_engine::publish::{Tenure, TenureStep};
+    /// # use crank_protocol::Name;
+    /// assert_eq!(Tenure::new(Name::new("n1")?).give_up(), TenureStep::Wait);
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    pub fn give_up(&mut self) -> TenureStep {
+        let Some((lease, _)) = self.held.take() else {
+            return TenureStep::Wait;
+        };
+        let mut write = self.next_write(Some(lease));
+        write.to.released = true;
+        TenureStep::Write(write)
     }
 
     fn next_write(&self, from: Option<Lease>) -> LeaseWrite {
@@ -152,7 +172,11 @@
         let holder = self.node.clone();
         LeaseWrite {
             from,
-            to: Lease { holder, beat },
+            to: Lease {
+                holder,
+                beat,
+                released: false,
+            },
         }
     }
 
--- a/crates/crank-engine/tests/publishing_waits_and_takes_turns.rs
+++ b/crates/crank-engine/tests/publishing_waits_and_takes_turns.rs
@@ -58,7 +58,7 @@
     ) {
         let mut tenure = Tenure::new(name("n1"));
         let (mut now, mut silent_since) = (Moment(0), None);
-        let mut lease = Lease { holder: name("n2"), beat: 1 };
+        let mut lease = Lease { holder: name("n2"), beat: 1, released: false };
         for (wait, renewed) in looks {
             now = now.after(Millis(wait));
             if renewed {
@@ -96,8 +96,15 @@
 }
 
 #[test]
-fn a_node_that_is_no_candidate_any_more_gives_the_lease_up() {
-    let mut tenure = holding(Moment(0));
-    assert_eq!(tenure.next(false, Moment(1)), TenureStep::Wait);
-    assert!(!tenure.is_held());
+fn a_node_that_is_no_candidate_any_more_gives_the_lease_up_and_another_takes_it_at_once() {
+    let mut leaving = holding(Moment(0));
+    let TenureStep::Write(given_up) = leaving.next(false, Moment(1)) else {
+        unreachable!("the lease is held");
+    };
+    leaving.after_write(given_up.clone(), true, Moment(1));
+    assert!(!leaving.is_held());
+    assert_eq!(leaving.next(false, Moment(2)), TenureStep::Wait);
+    let mut other = Tenure::new(name("n2"));
+    let step = other.after_read(Some(given_up.to), Moment(3));
+    assert!(matches!(step, TenureStep::Write(write) if !write.to.released));
 }
--- a/crates/crank-node/src/publisher.rs
+++ b/crates/crank-node/src/publisher.rs
@@ -70,6 +70,29 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Round;
 
+/// Tells the actor to give the lease up.
+#[derive(Debug, Clone, Copy)]
+struct Leave;
+
+/// Stops a publisher that was started, and gives up the lease if it holds it.
+///
+/// ```
+/// # use crank_node::publisher::{Settings, start, stop};
+/// # use crank_platform_client::Memory;
+/// # use crank_protocol::Name;
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// # let settings = Settings::new(Name::new("sutkent").unwrap(), Name::new("n1").unwrap());
+/// # let (_is_candidate, candidate) = tokio::sync::watch::channel(true);
+/// # let (accepted, _snapshots) = tokio::sync::mpsc::channel(1);
+/// let publisher = start(Memory::new(), settings, candidate, accepted);
+/// stop(publisher).await;
+/// # });
+/// ```
+pub async fn stop<P: Platform>(publisher: Address<Publisher<P>>) {
+    // It fails only if the actor has stopped already.
+    let _ = publisher.send(Leave).await;
+}
+
 /// Starts the publisher of a node. It stops when the address is dropped.
 ///
 /// What is accepted, by this publisher or another, is sent to `accepted`, each version once.
@@ -131,6 +154,17 @@
     }
 }
 
+impl<P: Platform> Handler<Leave> for Publisher<P> {
+    type Return = ();
+
+    async fn handle(&mut self, _leave: Leave, context: &mut Context<Self>) {
+        if let Err(error) = self.give_up().await {
+            log::warn!("the publisher's lease is left to lapse: {error}");
+        }
+        context.stop_self();
+    }
+}
+
 impl<P: Platform> Publisher<P> {
     fn wait(&mut self, done: Result<Millis, Error>) -> Millis {
         match done {
--- a/crates/crank-node/src/publisher/round.rs
+++ b/crates/crank-node/src/publisher/round.rs
@@ -52,6 +52,16 @@
             let found = lease::read(&self.platform, &self.settings.account).await?;
             step = self.tenure.after_read(found, self.clock.now());
         }
+        self.take(step).await
+    }
+
+    /// Gives the lease up, so that another node need not wait for it to lapse.
+    pub(super) async fn give_up(&mut self) -> Result<(), Error> {
+        let step = self.tenure.give_up();
+        self.take(step).await.map(drop)
+    }
+
+    async fn take(&mut self, step: TenureStep) -> Result<bool, Error> {
         match step {
             TenureStep::Hold => Ok(true),
             TenureStep::Read | TenureStep::Wait => Ok(false),
@@ -70,9 +80,9 @@
             Err(Error::ConditionFailed) => Ok(false),
             written => written.map(|()| true),
         };
-        let held = written.as_ref().is_ok_and(|held| *held);
-        self.tenure.after_write(write, held, begun);
-        written
+        let took_effect = written.as_ref().is_ok_and(|took_effect| *took_effect);
+        self.tenure.after_write(write, took_effect, begun);
+        written.map(|_| self.tenure.is_held())
     }
 
     /// Looks at the head now and then: another publisher may have been lost before it spread what
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -188,9 +188,13 @@
         let (accepted, found) = mpsc::channel(1);
         let publisher = publisher::start(platform, settings, is_candidate, accepted);
         let (mesh, region) = (self.mesh.clone(), self.settings.platform.region.clone());
+        let draining = self.draining.clone();
         tokio::spawn(async move {
-            candidacy(mesh, region, candidate).await;
-            drop(publisher);
+            tokio::select! {
+                () = candidacy(mesh, region, candidate) => {}
+                () = draining.cancelled() => {}
+            }
+            publisher::stop(publisher).await;
         });
         tokio::spawn(offer(found, self.mesh.clone()));
     }
--- a/crates/crank-node/tests/publisher_survives_faults.rs
+++ b/crates/crank-node/tests/publisher_survives_faults.rs
@@ -8,8 +8,10 @@
 
 use crank_engine::Nonce;
 use crank_engine::publish::advance;
-use crank_node::publisher::{Publisher, Settings, start};
-use crank_platform_client::{Condition, Etag, Memory, Platform, configs, folder, head, verdict};
+use crank_node::publisher::{Publisher, Settings, start, stop};
+use crank_platform_client::{
+    Condition, Etag, Memory, Platform, configs, folder, head, lease, verdict,
+};
 use crank_protocol::config::{Config, Snapshot, Version};
 use crank_protocol::status::{Entry, Verdict};
 use crank_protocol::{Millis, Name};
@@ -30,7 +32,7 @@
 }
 
 struct Running<P> {
-    _publisher: Address<Publisher<P>>,
+    publisher: Address<Publisher<P>>,
     _candidate: watch::Sender<bool>,
     snapshots: mpsc::Receiver<Snapshot>,
 }
@@ -44,7 +46,7 @@
             ..Settings::new(account(), name(node))
         };
         Self {
-            _publisher: start(platform.clone(), settings, is_candidate, accepted),
+            publisher: start(platform.clone(), settings, is_candidate, accepted),
             _candidate: candidate,
             snapshots,
         }
@@ -240,3 +242,18 @@
     edit(&memory, 1).await;
     assert_eq!(running.next().await.stamp.version, Version(1));
 }
+
+#[tokio::test]
+async fn a_publisher_that_leaves_hands_the_lease_on_without_a_lapse() {
+    let memory = Memory::new();
+    edit(&memory, 1).await;
+    let mut first = Running::new(&memory, "n1", Millis(0));
+    assert_eq!(first.next().await.stamp.version, Version(1));
+    stop(first.publisher).await;
+    let given_up = lease::read(&memory, &account()).await.unwrap().unwrap();
+    assert!(given_up.released);
+    let mut second = Running::new(&memory, "n2", Millis(0));
+    second.next().await;
+    edit(&memory, 2).await;
+    assert_eq!(slots(&second.next().await.config), (2, 2));
+}
--- a/crates/crank-platform-client/src/lease.rs
+++ b/crates/crank-platform-client/src/lease.rs
@@ -38,7 +38,7 @@
 /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
 /// # let account = Name::new("sutkent").unwrap();
 /// let platform = Memory::new();
-/// let to = Lease { holder: Name::new("n1").unwrap(), beat: 1 };
+/// let to = Lease { holder: Name::new("n1").unwrap(), beat: 1, released: false };
 /// let write = LeaseWrite { from: None, to };
 /// assert_eq!(lease::write(&platform, &account, &write).await, Ok(()));
 /// assert!(lease::write(&platform, &account, &write).await.is_err());
