Repeat news twice, and ask for tables only when tables differ

News goes to the neighbours' connections first and tables are compared by their hash, so two repeats are enough as the spare way. - A node that lacked a configuration asked for the member table too; no longer. - Nobody is asked about a node that has been declared dead meanwhile. Not caught: probing standby bridges and telling a node in a probe that it is believed dead; other ways make up for both, only later.

--- a/crates/crank-engine/src/member/prober.rs
+++ b/crates/crank-engine/src/member/prober.rs
@@ -178,7 +178,9 @@
         let Some(pending) = self.pending.as_mut() else {
             return Vec::new();
         };
-        if pending.through_others || now.since(pending.asked) < limit {
+        let target = table.get(&pending.target);
+        let is_over = target.is_none_or(|member| !is_there(member.state));
+        if is_over || pending.through_others || now.since(pending.asked) < limit {
             return Vec::new();
         }
         pending.through_others = true;
--- a/crates/crank-engine/src/member/table.rs
+++ b/crates/crank-engine/src/member/table.rs
@@ -15,8 +15,8 @@
 const FIRST_CLAIM: Millis = Millis(1_000);
 /// The longest such wait.
 const LONGEST_CLAIM: Millis = Millis(60_000);
-/// The share of the usual number of times that gossip repeats a piece of news.
-const REPEATS_PER_DOUBLING: u32 = 1;
+/// Datagrams in which a node repeats a piece of news, besides telling its neighbours.
+const REPEATS: u32 = 2;
 
 /// What a piece of news changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -304,13 +304,12 @@
     }
 
     fn put(&mut self, member: Member, from: Option<Name>, now: Moment) {
-        let repeats_left = REPEATS_PER_DOUBLING * (self.entries.len() + 2).ilog2();
         let id = member.id.clone();
         self.sum = self.sum.wrapping_add(weight(&member));
         let entry = Entry {
             member,
             since: now,
-            repeats_left,
+            repeats_left: REPEATS,
         };
         if let Some(old) = self.entries.insert(id.clone(), entry) {
             self.sum = self.sum.wrapping_sub(weight(&old.member));
--- a/crates/crank-mesh/examples/spreading/main.rs
+++ b/crates/crank-mesh/examples/spreading/main.rs
@@ -64,6 +64,8 @@
     changes: u64,
     #[options(help = "milliseconds between changes", default = "500")]
     interval: u64,
+    #[options(help = "seconds before things count as at rest", default = "30")]
+    settle: u64,
     #[options(help = "seconds at rest", default = "30")]
     rest: u64,
     #[options(help = "milliseconds between two polls of a node", default = "1000")]
--- a/crates/crank-mesh/src/actor/datagrams.rs
+++ b/crates/crank-mesh/src/actor/datagrams.rs
@@ -224,8 +224,8 @@
             Reach::Far => FAR_TABLES_PERIOD,
         });
         log::debug!(event = "tables_differ", peer:% = from, reach:? = reach; "asking for the table");
-        self.errands.insert(from.clone(), now);
-        self.run_errands(now);
+        self.errand(from.clone(), true, now);
+        self.run_errands();
     }
 
     /// Probes the other ends of connections to other regions.
--- a/crates/crank-mesh/src/actor/frames.rs
+++ b/crates/crank-mesh/src/actor/frames.rs
@@ -97,7 +97,7 @@
         if let Some(member) = wrong.cloned() {
             self.send_frame(link, &Control::News(Members(vec![member])));
         }
-        self.run_errands(now);
+        self.run_errands();
         Ok(())
     }
 
@@ -305,7 +305,7 @@
         let mut choices = choices;
         choices.sort_unstable();
         let Some((_, link)) = choices.get(turn).copied() else {
-            self.errands.insert(node, now);
+            self.errand(node, false, now);
             return;
         };
         self.pulling = Some(now.after(PULL_TIMEOUT));
--- a/crates/crank-mesh/src/actor/links.rs
+++ b/crates/crank-mesh/src/actor/links.rs
@@ -12,7 +12,7 @@
 use xtra::Handler;
 
 use super::message::{Closed, Dial, Opened};
-use super::state::{Bridge, Link, Mesh, Missing, Plan};
+use super::state::{Bridge, Errand, Link, Mesh, Missing, Plan};
 use crate::Error;
 use crate::link;
 use crate::traffic::Reach;
@@ -103,7 +103,7 @@
     /// Opens the connections that are needed, and closes those that are not.
     pub(crate) fn keep_links(&mut self, now: Moment) {
         self.errands
-            .retain(|_, since| now.since(*since) < ERRAND_TIMEOUT);
+            .retain(|_, errand| now.since(errand.since) < ERRAND_TIMEOUT);
         self.keep_plan();
         let mut wanted = self.plan.near.clone();
         wanted.extend(self.far_wanted(now));
@@ -299,8 +299,16 @@
         }
     }
 
+    pub(crate) fn errand(&mut self, node: Name, members: bool, now: Moment) {
+        let errand = self.errands.entry(node).or_insert(Errand {
+            since: now,
+            members,
+        });
+        errand.members |= members;
+    }
+
     /// Asks the nodes that are connected for what is wanted of them by name.
-    pub(crate) fn run_errands(&mut self, now: Moment) {
+    pub(crate) fn run_errands(&mut self) {
         let ready: Vec<(u64, Name)> = self
             .links
             .iter()
@@ -308,10 +316,11 @@
             .filter(|(_, peer)| self.errands.contains_key(peer))
             .collect();
         for (id, peer) in ready {
-            self.errands.remove(&peer);
-            self.send_frame(id, &Control::WantMembers);
+            let errand = self.errands.remove(&peer);
+            if errand.is_some_and(|errand| errand.members) {
+                self.send_frame(id, &Control::WantMembers);
+            }
         }
-        self.keep_configuration(now);
     }
 
     /// Sends the gathered news to every connection but the one that it came from.
--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -121,8 +121,8 @@
     pub(crate) next_link: u64,
     pub(crate) dialing: BTreeSet<Dial>,
     pub(crate) backoffs: BTreeMap<Dial, Backoff>,
-    /// Nodes to connect to for their member table or configuration.
-    pub(crate) errands: BTreeMap<Name, Moment>,
+    /// Nodes to connect to for something of theirs.
+    pub(crate) errands: BTreeMap<Name, Errand>,
     pub(crate) plan: Plan,
     pub(crate) joined: bool,
     pub(crate) next_seed: Moment,
@@ -152,6 +152,14 @@
     pub(crate) theirs: Vec<Name>,
 }
 
+/// What is wanted of a node to which there may be no connection yet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Errand {
+    pub(crate) since: Moment,
+    /// Its member table; else its configuration.
+    pub(crate) members: bool,
+}
+
 /// A region to which this bridge has no connection.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Missing {
