--- a/crates/crank-mesh/src/actor/datagrams.rs
+++ b/crates/crank-mesh/src/actor/datagrams.rs
@@ -101,6 +101,7 @@
                     current: *self.outputs.ready.borrow(),
                     ready: vitals.ready,
                     in_flight: vitals.in_flight,
+                    operators: vitals.operators,
                 };
                 let to = from.clone();
                 self.send_all(vec![Outgoing {
@@ -114,10 +115,12 @@
                 current,
                 ready,
                 in_flight,
+                operators,
             } => {
                 let vitals = Vitals {
                     ready: *ready,
                     in_flight: *in_flight,
+                    operators: *operators,
                 };
                 self.told(from, stamp, *number, *current, vitals);
             }
@@ -153,6 +156,7 @@
                 applied: stamp,
                 ready: vitals.ready,
                 in_flight: vitals.in_flight,
+                operators: vitals.operators,
             };
             let _ = asker.try_send(node);
         }
