Compare tables also where news never ceases, and document the mesh

Trial behind it: 630 nodes in one process did not all know each other as alive after 120 s at a load average of 18 to 35; tables were compared only after a second without news. Whether this was the cause is measured next.

--- a/crates/crank-engine/src/member/prober.rs
+++ b/crates/crank-engine/src/member/prober.rs
@@ -68,6 +68,18 @@
 
 impl Prober {
     /// A prober that asks its first question at the first tick.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::{Prober, Table}};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// # let mut rng = <rand::rngs::StdRng as rand::SeedableRng>::seed_from_u64(1);
+    /// let mut prober = Prober::new(Moment(0));
+    /// assert!(prober.tick(&mut table, Moment(0), &mut rng).is_empty(), "nobody to ask");
+    /// ```
     #[must_use]
     pub fn new(now: Moment) -> Self {
         Self {
@@ -78,6 +90,20 @@
     }
 
     /// What is due now: questions, suspicions, deaths. To be called several times a period.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::{Prober, Table}};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// # let mut rng = <rand::rngs::StdRng as rand::SeedableRng>::seed_from_u64(1);
+    /// let mut prober = Prober::new(Moment(0));
+    /// let other = Member { id: Name::new("b").unwrap(), ..me };
+    /// table.learn(other, None, Moment(0));
+    /// assert_eq!(prober.tick(&mut table, Moment(0), &mut rng).len(), 1);
+    /// ```
     pub fn tick(&mut self, table: &mut Table, now: Moment, rng: &mut impl Rng) -> Vec<Outgoing> {
         if now.since(self.last_tick) > FROZEN {
             table.excuse(now);
@@ -94,6 +120,19 @@
     }
 
     /// Takes a probe and answers it.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::{Prober, Table}};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// # let mut rng = <rand::rngs::StdRng as rand::SeedableRng>::seed_from_u64(1);
+    /// let mut prober = Prober::new(Moment(0));
+    /// let ping = crank_protocol::wire::Probe::Ping { number: 1 };
+    /// assert_eq!(prober.receive(&table, &me.id, me.address, &ping).len(), 1);
+    /// ```
     pub fn receive(
         &mut self,
         table: &Table,
@@ -116,12 +155,36 @@
     }
 
     /// A number that no question of this node has had.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::{Prober, Table}};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// # let mut rng = <rand::rngs::StdRng as rand::SeedableRng>::seed_from_u64(1);
+    /// let mut prober = Prober::new(Moment(0));
+    /// assert_ne!(prober.next_number(), prober.next_number());
+    /// ```
     pub fn next_number(&mut self) -> u64 {
         self.number += 1;
         self.number
     }
 
     /// Doubts this node itself: another suspected it wrongly.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::{Prober, Table}};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// # let mut rng = <rand::rngs::StdRng as rand::SeedableRng>::seed_from_u64(1);
+    /// let mut prober = Prober::new(Moment(0));
+    /// prober.strained();
+    /// ```
     pub fn strained(&mut self) {
         self.strain = (self.strain + 1).min(MOST_STRAIN);
     }
--- a/crates/crank-engine/src/member/table.rs
+++ b/crates/crank-engine/src/member/table.rs
@@ -84,6 +84,16 @@
     }
 
     /// What this node says of itself.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// assert_eq!(table.me(), &me);
+    /// ```
     #[must_use]
     pub fn me(&self) -> &Member {
         match self.entries.get(&self.me) {
@@ -93,23 +103,66 @@
     }
 
     /// What is believed of a node.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// assert_eq!(table.get(&me.id), Some(&me));
+    /// ```
     #[must_use]
     pub fn get(&self, id: &Name) -> Option<&Member> {
         self.entries.get(id).map(|entry| &entry.member)
     }
 
     /// Every node, in the order of names.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// assert_eq!(table.members().count(), 1);
+    /// ```
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.entries.values().map(|entry| &entry.member)
     }
 
     /// A hash of the nodes believed to be there; equal tables have equal hashes.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// let before = table.sum();
+    /// table.leave(Moment(0));
+    /// assert_ne!(table.sum(), before);
+    /// ```
     #[must_use]
     pub fn sum(&self) -> u64 {
         self.sum
     }
 
     /// Says something new of this node.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// table.announce(None, Moment(0));
+    /// assert_eq!(table.me().incarnation, 1, "nothing new");
+    /// ```
     pub fn announce(&mut self, endpoint: Option<Endpoint>, now: Moment) {
         let mut me = self.me().clone();
         if me.endpoint == endpoint {
@@ -121,6 +174,17 @@
     }
 
     /// Says that this node leaves.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// table.leave(Moment(0));
+    /// assert_eq!(table.me().state, State::Left);
+    /// ```
     pub fn leave(&mut self, now: Moment) {
         let mut me = self.me().clone();
         me.state = State::Left;
@@ -223,6 +287,17 @@
     }
 
     /// Suspects a node that did not answer.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// table.suspect(&me.id, Moment(0));
+    /// assert_eq!(table.me().state, State::Alive, "a node never suspects itself");
+    /// ```
     pub fn suspect(&mut self, id: &Name, now: Moment) {
         let alive = self
             .get(id)
@@ -234,6 +309,17 @@
     }
 
     /// Declares dead the suspects of the own region whose time is up, and forgets the long dead.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// table.expire(1, Moment(0));
+    /// assert_eq!(table.members().count(), 1);
+    /// ```
     pub fn expire(&mut self, patience: u32, now: Moment) {
         let region = self.me().place.region.clone();
         let limit = Millis(SUSPICION.0 * u64::from(patience));
@@ -259,6 +345,16 @@
     }
 
     /// Gives every suspect its whole time again, because this node itself was not running.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// table.excuse(Moment(1));
+    /// ```
     pub fn excuse(&mut self, now: Moment) {
         for entry in self.entries.values_mut() {
             entry.since = now;
@@ -266,6 +362,17 @@
     }
 
     /// The news that neighbours have not been sent, each with the neighbour that told it.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// assert_eq!(table.take_fresh().len(), 1);
+    /// assert!(table.take_fresh().is_empty());
+    /// ```
     pub fn take_fresh(&mut self) -> Vec<(Member, Option<Name>)> {
         let fresh = std::mem::take(&mut self.fresh);
         let known = fresh
@@ -275,6 +382,16 @@
     }
 
     /// Whether there is news that neighbours have not been sent.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// assert!(table.has_fresh());
+    /// ```
     #[must_use]
     pub fn has_fresh(&self) -> bool {
         !self.fresh.is_empty()
@@ -282,6 +399,16 @@
 
     /// Up to `most` pieces of news for a datagram to a node, least repeated first; what is wrongly
     /// believed of the receiver comes before all, so that it can refute.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, member::Table};
+    /// # use crank_protocol::{Name, member::{Member, Place, State}};
+    /// # let me = Member { id: Name::new("a").unwrap(), place: Place { region: Name::new("r").unwrap(),
+    /// #     data_centre: Name::new("d").unwrap() }, address: "127.0.0.1:1".parse().unwrap(),
+    /// #     incarnation: 1, state: State::Alive, endpoint: None };
+    /// # let mut table = Table::new(me.clone(), Moment(0));
+    /// assert_eq!(table.gossip(None, 6), [me]);
+    /// ```
     pub fn gossip(&mut self, to: Option<&Name>, most: usize) -> Vec<Member> {
         let mut gossip = Vec::new();
         let doubted = to.and_then(|id| self.get(id));
--- a/crates/crank-engine/src/spread/holder.rs
+++ b/crates/crank-engine/src/spread/holder.rs
@@ -59,12 +59,22 @@
 
 impl Holder {
     /// What is in force.
+    ///
+    /// ```
+    /// # use crank_engine::spread::{Gap, Holder};
+    /// assert!(Holder::default().held().is_none());
+    /// ```
     #[must_use]
     pub fn held(&self) -> Option<&Arc<Snapshot>> {
         self.held.as_ref()
     }
 
     /// The stamp of what is in force.
+    ///
+    /// ```
+    /// # use crank_engine::spread::{Gap, Holder};
+    /// assert!(Holder::default().stamp().is_none());
+    /// ```
     #[must_use]
     pub fn stamp(&self) -> Option<&Stamp> {
         self.held.as_ref().map(|snapshot| &snapshot.stamp)
@@ -114,6 +124,11 @@
     }
 
     /// What the stamp that another node holds means.
+    ///
+    /// ```
+    /// # use crank_engine::spread::{Gap, Holder};
+    /// assert_eq!(Holder::default().gap(None), Gap::Same);
+    /// ```
     #[must_use]
     pub fn gap(&self, theirs: Option<&Stamp>) -> Gap {
         match (self.stamp(), theirs) {
@@ -137,6 +152,11 @@
     }
 
     /// The step that led to what is held.
+    ///
+    /// ```
+    /// # use crank_engine::spread::{Gap, Holder};
+    /// assert!(Holder::default().last_delta().is_none());
+    /// ```
     #[must_use]
     pub fn last_delta(&self) -> Option<&Delta> {
         self.deltas.back()
--- a/crates/crank-engine/src/spread/start.rs
+++ b/crates/crank-engine/src/spread/start.rs
@@ -62,6 +62,12 @@
 
 impl Start {
     /// Notes what a reading of the head row said.
+    ///
+    /// ```
+    /// # use crank_engine::spread::{Head, Start};
+    /// let mut start = Start::default();
+    /// start.head(Head::Down);
+    /// ```
     pub fn head(&mut self, head: Head) {
         self.head = match (head, &self.head) {
             // What was read once stays true as a lower bound while the store is down.
@@ -76,6 +82,11 @@
     }
 
     /// Whether more reports could help.
+    ///
+    /// ```
+    /// # use crank_engine::spread::{Head, Start};
+    /// assert!(Start::default().wants_reports());
+    /// ```
     #[must_use]
     pub fn wants_reports(&self) -> bool {
         !self.current
--- a/crates/crank-mesh/examples/spreading/scene.rs
+++ b/crates/crank-mesh/examples/spreading/scene.rs
@@ -106,11 +106,25 @@
         alive.count() == self.nodes.len()
     }
 
+    /// How many beliefs are missing or not of life.
+    fn gaps(&self) -> String {
+        let (mut missing, mut suspect, mut dead) = (0, 0, 0);
+        for node in &self.nodes {
+            let view = node.mesh.view().borrow().clone();
+            missing += self.nodes.len().saturating_sub(view.members().count());
+            for member in view.members() {
+                suspect += usize::from(member.state == State::Suspect);
+                dead += usize::from(member.state == State::Dead);
+            }
+        }
+        format!("timed out: {missing} missing, {suspect} suspect, {dead} dead of all beliefs")
+    }
+
     async fn wait(&self, condition: impl Fn(&Self) -> bool) -> std::io::Result<()> {
         let deadline = Instant::now() + PATIENCE;
         while !condition(self) {
             if Instant::now() > deadline {
-                return Err(std::io::ErrorKind::TimedOut.into());
+                return Err(std::io::Error::other(self.gaps()));
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
--- a/crates/crank-mesh/src/actor/datagrams.rs
+++ b/crates/crank-mesh/src/actor/datagrams.rs
@@ -19,6 +19,8 @@
 
 /// Tables that differ while no news is under way are compared after this.
 const TABLES_QUIET: Millis = Millis(1_000);
+/// Where news never ceases, tables that differ are compared this long after they might have been.
+const TABLES_OVERDUE: Millis = Millis(5_000);
 /// The least time between two comparisons of tables within the region.
 const TABLES_PERIOD: Millis = Millis(20_000);
 /// The least time between two comparisons of tables between regions, where less is pushed.
@@ -219,7 +221,8 @@
     }
 
     fn compare_tables(&mut self, from: &Name, sum: u64, reach: Reach, now: Moment) {
-        let is_quiet = now.since(self.changed) >= TABLES_QUIET;
+        let is_overdue = now.since(self.next_tables) >= TABLES_OVERDUE;
+        let is_quiet = now.since(self.changed) >= TABLES_QUIET || is_overdue;
         if sum == self.table.sum() || !is_quiet || now < self.next_tables || !self.joined {
             return;
         }
--- a/crates/crank-mesh/src/view.rs
+++ b/crates/crank-mesh/src/view.rs
@@ -40,23 +40,43 @@
     }
 
     /// The name of the node whose view this is.
+    ///
+    /// ```
+    /// # let view = crank_mesh::View::new(crank_protocol::Name::new("node-1").unwrap(), [], Default::default());
+    /// assert_eq!(view.me().as_str(), "node-1");
+    /// ```
     #[must_use]
     pub fn me(&self) -> &Name {
         &self.me
     }
 
     /// Every member, this node included, in the order of names.
+    ///
+    /// ```
+    /// # let view = crank_mesh::View::new(crank_protocol::Name::new("node-1").unwrap(), [], Default::default());
+    /// assert_eq!(view.members().count(), 0);
+    /// ```
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
     }
 
     /// What is believed of a node.
+    ///
+    /// ```
+    /// # let view = crank_mesh::View::new(crank_protocol::Name::new("node-1").unwrap(), [], Default::default());
+    /// assert!(view.get(view.me()).is_none());
+    /// ```
     #[must_use]
     pub fn get(&self, id: &Name) -> Option<&Member> {
         self.members.get(id)
     }
 
     /// The regions from which nothing is heard.
+    ///
+    /// ```
+    /// # let view = crank_mesh::View::new(crank_protocol::Name::new("node-1").unwrap(), [], Default::default());
+    /// assert!(view.unreachable().is_empty());
+    /// ```
     #[must_use]
     pub fn unreachable(&self) -> &BTreeSet<Name> {
         &self.unreachable
