--- a/crates/crank-mesh/examples/spreading/scene.rs
+++ b/crates/crank-mesh/examples/spreading/scene.rs
@@ -23,7 +23,6 @@
 const SEEDS: usize = 5;
 const SERVICES: usize = 59;
 const ROUTES: usize = 177;
-const SETTLE: Duration = Duration::from_secs(10);
 const PATIENCE: Duration = Duration::from_secs(120);
 const LOOK: Duration = Duration::from_millis(1);
 
@@ -72,7 +71,7 @@
         fleet
             .wait(|fleet| fleet.nodes.iter().all(|node| version(&node.mesh) == 1))
             .await?;
-        tokio::time::sleep(SETTLE).await;
+        tokio::time::sleep(Duration::from_secs(arguments.settle)).await;
         Ok(fleet)
     }
 
@@ -107,11 +106,25 @@
         alive.count() == self.nodes.len()
     }
 
+    /// How many beliefs are missing or not of life.
+    fn gaps(&self) -> String {
+        let (mut missing, mut suspect, mut dead) = (0, 0, 0);
+        for node in &self.nodes {
+            let view = node.mesh.view().borrow().clone();
+            missing += self.nodes.len().saturating_sub(view.members().count());
+            for member in view.members() {
+                suspect += usize::from(member.state == State::Suspect);
+                dead += usize::from(member.state == State::Dead);
+            }
+        }
+        format!("timed out: {missing} missing, {suspect} suspect, {dead} dead of all beliefs")
+    }
+
     async fn wait(&self, condition: impl Fn(&Self) -> bool) -> std::io::Result<()> {
         let deadline = Instant::now() + PATIENCE;
         while !condition(self) {
             if Instant::now() > deadline {
-                return Err(std::io::ErrorKind::TimedOut.into());
+                return Err(std::io::Error::other(self.gaps()));
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
