--- a/crates/crank-engine/examples/requests/main.rs
+++ b/crates/crank-engine/examples/requests/main.rs
@@ -50,7 +50,6 @@
         ejection: true,
         retry_budget: Permille(200),
         warm_up: Millis(10_000),
-        hedge: None,
         troubles: Vec::new(),
         seed: 1,
     }
@@ -236,31 +235,6 @@
     Ok(())
 }
 
-fn hedging(out: &mut impl Write) -> io::Result<()> {
-    head(out, "a second attempt after 60 ms, within the retry budget")?;
-    for hedge in [None, Some(Millis(60))] {
-        for load in [0.3, 0.6, 0.9, 1.0, 2.0] {
-            let setup = Setup {
-                load,
-                hedge,
-                seconds: 20.0,
-                ..brief()
-            };
-            measure(out, &format!("load {load}, {hedge:?}"), &setup)?;
-        }
-        for fault in [Fault::Slow(30.0), Fault::Silent] {
-            let setup = Setup {
-                load: 0.6,
-                hedge,
-                troubles: vec![trouble(fault)],
-                ..brief()
-            };
-            measure(out, &format!("{fault:?}, load 0.6, {hedge:?}"), &setup)?;
-        }
-    }
-    Ok(())
-}
-
 fn hanging(out: &mut impl Write) -> io::Result<()> {
     writeln!(
         out,
@@ -295,9 +269,6 @@
     if runs("cold") {
         cold(out)?;
     }
-    if runs("hedge") {
-        hedging(out)?;
-    }
     if runs("shared") {
         hanging(out)?;
     }
--- a/crates/crank-engine/examples/requests/world.rs
+++ b/crates/crank-engine/examples/requests/world.rs
@@ -91,8 +91,6 @@
     pub(crate) retry_budget: Permille,
     /// Gentle start.
     pub(crate) warm_up: Millis,
-    /// When a second attempt is made beside the first.
-    pub(crate) hedge: Option<Millis>,
     /// Faults.
     pub(crate) troubles: Vec<Trouble>,
     /// The seed.
@@ -149,9 +147,6 @@
         request: usize,
     },
     Members,
-    Hedge {
-        request: usize,
-    },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -175,7 +170,7 @@
     deadline: u64,
     tried: Vec<Name>,
     is_done: bool,
-    open: Vec<usize>,
+    open: Option<usize>,
 }
 
 struct Sent {
@@ -295,7 +290,6 @@
             } => self.back(attempt, answer, load),
             Event::Expire { request } => self.expire(request),
             Event::Members => self.members(),
-            Event::Hedge { request } => self.hedge(request),
         }
     }
 
@@ -365,23 +359,12 @@
             deadline,
             tried: Vec::new(),
             is_done: false,
-            open: Vec::new(),
+            open: None,
         });
         self.at(deadline, Event::Expire { request });
         self.entries[entry].budget.earn();
         self.figures.offered += u64::from(self.counts(request));
         self.send(request);
-        if let Some(wait) = self.setup.hedge {
-            let time = Moment(self.now).after(wait).0;
-            self.at(time, Event::Hedge { request });
-        }
-    }
-
-    fn hedge(&mut self, request: usize) {
-        let entry = self.requests[request].entry;
-        if !self.requests[request].is_done && self.entries[entry].budget.spend() {
-            self.send(request);
-        }
     }
 
     fn send(&mut self, request: usize) {
@@ -398,7 +381,7 @@
         });
         let held = &mut self.requests[request];
         held.tried.push(self.servers[server].id.clone());
-        held.open.push(attempt);
+        held.open = Some(attempt);
         if self.counts(request) {
             self.figures.attempts += 1;
             self.figures.far += u64::from(self.distance(attempt) == Distance::Far);
@@ -547,7 +530,6 @@
             Reply::Unreached => (End::Failed, Some(Refusal::NotSent)),
         };
         self.finish(attempt, end, load);
-        self.requests[request].open.retain(|open| *open != attempt);
         match refusal {
             None => self.succeed(request),
             Some(refusal) => self.again(request, refusal),
@@ -580,9 +562,6 @@
 
     fn again(&mut self, request: usize, refusal: Refusal) {
         let held = &self.requests[request];
-        if !held.open.is_empty() {
-            return;
-        }
         let attempt = Attempt {
             idempotent: false,
             depth: 0,
@@ -600,10 +579,6 @@
 
     fn succeed(&mut self, request: usize) {
         self.requests[request].is_done = true;
-        for attempt in std::mem::take(&mut self.requests[request].open) {
-            self.finish(attempt, End::Unrelated, None);
-            self.leave_queue(attempt);
-        }
         if self.counts(request) {
             let took = self.now - self.requests[request].began;
             self.figures.latencies.push(took);
@@ -623,7 +598,7 @@
             return;
         }
         self.fail(request, true);
-        for attempt in std::mem::take(&mut self.requests[request].open) {
+        if let Some(attempt) = self.requests[request].open {
             let micros = self.now - self.sent[attempt].began;
             self.finish(attempt, End::Slow { micros }, None);
             self.leave_queue(attempt);
