Bound a node's requests over all services, and give up the least important first

Importance is a service's, and a backend server runs one service: the order mattered nowhere. The entry now has 2,048 places and a queue of 256 for all services together, behind those of each service.

--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use crank_engine::balance::Choice;
 use crank_engine::drain::{Drain, Progress};
+use crank_engine::limit::Size;
 use crank_engine::route::{Rule, Table};
 use crank_engine::{Moment, burn, retry};
 use crank_mesh::View;
@@ -23,10 +24,16 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
-use crate::gate::Pass;
+use crate::gate::{Gate, Pass};
 use asked::Asked;
 use lane::Lane;
 
+/// The places for the requests of all services together.
+pub const PLACES: Size = Size {
+    slots: 2_048,
+    queue: 256,
+};
+
 /// The edge to the targets' nodes, this one included.
 pub trait Links: Send + Sync + 'static {
     /// Sends one attempt to a target's node; dropping the future cancels it.
@@ -81,11 +88,18 @@
 
 struct Shared<L> {
     parts: Parts<L>,
+    places: Gate,
     table: ArcSwapOption<Table>,
     lanes: Mutex<BTreeMap<Name, Arc<Lane>>>,
     drain: Mutex<Drain>,
 }
 
+/// The places that a request holds.
+struct Passes {
+    _node: Pass,
+    _service: Pass,
+}
+
 /// A request on its way.
 struct Journey {
     rule: Arc<Rule>,
@@ -113,11 +127,30 @@
     /// ```
     #[must_use]
     pub fn new(parts: Parts<L>) -> Self {
+        Self::with_places(parts, PLACES)
+    }
+
+    /// An entry with so many places for the requests of all services together.
+    ///
+    /// When they are full, the least important service's requests are given up first.
+    ///
+    /// ```
+    /// use crank_engine::limit::Size;
+    /// use crank_node::entry::{Entry, Links, Parts};
+    /// fn small<L: Links>(parts: Parts<L>) -> Entry<L> {
+    ///     Entry::with_places(parts, Size { slots: 64, queue: 16 })
+    /// }
+    /// ```
+    #[must_use]
+    pub fn with_places(parts: Parts<L>, size: Size) -> Self {
+        let places = Gate::new(parts.clock, size);
+        places.announce(Stage::Ready, Millis(0));
         let mut drain = Drain::new();
         drain.announce(parts.clock.now(), Stage::Ready, Millis(0));
         Self {
             shared: Arc::new(Shared {
                 parts,
+                places,
                 table: ArcSwapOption::empty(),
                 lanes: Mutex::new(BTreeMap::new()),
                 drain: Mutex::new(drain),
@@ -153,7 +186,7 @@
         }
     }
 
-    async fn depart(&self, request: Request, began: Moment) -> Result<(Journey, Pass), Refusal> {
+    async fn depart(&self, request: Request, began: Moment) -> Result<(Journey, Passes), Refusal> {
         let table = self.table()?;
         let rule = table.find(request.method, &request.path)?.clone();
         let asked = Asked::read(&request, &rule)?;
@@ -163,10 +196,7 @@
         let deadline = began.after(asked.timeout);
         let lane = self.lane(&rule);
         self.refresh(&lane, table.version(), &rule);
-        let gate = lane.gate();
-        let turn = gate
-            .enter(rule.service.importance, deadline, asked.depth)
-            .await;
+        let turn = self.enter(&lane, &rule, deadline, asked.depth).await;
         let pass = turn.inspect_err(|_| self.record(&rule, false, began))?;
         let journey = Journey {
             head: asked.head(&request, &rule, table.version()),
@@ -179,6 +209,23 @@
         Ok((journey, pass))
     }
 
+    /// A place of the service first, so that no service waits for another's.
+    async fn enter(
+        &self,
+        lane: &Lane,
+        rule: &Rule,
+        deadline: Moment,
+        depth: u32,
+    ) -> Result<Passes, Refusal> {
+        let importance = rule.service.importance;
+        let service = lane.gate().enter(importance, deadline, depth).await?;
+        let places = &self.shared.places;
+        Ok(Passes {
+            _node: places.enter(importance, deadline, depth).await?,
+            _service: service,
+        })
+    }
+
     /// Tries one target after another, as long as that is safe and worth it.
     async fn travel(&self, journey: &Journey) -> Result<Answer, Refused> {
         let mut tried: Vec<Name> = Vec::new();
@@ -235,7 +282,7 @@
     }
 
     /// Hands the answer over; the place is held and the request counted until its body has ended.
-    fn arrive(&self, journey: Journey, pass: Pass, mut answer: Answer) -> Answer {
+    fn arrive(&self, journey: Journey, pass: Passes, mut answer: Answer) -> Answer {
         let arrival = Arrival {
             burn: self.shared.parts.burn.clone(),
             clock: self.shared.parts.clock,
@@ -345,6 +392,19 @@
             .collect()
     }
 
+    /// The requests that wait for one of the node's places.
+    ///
+    /// ```
+    /// # use crank_node::entry::{Entry, Links};
+    /// fn is_full<L: Links>(entry: &Entry<L>) -> bool {
+    ///     entry.waiting() > 0
+    /// }
+    /// ```
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        self.shared.places.load().waiting
+    }
+
     fn count(&self, rule: &Rule, refused: &Refused, began: Moment) {
         if refused.refusal != Refusal::Cancelled {
             self.record(rule, false, began);
@@ -375,7 +435,7 @@
     began: Moment,
     served: bool,
     whole: bool,
-    _pass: Pass,
+    _pass: Passes,
 }
 
 impl Drop for Arrival {
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -57,7 +57,7 @@
     }
 }
 
-/// Lookups are idempotent, orders are not, tickets run once.
+/// Lookups are idempotent and matter least, orders are not, tickets run once and matter most.
 pub fn snapshot() -> Arc<Snapshot> {
     let account = Account {
         name: name("lenha-viva"),
@@ -68,7 +68,17 @@
         ("orders", route("orders", false, false)),
         ("tickets", route("tickets", false, true)),
     ];
-    let services = routes.iter().map(|(text, _)| (name(text), service()));
+    let importance = [Importance::Low, Importance::Normal, Importance::High];
+    let services = routes
+        .iter()
+        .zip(importance)
+        .map(|((text, _), importance)| {
+            let service = Service {
+                importance,
+                ..service()
+            };
+            (name(text), service)
+        });
     let config = Config {
         account,
         services: services.collect(),
@@ -196,7 +206,11 @@
 }
 
 pub fn entry(links: FakeLinks) -> Entry<FakeLinks> {
-    Entry::new(entry::Parts {
+    Entry::new(parts(links))
+}
+
+pub fn parts(links: FakeLinks) -> entry::Parts<FakeLinks> {
+    entry::Parts {
         clock: Clock::new(),
         own: name("entry"),
         place: place(),
@@ -205,7 +219,7 @@
         ready: watch::Sender::new(true).subscribe(),
         links,
         burn: Arc::new(Mutex::new(Burn::new(Moment(0)))),
-    })
+    }
 }
 
 /// A backend server that counts what it runs, by request, and answers when it is let.
--- a/crates/crank-node/tests/limits_at_the_entry.rs
+++ b/crates/crank-node/tests/limits_at_the_entry.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use common::{FakeLinks, entry, name, request, text, until, with_header};
+use common::{FakeLinks, entry, name, parts, request, text, until, with_header};
 use crank_engine::drain::Progress;
+use crank_engine::limit::Size;
+use crank_node::entry::Entry;
 use crank_protocol::Millis;
 use crank_protocol::call::{DEPTH_HEADER, IDEMPOTENCY_HEADER, Outcome, Refusal, TIMEOUT_HEADER};
 
@@ -45,6 +47,30 @@
     }
 }
 
+#[tokio::test]
+async fn a_full_node_gives_up_the_least_important_service_first() {
+    let links = FakeLinks {
+        hanging: Some(name("orders")),
+        ..FakeLinks::default()
+    };
+    let entry = Entry::with_places(parts(links.clone()), Size { slots: 1, queue: 1 });
+    let call = |path: &str| {
+        let (entry, request) = (entry.clone(), request(path));
+        let request = with_header(request, IDEMPOTENCY_HEADER, "key");
+        tokio::spawn(async move { entry.call(request).await })
+    };
+    let holding = call("/orders");
+    until(|| links.sent() == 1).await;
+    let lookup = call("/lookups");
+    until(|| entry.waiting() == 1).await;
+    let ticket = call("/tickets");
+    let given_up = lookup.await.unwrap().err().unwrap();
+    assert!(matches!(given_up.refusal, Refusal::Overloaded { .. }));
+    assert_eq!(given_up.outcome, Outcome::NotRun);
+    holding.abort();
+    assert!(ticket.await.unwrap().is_ok());
+}
+
 #[tokio::test]
 async fn a_caller_who_leaves_gives_the_place_back() {
     let links = FakeLinks {
