--- a/crates/crank-node/src/target/once.rs
+++ b/crates/crank-node/src/target/once.rs
@@ -233,6 +233,7 @@
     /// Gives up a claim whose answer comes too late.
     fn abandon(&self, receipt: Receipt, asked: JoinHandle<Result<Verdict, Error>>) {
         let target = self.clone();
+        let unsettled = self.shared.unsettled.clone();
         tokio::spawn(async move {
             match asked.await {
                 Ok(Ok(Verdict::Recorded(_) | Verdict::InUse | Verdict::Mismatch)) => {}
@@ -240,6 +241,7 @@
                     target.settle(receipt, Settlement::Release);
                 }
             }
+            drop(unsettled);
         });
     }
 
