--- a/tests/operators_with_real_processes.rs
+++ b/tests/operators_with_real_processes.rs
@@ -74,9 +74,21 @@
         self.store(command, &self.folder(name).display().to_string())
     }
 
-    fn status(&self) -> Mesh {
+    async fn control(&self, switches: &str) {
+        let url = format!("{}/control", self.fleet.platform_url());
+        let client = reqwest::Client::new();
+        let request = client.put(url).body(switches.to_owned());
+        let answer = request.header("content-type", "application/json").send();
+        assert!(answer.await.unwrap().status().is_success());
+    }
+
+    fn status_text(&self) -> Said {
         let node = self.fleet.nodes[0].operators();
-        let said = run("crankctl", &["status", "--json", "--node", &node]);
+        run("crankctl", &["status", "--json", "--node", &node])
+    }
+
+    fn status(&self) -> Mesh {
+        let said = self.status_text();
         assert_eq!(said.code, 0, "{}", said.err);
         serde_json::from_str(&said.out).unwrap()
     }
@@ -241,6 +253,40 @@
     answers(&office).await;
 }
 
+#[tokio::test]
+async fn a_push_goes_on_after_a_lost_answer_and_after_an_outage() {
+    let office = Office::open().await;
+    copy_example(&office.folder("anna"));
+    office.control(r#"{"down":true}"#).await;
+    let refused = office.in_folder("push", "anna");
+    assert_eq!(refused.code, 1);
+    assert!(
+        refused.err.contains("store is not available"),
+        "{}",
+        refused.err
+    );
+    assert_eq!(
+        office.status_text().code,
+        0,
+        "a node answers without the store"
+    );
+    office.control(r#"{"down":false}"#).await;
+
+    office.control(r#"{"lose_answers":2}"#).await;
+    let pushed = office.in_folder("push", "anna");
+    assert_eq!(pushed.code, 0, "{}", pushed.err);
+    let again = office.in_folder("push", "anna");
+    assert!(
+        again.out.contains("nothing to push"),
+        "{}{}",
+        again.out,
+        again.err
+    );
+    office
+        .until("in force", |mesh| mesh.in_force && mesh.head.is_some())
+        .await;
+}
+
 #[tokio::test]
 async fn the_report_says_which_nodes_it_did_not_hear() {
     let office = Office::open().await;
