Tell the later of two operators who push different files at once

Each write was conditional, so nothing was lost, but both were told all was well, while the whole in the store was one that neither had checked. After its writes a push lists again; whoever lists last sees the other's file, is told, exits 1, and cannot push again before pulling.

--- a/crates/crank-command/src/commands/push.rs
+++ b/crates/crank-command/src/commands/push.rs
@@ -1,6 +1,7 @@
 //! `crankctl push`.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use crank_operator::{Local, Store};
 use crank_platform_client::{Platform, Settings};
@@ -45,7 +46,8 @@
         if push.written.is_empty() && push.removed.is_empty() {
             text += "nothing to push: the store holds what is here\n";
         }
-        Ok(Report::new(text))
+        text += &meanwhile(&push.meanwhile);
+        Ok(Report::new(text).with_answer(push.meanwhile.is_empty()))
     }
 
     fn check(&self, settings: &Settings) -> Result<Config, Error> {
@@ -68,3 +70,14 @@
 fn has_ended(config: &Config, now: OffsetDateTime) -> bool {
     config.account.notice_ends.is_some_and(|ends| ends <= now)
 }
+
+fn meanwhile(names: &[Arc<str>]) -> String {
+    if names.is_empty() {
+        return String::new();
+    }
+    format!(
+        "meanwhile somebody else changed {}: the folder in the store is not the one that was checked \
+         here; pull, and check it\n",
+        names.join(", ")
+    )
+}
--- a/crates/crank-operator/src/error.rs
+++ b/crates/crank-operator/src/error.rs
@@ -75,6 +75,14 @@
         /// What the platform said.
         source: crank_platform_client::Error,
     },
+    /// Everything was written, and then the store could not be listed.
+    #[error("all was written ({}), but whether somebody else changed the folder meanwhile is not known: {source}; push again to see", listed(.written))]
+    Unseen {
+        /// The files that were written or removed.
+        written: Vec<Arc<str>>,
+        /// What the platform said.
+        source: Box<Error>,
+    },
     /// There is no such file in the folder in the store.
     #[error("there is no file {name} in the store: see 'crankctl pull'")]
     Absent {
--- a/crates/crank-operator/src/push.rs
+++ b/crates/crank-operator/src/push.rs
@@ -23,8 +23,9 @@
     /// that a push whose answer was lost can be repeated.
     ///
     /// # Errors
-    /// [`Error::Changed`] or [`Error::Emptied`] with nothing written, [`Error::Overtaken`] or [`Error::Stopped`] with
-    /// what was written before, else whatever the store or the local folder gives.
+    /// [`Error::Changed`] or [`Error::Emptied`] with nothing written; [`Error::Overtaken`],
+    /// [`Error::Stopped`] or [`Error::Unseen`] with what was written; else whatever the store or the
+    /// local folder gives.
     ///
     /// ```
     /// # use crank_operator::{Local, Store};
@@ -51,30 +52,33 @@
         let pushed = self.carry_out(local, edits, &marks, &mut push).await;
         // Saved also after a failure: what was written is known, and the next push goes on from it.
         local.save_pulled()?;
-        pushed.map(|()| push)
+        pushed?;
+        // Of two who write different files at once, whoever lists last sees the other's.
+        match self.etags().await {
+            Ok(stored) => push.meanwhile = changed(local, &stored),
+            Err(source) => return Err(unseen(&push, source)),
+        }
+        Ok(push)
+    }
+
+    async fn etags(&self) -> Result<BTreeMap<Arc<str>, Arc<str>>, Error> {
+        let listed = self.list().await?.into_iter();
+        Ok(listed.map(|file| (file.name, file.etag)).collect())
     }
 
     async fn check_unchanged(&self, local: &mut Local) -> Result<(), Error> {
-        let listed = self.list().await?;
-        check_not_emptied(local, listed.is_empty())?;
-        let stored: BTreeMap<Arc<str>, Arc<str>> = listed
-            .into_iter()
-            .map(|file| (file.name, file.etag))
-            .collect();
-        let known = local.pulled.files.keys();
-        let names: BTreeSet<Arc<str>> = known.chain(stored.keys()).cloned().collect();
-        let mut changed = Vec::new();
-        for name in names {
-            let read = local.pulled.files.get(&name).map(|read| &read.etag);
-            let is_as_read = read == stored.get(&name);
-            if !is_as_read && !self.adopt(local, &name).await? {
-                changed.push(name);
+        let stored = self.etags().await?;
+        check_not_emptied(local, stored.is_empty())?;
+        let mut names = Vec::new();
+        for name in changed(local, &stored) {
+            if !self.adopt(local, &name).await? {
+                names.push(name);
             }
         }
-        if changed.is_empty() {
+        if names.is_empty() {
             return Ok(());
         }
-        Err(Error::Changed { names: changed })
+        Err(Error::Changed { names })
     }
 
     /// Takes what the store holds as read, if it is the very content that is here.
@@ -156,6 +160,22 @@
     }
 }
 
+/// The names of files that are not in the store as they were read.
+fn changed(local: &Local, stored: &BTreeMap<Arc<str>, Arc<str>>) -> Vec<Arc<str>> {
+    let read = &local.pulled.files;
+    let names: BTreeSet<&Arc<str>> = read.keys().chain(stored.keys()).collect();
+    let is_changed = |name: &&Arc<str>| read.get(*name).map(|read| &read.etag) != stored.get(*name);
+    names.into_iter().filter(is_changed).cloned().collect()
+}
+
+fn unseen(push: &Push, source: Error) -> Error {
+    let written = push.written.iter().chain(&push.removed);
+    Error::Unseen {
+        written: written.cloned().collect(),
+        source: Box::new(source),
+    }
+}
+
 fn check_names(local: &Local) -> Result<(), Error> {
     match local.files.keys().find(|name| Name::new(name).is_err()) {
         Some(name) => Err(Error::BadName {
--- a/crates/crank-operator/src/store.rs
+++ b/crates/crank-operator/src/store.rs
@@ -33,6 +33,9 @@
     pub removed: Vec<Arc<str>>,
     /// Files that were passed over as editors' leavings.
     pub passed_over: Vec<Arc<str>>,
+    /// Other files that somebody else changed during the push, so that the whole which is now in the
+    /// store is not the one that was here.
+    pub meanwhile: Vec<Arc<str>>,
 }
 
 /// The folder of a client account in the platform's store.
--- a/crates/crank-operator/tests/racing_operators_lose_nothing.rs
+++ b/crates/crank-operator/tests/racing_operators_lose_nothing.rs
@@ -83,9 +83,9 @@
     assert_eq!(read(berik.dir.path(), "a.ini").unwrap(), "; berik");
 }
 
-/// The platform, where another operator writes `b.ini` just before our first write.
+/// The platform, where another operator writes a file just before each write of ours.
 #[derive(Clone)]
-struct Interrupted(Memory);
+struct Interrupted(Memory, &'static str);
 
 impl Platform for Interrupted {
     async fn list(&self, prefix: &str) -> Result<Vec<Listing>, StoreError> {
@@ -100,7 +100,7 @@
         folder::write(
             &self.0,
             &account(),
-            "b.ini",
+            self.1,
             "; berik".into(),
             Condition::Always,
         )
@@ -134,13 +134,31 @@
         }
         anna.pull().await.unwrap();
         anna.put("b.ini", "; anna");
-        let store = Store::new(Interrupted(platform.clone()), account());
+        let store = Store::new(Interrupted(platform.clone(), "b.ini"), account());
         let overtaken = store.push(&mut anna.local()).await.unwrap_err();
         assert!(matches!(overtaken, Error::Overtaken { .. }), "{before:?}");
         assert_eq!(stored(&platform, "b.ini").await.unwrap(), "; berik");
     }
 }
 
+#[tokio::test]
+async fn of_two_who_write_different_files_at_once_the_later_is_told() {
+    let platform = Memory::new();
+    let anna = Operator::new(&platform);
+    anna.put("a.ini", "; anna");
+    let store = Store::new(Interrupted(platform.clone(), "b.ini"), account());
+    let push = store.push(&mut anna.local()).await.unwrap();
+    assert_eq!(
+        (push.written, push.meanwhile),
+        (vec!["a.ini".into()], vec!["b.ini".into()])
+    );
+    // Nor may she push again before she has seen it.
+    anna.put("a.ini", "; again");
+    assert!(matches!(anna.push().await, Err(Error::Changed { .. })));
+    anna.pull().await.unwrap();
+    assert!(anna.push().await.unwrap().meanwhile.is_empty());
+}
+
 #[tokio::test]
 async fn changes_of_different_files_meet_by_pull_and_push() {
     let platform = Memory::new();
