--- a/crates/crank-load/src/command/mod.rs
+++ b/crates/crank-load/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The commands of `crank-load`, one a file.
 
 mod calls;
+mod capacity;
 mod converge;
 mod demo;
 mod fleet;
@@ -27,6 +28,8 @@
 enum Command {
     #[options(help = "send requests at a rate and count what became of them")]
     Calls(calls::Arguments),
+    #[options(help = "measure what a node costs in a fleet of one size")]
+    Capacity(capacity::Arguments),
     #[options(help = "change the folder and measure when it is in force everywhere")]
     Converge(converge::Arguments),
     #[options(
@@ -51,6 +54,7 @@
 pub async fn run(arguments: Arguments) -> Result<(), Error> {
     match arguments.command {
         Some(Command::Calls(arguments)) => calls::run(arguments).await,
+        Some(Command::Capacity(arguments)) => capacity::run(arguments).await,
         Some(Command::Converge(arguments)) => converge::run(arguments).await,
         Some(Command::Demo(arguments)) => demo::run(arguments).await,
         Some(Command::Fleet(arguments)) => fleet::run(arguments).await,
--- a/crates/crank-load/src/lib.rs
+++ b/crates/crank-load/src/lib.rs
@@ -5,6 +5,7 @@
 //! commands of the program.
 
 pub mod calls;
+pub mod capacity;
 pub mod command;
 pub mod control;
 pub mod converge;
