--- a/crates/crank-load/src/capacity.rs
+++ b/crates/crank-load/src/capacity.rs
@@ -96,9 +96,9 @@
 
     let rest = watch(&roster, plan.rest).await;
     let (edits, bytes_per_edit, far_bytes_per_edit) = edit(plan, &roster, rest).await?;
-    switch(&fleet, r#"{"down": true}"#).await?;
+    fleet.switch(r#"{"down": true}"#).await?;
     let outage = watch(&roster, plan.rest).await;
-    switch(&fleet, r#"{"down": false}"#).await?;
+    fleet.switch(r#"{"down": false}"#).await?;
     tokio::time::sleep(SETTLE).await;
     let resident_megabytes = resident(&roster);
     let herd = herd(&mut fleet).await?;
@@ -184,17 +184,6 @@
     ))
 }
 
-async fn switch(fleet: &Fleet, switches: &str) -> Result<(), Error> {
-    let url = format!("{}/control", fleet.platform_url());
-    let put = reqwest::Client::new().put(url).body(switches.to_owned());
-    let what = "the control of the platform's stand-in";
-    put.send().await.map_err(|source| Error::Http {
-        what: what.into(),
-        source,
-    })?;
-    Ok(())
-}
-
 fn resident(roster: &Roster) -> f64 {
     let used = roster
         .posts
@@ -217,7 +206,7 @@
         .filter(|(_, seat)| &*seat.data_centre == HERD_DATA_CENTRE)
         .map(|(index, _)| index)
         .collect();
-    let before = counts(fleet).await?;
+    let before = fleet.counts().await?;
     for index in &herd {
         fleet.nodes[*index].node.signal(Signal::Kill)?;
     }
@@ -226,7 +215,7 @@
         fleet.restart(index).await?;
     }
     Roster::new(fleet)?.ready(READY_LIMIT).await?;
-    let after = counts(fleet).await?;
+    let after = fleet.counts().await?;
     let grown = |name: &str| after[name].as_u64().unwrap_or(0) - before[name].as_u64().unwrap_or(0);
     Ok(Herd {
         took: began.elapsed(),
@@ -234,13 +223,3 @@
         writes: grown("writes"),
     })
 }
-
-async fn counts(fleet: &Fleet) -> Result<serde_json::Value, Error> {
-    let url = format!("{}/control/counts", fleet.platform_url());
-    let failed = |source| Error::Http {
-        what: "the counts of the platform's stand-in".into(),
-        source,
-    };
-    let answer = reqwest::get(url).await.map_err(failed)?;
-    answer.json().await.map_err(failed)
-}
--- a/crates/crank-load/src/fleet/start.rs
+++ b/crates/crank-load/src/fleet/start.rs
@@ -7,6 +7,7 @@
 use super::{Layout, Process, Seat, Signal};
 use crate::Error;
 
+const PLATFORM: &str = "the control of the platform's stand-in";
 const SEEDS: usize = 3;
 const POLL: Duration = Duration::from_millis(50);
 
@@ -89,6 +90,38 @@
         url(self.platform.listening())
     }
 
+    /// Sets switches of the platform's stand-in, in JSON.
+    ///
+    /// # Errors
+    /// [`Error::Http`] where the stand-in does not take them.
+    pub async fn switch(&self, switches: &str) -> Result<(), Error> {
+        let url = format!("{}/control", self.platform_url());
+        let put = reqwest::Client::new().put(url).body(switches.to_owned());
+        let answer = put
+            .send()
+            .await
+            .and_then(reqwest::Response::error_for_status);
+        answer.map_err(|source| Error::Http {
+            what: PLATFORM.into(),
+            source,
+        })?;
+        Ok(())
+    }
+
+    /// What the platform's stand-in has counted.
+    ///
+    /// # Errors
+    /// [`Error::Http`] where it does not say.
+    pub async fn counts(&self) -> Result<serde_json::Value, Error> {
+        let failed = |source| Error::Http {
+            what: PLATFORM.into(),
+            source,
+        };
+        let url = format!("{}/control/counts", self.platform_url());
+        let answer = reqwest::get(url).await.map_err(failed)?;
+        answer.json().await.map_err(failed)
+    }
+
     /// The directory of settings and logs.
     #[must_use]
     pub fn folder(&self) -> &Path {
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -8,7 +8,7 @@
 use crank_engine::drain::Progress;
 use crank_engine::overlay;
 use crank_mesh::call::{self, Pool};
-use crank_mesh::{Handle, Socket, View, Vitals};
+use crank_mesh::{Handle, Socket, Step, View, Vitals};
 use crank_platform_client::Remote;
 use crank_protocol::Name;
 use crank_protocol::config::Snapshot;
@@ -388,6 +388,9 @@
     while let Some(snapshot) = accepted.recv().await {
         let version = snapshot.stamp.version;
         match mesh.offer(snapshot).await {
+            Ok(Step::Conflict) => {
+                log::error!(version = version.0; "version held with another digest")
+            }
             Ok(step) => log::info!(version = version.0, step:? = step; "accepted version offered"),
             Err(error) => log::error!(version = version.0, error:% = error; "version not offered"),
         }
