--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod wire;
 
 mod error;
+mod follow;
 mod run;
 mod settings;
 
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -1,18 +1,14 @@
 //! The life of a node: start, serve, leave.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crank_engine::burn::Burn;
 use crank_engine::drain::Progress;
-use crank_engine::overlay;
 use crank_mesh::call::{self, Pool};
-use crank_mesh::{Handle, Socket, Step, View, Vitals};
+use crank_mesh::{Handle, Socket};
 use crank_platform_client::Remote;
-use crank_protocol::Name;
-use crank_protocol::config::Snapshot;
-use crank_protocol::member::{Endpoint, Member, Stage, State};
+use crank_protocol::member::{Member, State};
 use crank_protocol::wire::{Hello, PROTOCOL};
 use crank_server::{Announcement, Announcements};
 use parking_lot::Mutex;
@@ -31,12 +27,10 @@
 use crate::publisher;
 use crate::target::{self, Target};
 use crate::wire::Wire;
-use crate::{Error, Settings};
+use crate::{Error, Settings, follow};
 
 const CALL_SOCKETS: usize = 64;
-const VITALS_PERIOD: Duration = Duration::from_millis(500);
 const DRAIN_POLL: Duration = Duration::from_millis(20);
-const PUBLISHER_CANDIDATES: usize = 3;
 
 type NodeTarget = Target<Remote, crank_server::Forwarder>;
 type NodeEntry = Entry<Wire<NodeTarget>>;
@@ -79,19 +73,37 @@
     edge: tokio::task::JoinHandle<()>,
 }
 
+/// Everything that the node listens on, bound before anything is told or taken.
+struct Listeners {
+    announcements: Announcements,
+    edge: crank_caller::Edge,
+    operators: TcpListener,
+}
+
+impl Listeners {
+    async fn open(settings: &mut Settings) -> Result<Self, Error> {
+        let address = settings.listen.operators;
+        let operators = TcpListener::bind(address).await;
+        let operators = operators.map_err(|source| Error::Listen { address, source })?;
+        settings.listen.operators = operators.local_addr().unwrap_or(address);
+        Ok(Self {
+            announcements: Announcements::new(settings.listen.servers).await?,
+            edge: crank_caller::Edge::new(settings.listen.callers).await?,
+            operators,
+        })
+    }
+}
+
 impl Node {
     async fn start(mut settings: Settings) -> Result<Self, Error> {
         let clock = Clock::new();
         let leaving = CancellationToken::new();
         let platform = Remote::new(&settings.platform.access())?;
-        let announcements = Announcements::new(settings.listen.servers).await?;
-        let edge = crank_caller::Edge::new(settings.listen.callers).await?;
-        let operators = listen(&settings).await?;
-        settings.listen.operators = operators.local_addr().unwrap_or(settings.listen.operators);
+        let listeners = Listeners::open(&mut settings).await?;
         let (sockets, accepted) = mpsc::channel(CALL_SOCKETS);
         let mesh = crank_mesh::start(mesh_settings(&settings), sockets).await?;
-        let (ready, is_ready) = watch::channel(false);
-        let announced = handover::follow(announcements.watch(), mesh.config());
+        say_addresses(&settings, &mesh, &listeners);
+        let announced = handover::follow(listeners.announcements.watch(), mesh.config());
         let target = Target::new(target::Parts {
             clock,
             config: mesh.config(),
@@ -100,8 +112,10 @@
             platform: platform.clone(),
             forwarder: crank_server::Forwarder::new()?,
         });
+        tokio::spawn(target.clone().follow());
         let hello = hello(&settings, &mesh);
-        let burn = Arc::new(Mutex::new(Burn::new(clock.now())));
+        let (links, burn) = (Pool::new(hello.clone()), Burn::new(clock.now()));
+        let burn = Arc::new(Mutex::new(burn));
         let entry = Entry::new(entry::Parts {
             clock,
             own: settings.name.clone(),
@@ -109,15 +123,20 @@
             config: mesh.config(),
             view: mesh.view(),
             ready: mesh.ready(),
-            links: Wire::new(
-                settings.name.clone(),
-                target.clone(),
-                Pool::new(hello.clone()),
-            ),
+            links: Wire::new(settings.name.clone(), target.clone(), links),
             burn: burn.clone(),
         });
+        tokio::spawn(serve_calls(
+            accepted,
+            hello,
+            target.clone(),
+            leaving.clone(),
+        ));
         let metrics = Arc::new(Metrics::new());
         metrics.add_mesh(mesh.clone());
+        let front = Front::new(entry.clone(), metrics.clone());
+        let edge = tokio::spawn(listeners.edge.run(front, leaving.clone()));
+        let (ready, is_ready) = watch::channel(false);
         let office = Office {
             clock,
             own: settings.name.clone(),
@@ -126,28 +145,20 @@
             mesh: mesh.clone(),
             ready: is_ready,
             burn,
-            metrics: metrics.clone(),
+            metrics,
         };
-        say_addresses(&settings, &mesh, &announcements, &edge);
+        let left = leaving.clone().cancelled_owned();
         tokio::spawn(crank_operator::listener::serve(
-            operators,
+            listeners.operators,
             office,
-            leaving.clone().cancelled_owned(),
+            left,
         ));
-        tokio::spawn(serve_calls(
-            accepted,
-            hello,
-            target.clone(),
-            leaving.clone(),
-        ));
-        tokio::spawn(target.clone().follow());
-        let edge = tokio::spawn(edge.run(Front::new(entry.clone(), metrics), leaving.clone()));
         let node = Self {
             settings,
             mesh,
             entry,
             target,
-            _announcements: announcements,
+            _announcements: listeners.announcements,
             announced,
             ready: Arc::new(ready),
             draining: CancellationToken::new(),
@@ -170,15 +181,15 @@
         tokio::spawn(join.clone().until_ready());
         tokio::spawn(join.keep_contact());
         self.publish(platform);
-        tokio::spawn(announce(
+        tokio::spawn(follow::announce(
             self.announced.clone(),
             self.draining.clone(),
             self.mesh.clone(),
         ));
-        let operators = reachable(self.settings.listen.operators, &self.mesh);
+        let operators = follow::reachable(self.settings.listen.operators, &self.mesh);
         let (mesh, ready) = (self.mesh.clone(), self.ready.clone());
         let (target, draining) = (self.target.clone(), self.draining.clone());
-        tokio::spawn(vitals(mesh, ready, target, draining, operators));
+        tokio::spawn(follow::vitals(mesh, ready, target, draining, operators));
     }
 
     fn publish(&self, platform: Remote) {
@@ -191,12 +202,12 @@
         let draining = self.draining.clone();
         tokio::spawn(async move {
             tokio::select! {
-                () = candidacy(mesh, region, candidate) => {}
+                () = follow::candidacy(mesh, region, candidate) => {}
                 () = draining.cancelled() => {}
             }
             publisher::stop(publisher).await;
         });
-        tokio::spawn(offer(found, self.mesh.clone()));
+        tokio::spawn(follow::offer(found, self.mesh.clone()));
     }
 
     /// Takes nothing new, finishes what is in flight, and goes.
@@ -241,13 +252,6 @@
         .with_seeds(settings.seeds.clone())
 }
 
-async fn listen(settings: &Settings) -> Result<TcpListener, Error> {
-    let address = settings.listen.operators;
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Listen { address, source })
-}
-
 fn hello(settings: &Settings, mesh: &Handle) -> Hello {
     Hello {
         protocol: PROTOCOL,
@@ -267,17 +271,12 @@
     clippy::print_stdout,
     reason = "whoever starts the node reads its addresses there"
 )]
-fn say_addresses(
-    settings: &Settings,
-    mesh: &Handle,
-    announcements: &Announcements,
-    edge: &crank_caller::Edge,
-) {
+fn say_addresses(settings: &Settings, mesh: &Handle, listeners: &Listeners) {
     println!(
         "listening callers={} mesh={} servers={} operators={}",
-        edge.address(),
+        listeners.edge.address(),
         mesh.address(),
-        announcements.address(),
+        listeners.announcements.address(),
         settings.listen.operators,
     );
 }
@@ -298,101 +297,3 @@
         });
     }
 }
-
-/// Tells the mesh what the backend server announces; that it drains, once the node does.
-async fn announce(
-    mut announced: watch::Receiver<Option<Announcement>>,
-    draining: CancellationToken,
-    mesh: Handle,
-) {
-    let mut told = None;
-    loop {
-        let found = announced.borrow_and_update().clone();
-        let is_draining = draining.is_cancelled();
-        let now = found.map(|found| stage_of(found.endpoint, is_draining));
-        if told != now {
-            log::info!(endpoint:? = now; "backend server announced");
-            let _ = mesh.announce(now.clone()).await;
-            told = now;
-        }
-        let changed = tokio::select! {
-            changed = announced.changed() => changed.is_ok(),
-            () = draining.cancelled(), if !is_draining => true,
-        };
-        if !changed {
-            return;
-        }
-    }
-}
-
-fn stage_of(endpoint: Endpoint, is_draining: bool) -> Endpoint {
-    let stage = match endpoint.stage {
-        Stage::Starting | Stage::Ready if is_draining => Stage::Draining,
-        stage => stage,
-    };
-    Endpoint { stage, ..endpoint }
-}
-
-/// Where others reach a listener: by the mesh's IP number where it listens on all of them.
-fn reachable(listener: SocketAddr, mesh: &Handle) -> SocketAddr {
-    if listener.ip().is_unspecified() {
-        SocketAddr::new(mesh.address().ip(), listener.port())
-    } else {
-        listener
-    }
-}
-
-/// Keeps what the mesh tells of this node, and whether it takes requests, up to date.
-async fn vitals(
-    mesh: Handle,
-    ready: Arc<watch::Sender<bool>>,
-    target: NodeTarget,
-    draining: CancellationToken,
-    operators: SocketAddr,
-) {
-    let mut mesh_ready = mesh.ready();
-    loop {
-        // A node whose backend server has left still takes callers' requests for others.
-        let is_ready = *mesh_ready.borrow_and_update() && !draining.is_cancelled();
-        ready.send_if_modified(|held| std::mem::replace(held, is_ready) != is_ready);
-        let load = target.load();
-        mesh.set_vitals(Vitals {
-            ready: is_ready,
-            in_flight: load.running + load.waiting,
-            operators: Some(operators),
-        });
-        let _ = tokio::time::timeout(VITALS_PERIOD, mesh_ready.changed()).await;
-    }
-}
-
-/// Keeps up whether this node is one of the few that may publish.
-async fn candidacy(mesh: Handle, region: Name, candidate: watch::Sender<bool>) {
-    let mut view = mesh.view();
-    loop {
-        let is_candidate = is_candidate(&view.borrow_and_update(), &region);
-        candidate.send_if_modified(|held| std::mem::replace(held, is_candidate) != is_candidate);
-        if view.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-fn is_candidate(view: &View, store_region: &Name) -> bool {
-    let members = view.members().filter(|member| view.reaches(member));
-    let candidates = overlay::candidates(store_region, PUBLISHER_CANDIDATES, members);
-    candidates.iter().any(|member| member.id == *view.me())
-}
-
-/// Gives the mesh what the publisher of this node accepted or found accepted.
-async fn offer(mut accepted: mpsc::Receiver<Snapshot>, mesh: Handle) {
-    while let Some(snapshot) = accepted.recv().await {
-        let version = snapshot.stamp.version;
-        match mesh.offer(snapshot).await {
-            Ok(Step::Conflict) => {
-                log::error!(version = version.0; "version held with another digest")
-            }
-            Ok(step) => log::info!(version = version.0, step:? = step; "accepted version offered"),
-            Err(error) => log::error!(version = version.0, error:% = error; "version not offered"),
-        }
-    }
-}
