Let a joining node ask again over the connections it has

A node that all seeds had told to come back asked again only when its connection to a seed had lingered out, five seconds later.

--- a/crates/crank-mesh/src/actor/frames.rs
+++ b/crates/crank-mesh/src/actor/frames.rs
@@ -8,6 +8,7 @@
 use crank_protocol::member::{Member, State};
 use crank_protocol::wire::{Control, Hello, Members, PROTOCOL};
 use crank_protocol::{Millis, Name};
+use rand::RngExt;
 use xtra::Handler;
 
 use super::message::Frame;
@@ -123,7 +124,8 @@
                 self.pulling = None;
                 self.pull.told(retry_after, now, &mut self.rng);
                 if !self.joined {
-                    self.next_seed = now.after(retry_after);
+                    let jitter = self.rng.random_range(0..=retry_after.0);
+                    self.next_seed = now.after(Millis(retry_after.0 + jitter));
                 }
             }
         }
--- a/crates/crank-mesh/src/actor/links.rs
+++ b/crates/crank-mesh/src/actor/links.rs
@@ -273,6 +273,18 @@
         if let Some(seed) = seeds.choose(&mut self.rng).copied() {
             self.dial(Dial::Seed(seed), now);
         }
+        if !self.joined {
+            self.ask_again();
+        }
+    }
+
+    /// Asks a connected node for its table, where those asked so far were busy.
+    fn ask_again(&mut self) {
+        let greeted = self.links.iter().filter(|(_, link)| link.peer.is_some());
+        let links: Vec<u64> = greeted.map(|(id, _)| *id).collect();
+        if let Some(link) = links.choose(&mut self.rng) {
+            self.send_frame(*link, &Control::WantMembers);
+        }
     }
 
     fn dial(&mut self, dial: Dial, now: Moment) {
--- a/crates/crank-mesh/src/listen.rs
+++ b/crates/crank-mesh/src/listen.rs
@@ -30,8 +30,8 @@
 const MOST_HANDSHAKES: usize = 128;
 /// Attempts to find a port that is free for both UDP and TCP.
 const PORT_ATTEMPTS: usize = 16;
-/// The pause after the system refused to accept a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The pause after the system refused to accept a connection or to receive.
+const REFUSED_PAUSE: Duration = Duration::from_millis(50);
 const BUFFER_BYTES: usize = 8 * 1_024;
 /// Frames waiting for a slow reader on a call connection.
 const CALL_WRITE_BUFFER_BYTES: usize = 64 * 1_024;
@@ -74,8 +74,8 @@
 pub(crate) async fn receive(socket: Arc<UdpSocket>, mesh: WeakAddress<Mesh>) {
     let mut buffer = vec![0; LARGEST_DATAGRAM_BYTES + 1];
     loop {
-        // An error here is about an earlier datagram that could not be delivered.
         let Ok((bytes, address)) = socket.recv_from(&mut buffer).await else {
+            tokio::time::sleep(REFUSED_PAUSE).await;
             continue;
         };
         let decoded = codec::decode::<Datagram>(&buffer[..bytes], LARGEST_DATAGRAM_BYTES);
@@ -101,7 +101,7 @@
     let handshakes = Arc::new(Semaphore::new(MOST_HANDSHAKES));
     while mesh.is_connected() {
         let Ok((stream, address)) = tcp.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
+            tokio::time::sleep(REFUSED_PAUSE).await;
             continue;
         };
         let Ok(permit) = handshakes.clone().acquire_owned().await else {
