--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -405,9 +405,11 @@
         self.shared.places.load().waiting
     }
 
+    /// What is the caller's own doing says nothing of the service.
     fn count(&self, rule: &Rule, refused: &Refused, began: Moment) {
-        if refused.refusal != Refusal::Cancelled {
-            self.record(rule, false, began);
+        match refused.refusal {
+            Refusal::Cancelled | Refusal::KeyMismatch | Refusal::BadRequest { .. } => {}
+            _ => self.record(rule, false, began),
         }
     }
 
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -16,6 +16,7 @@
 use crank_protocol::{Millis, Name};
 use crank_server::Announcement;
 use futures::StreamExt;
+use parking_lot::Mutex;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
@@ -87,6 +88,7 @@
 struct Shared<P, F> {
     parts: Parts<P, F>,
     gate: Gate,
+    refreshing: Mutex<()>,
     unsettled: Arc<()>,
 }
 
@@ -117,6 +119,7 @@
             shared: Arc::new(Shared {
                 parts,
                 gate,
+                refreshing: Mutex::new(()),
                 unsettled: Arc::new(()),
             }),
         };
@@ -146,8 +149,10 @@
         }
     }
 
-    /// Brings the gate up to what was announced and configured last.
+    /// Brings the gate up to what was announced and configured last; one at a time, so that an
+    /// older announcement never comes after a newer one.
     fn refresh(&self) -> Option<Announcement> {
+        let _turn = self.shared.refreshing.lock();
         let announced = self.shared.parts.announced.borrow().clone();
         let Some(announced) = announced else {
             self.shared.gate.announce(Stage::Gone, DEFAULT_GRACE);
