--- a/crates/crank-engine/examples/requests/main.rs
+++ b/crates/crank-engine/examples/requests/main.rs
@@ -1,5 +1,5 @@
 //! Measures the policy of requests against baselines, all parts or those named:
-//! `cargo run --release -p crank-engine --example requests -- choice overload faults cold shared`.
+//! `cargo run --release -p crank-engine --example requests -- choice overload queues faults cold shared`.
 //!
 //! Every line is the median of five seeds, in simulated time.
 
@@ -181,6 +181,22 @@
     Ok(())
 }
 
+fn queues(out: &mut impl Write) -> io::Result<()> {
+    head(out, "length of a server's queue")?;
+    for queue in [0, 3, 6, 12, 24, 48] {
+        for load in [0.9, 1.0, 2.0] {
+            let setup = Setup {
+                load,
+                queue,
+                seconds: 30.0,
+                ..brief()
+            };
+            measure(out, &format!("queue {queue}, load {load}"), &setup)?;
+        }
+    }
+    Ok(())
+}
+
 fn faults(out: &mut impl Write) -> io::Result<()> {
     head(
         out,
@@ -263,6 +279,9 @@
     if runs("overload") {
         overload(out)?;
     }
+    if runs("queues") {
+        queues(out)?;
+    }
     if runs("faults") {
         faults(out)?;
     }
