Mark the folder during a push, so that half of it never becomes a version

The settle window of 500 ms only helps an operator whose writes are faster than that. Over a link where each request takes 900 ms, a push of the four example files became four versions, three of them without services and routes that were on their way. A push of several files now writes .crank-push first and empties it last; the publisher's Watch does not read a marked folder, for at most 30 s a mark, so that one that was left behind holds up nobody for long. A push that stops half way leaves its mark, which gives its operator time. Cost: two writes a push. Ruled out: a longer settle window, which every change would pay.

For PLATFORM: publish::watch has the mark; the merge passes it over as a dot file.

--- a/crates/crank-engine/src/publish.rs
+++ b/crates/crank-engine/src/publish.rs
@@ -11,7 +11,7 @@
 pub use head::{Advance, Fate, Head, advance, settle};
 pub use size::oversize;
 pub use tenure::{Lease, LeaseWrite, Tenure, TenureStep};
-pub use watch::{Listed, Look, Watch};
+pub use watch::{Listed, Look, PUSH_LIMIT, PUSH_MARK, Watch};
 
 use crank_protocol::Millis;
 
--- a/crates/crank-engine/src/publish/watch.rs
+++ b/crates/crank-engine/src/publish/watch.rs
@@ -19,6 +19,13 @@
     pub size: u64,
 }
 
+/// The file that stands in the folder while somebody writes several others; the merge passes it
+/// over, as it does every dot file.
+pub const PUSH_MARK: &str = ".crank-push";
+
+/// How long such a mark holds up the reading of the folder, unless it is written anew.
+pub const PUSH_LIMIT: Millis = Millis(30_000);
+
 /// What a listing calls for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Look {
@@ -34,6 +41,7 @@
 #[derive(Debug, Clone)]
 pub struct Watch {
     window: Millis,
+    mark: Option<Mark>,
     seen: Option<Seen>,
     done: Option<Vec<Listed>>,
 }
@@ -44,6 +52,12 @@
     since: Moment,
 }
 
+#[derive(Debug, Clone)]
+struct Mark {
+    etag: Arc<str>,
+    since: Moment,
+}
+
 impl Watch {
     /// A watch for which a listing has settled when it stayed the same for this long.
     ///
@@ -58,6 +72,7 @@
     pub fn new(window: Millis) -> Self {
         Self {
             window,
+            mark: None,
             seen: None,
             done: None,
         }
@@ -82,15 +97,33 @@
             listing: listing.to_vec(),
             since,
         });
+        let is_pushed = self.is_pushed(listing, now);
         if self.done.as_deref() == Some(listing) {
             Look::Known
-        } else if now.since(since) < self.window {
+        } else if is_pushed || now.since(since) < self.window {
             Look::Settling
         } else {
             Look::Read
         }
     }
 
+    /// Whether somebody writes several files at this moment; a mark that was left behind is
+    /// believed for a while only.
+    fn is_pushed(&mut self, listing: &[Listed], now: Moment) -> bool {
+        let found = listing.iter().find(|file| &*file.name == PUSH_MARK);
+        let Some(found) = found else {
+            self.mark = None;
+            return false;
+        };
+        let since = match &self.mark {
+            Some(mark) if mark.etag == found.etag => mark.since,
+            _ => now,
+        };
+        let etag = Arc::clone(&found.etag);
+        self.mark = Some(Mark { etag, since });
+        now.since(since) < PUSH_LIMIT
+    }
+
     /// Remembers that this listing was accepted or refused.
     ///
     /// ```
--- a/crates/crank-operator/src/push.rs
+++ b/crates/crank-operator/src/push.rs
@@ -5,8 +5,10 @@
 
 use bytes::Bytes;
 use crank_engine::folder::{Read, content_digest};
+use crank_engine::publish::PUSH_MARK;
 use crank_platform_client::{Condition, Error as StoreError, Etag, Platform, folder};
 use crank_protocol::Name;
+use time::OffsetDateTime;
 
 use crate::store::check_not_emptied;
 use crate::{Error, Local, Push, Store};
@@ -49,7 +51,15 @@
             passed_over: local.passed_over.clone(),
             ..Push::default()
         };
+        let mark = match edits.len() {
+            0 | 1 => None,
+            _ => Some(self.put_mark().await?),
+        };
         let pushed = self.carry_out(local, edits, &marks, &mut push).await;
+        // A push that stopped half way leaves its mark: there is time to push again.
+        if let (Some(mark), Ok(())) = (mark, &pushed) {
+            self.clear_mark(mark).await;
+        }
         // Saved also after a failure: what was written is known, and the next push goes on from it.
         local.save_pulled()?;
         pushed?;
@@ -61,6 +71,38 @@
         Ok(push)
     }
 
+    /// Marks the folder, so that nobody takes half of this push for a whole.
+    async fn put_mark(&self) -> Result<Etag, Error> {
+        let (platform, account) = (&self.platform, &self.account);
+        // Unlike any other mark, so that one that was left behind is not taken for this one.
+        let nanos = OffsetDateTime::now_utc().unix_timestamp_nanos();
+        let content = Bytes::from(format!("{nanos} {}\n", std::process::id()));
+        let written = folder::write(
+            platform,
+            account,
+            PUSH_MARK,
+            content.clone(),
+            Condition::Always,
+        )
+        .await;
+        let source = match written {
+            Ok(etag) => return Ok(etag),
+            Err(source) => source,
+        };
+        match folder::read(platform, account, PUSH_MARK).await {
+            Ok(Some(object)) if object.content == content => Ok(object.etag),
+            _ => Err(source.into()),
+        }
+    }
+
+    async fn clear_mark(&self, mark: Etag) {
+        let (platform, account) = (&self.platform, &self.account);
+        if let Err(error) = folder::remove(platform, account, PUSH_MARK, mark).await {
+            // It is believed for a while only, and another operator's is theirs to clear.
+            log::debug!(error:% = error; "the mark of a push stays");
+        }
+    }
+
     async fn etags(&self) -> Result<BTreeMap<Arc<str>, Arc<str>>, Error> {
         let listed = self.list().await?.into_iter();
         Ok(listed.map(|file| (file.name, file.etag)).collect())
--- a/crates/crank-operator/tests/racing_operators_lose_nothing.rs
+++ b/crates/crank-operator/tests/racing_operators_lose_nothing.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 
 use bytes::Bytes;
+use crank_engine::publish::PUSH_MARK;
 use crank_operator::{Error, Local, Pull, Push, Store};
 use crank_platform_client::{
     Condition, Error as StoreError, Etag, Key, Listing, Memory, Object, Platform, Row, RowWrite,
@@ -159,6 +160,30 @@
     assert!(anna.push().await.unwrap().meanwhile.is_empty());
 }
 
+#[tokio::test]
+async fn a_push_of_several_files_is_marked_until_it_is_whole() {
+    let platform = Memory::new();
+    let is_marked = async || {
+        stored(&platform, PUSH_MARK)
+            .await
+            .is_some_and(|mark| !mark.is_empty())
+    };
+    let anna = Operator::new(&platform);
+    anna.put("a.ini", "; anna");
+    anna.put("b.ini", "; anna");
+    let store = Store::new(Interrupted(platform.clone(), "b.ini"), account());
+    let overtaken = store.push(&mut anna.local()).await.unwrap_err();
+    assert!(matches!(overtaken, Error::Overtaken { written, .. } if written == ["a.ini".into()]));
+    assert!(is_marked().await);
+
+    let berik = Operator::new(&platform);
+    berik.pull().await.unwrap();
+    berik.put("c.ini", "; berik");
+    berik.put("d.ini", "; berik");
+    berik.push().await.unwrap();
+    assert!(!is_marked().await);
+}
+
 #[tokio::test]
 async fn changes_of_different_files_meet_by_pull_and_push() {
     let platform = Memory::new();
--- a/tests/operators_with_real_processes.rs
+++ b/tests/operators_with_real_processes.rs
@@ -287,6 +287,29 @@
         .await;
 }
 
+#[tokio::test]
+async fn a_push_over_a_slow_link_becomes_one_version() {
+    let mut office = Office::open().await;
+    copy_example(&office.folder("anna"));
+    // Each of the operator's requests takes longer than the folder has to be still.
+    let settings = std::fs::read_to_string(&office.settings).unwrap() + "access_key = operator\n";
+    office.settings = office.folder("operator.ini");
+    std::fs::write(&office.settings, settings).unwrap();
+    office.control(r#"{"delays_ms":{"operator":900}}"#).await;
+    let pushed = office.in_folder("push", "anna");
+    assert_eq!(pushed.code, 0, "{}", pushed.err);
+    let has_all = |mesh: &Mesh| mesh.in_force && mesh.head.is_some() && mesh.nodes.len() == 3;
+    office.until("a version in force", has_all).await;
+    answers(&office).await;
+    let status = office.status();
+    assert_eq!(
+        status.head.unwrap().version.0,
+        1,
+        "half of a push became a version"
+    );
+    assert_eq!(status.refused, None);
+}
+
 #[tokio::test]
 async fn the_report_says_which_nodes_it_did_not_hear() {
     let office = Office::open().await;
