--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -8,7 +8,7 @@
 use crank_engine::drain::Progress;
 use crank_engine::overlay;
 use crank_mesh::call::{self, Pool};
-use crank_mesh::{Handle, Socket, View, Vitals};
+use crank_mesh::{Handle, Socket, Step, View, Vitals};
 use crank_platform_client::Remote;
 use crank_protocol::Name;
 use crank_protocol::config::Snapshot;
@@ -188,9 +188,13 @@
         let (accepted, found) = mpsc::channel(1);
         let publisher = publisher::start(platform, settings, is_candidate, accepted);
         let (mesh, region) = (self.mesh.clone(), self.settings.platform.region.clone());
+        let draining = self.draining.clone();
         tokio::spawn(async move {
-            candidacy(mesh, region, candidate).await;
-            drop(publisher);
+            tokio::select! {
+                () = candidacy(mesh, region, candidate) => {}
+                () = draining.cancelled() => {}
+            }
+            publisher::stop(publisher).await;
         });
         tokio::spawn(offer(found, self.mesh.clone()));
     }
@@ -384,6 +388,9 @@
     while let Some(snapshot) = accepted.recv().await {
         let version = snapshot.stamp.version;
         match mesh.offer(snapshot).await {
+            Ok(Step::Conflict) => {
+                log::error!(version = version.0; "version held with another digest")
+            }
             Ok(step) => log::info!(version = version.0, step:? = step; "accepted version offered"),
             Err(error) => log::error!(version = version.0, error:% = error; "version not offered"),
         }
