Share one mesh between the tests of faults

The tests of whole answers under faults stood on a mesh of their own; they use the common one now, and keep what the other tests do not have: an answer dropped after the work, a cut answer, and waits on work that the ledgers show.

--- a/tests/whole_answers_under_faults.rs
+++ b/tests/whole_answers_under_faults.rs
@@ -2,69 +2,58 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod common;
+
 use std::collections::BTreeMap;
-use std::path::Path;
-use std::sync::Arc;
 use std::time::Duration;
 
-use crank_load::calls::{self, Done, Plan, Runs, Tally, Told};
-use crank_load::fleet::{Fleet, Layout, Signal, wait};
-use crank_load::folder;
-use crank_load::roster::Roster;
+use common::{Mesh, PATIENCE, orders};
+use crank_load::calls::{self, Done, Told};
+use crank_load::fleet::{Layout, Signal, wait};
 use serde_json::{Value, json};
-use tempfile::TempDir;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-const PATIENCE: Duration = Duration::from_secs(60);
-const SERVICE: &str = "recipes";
-const RATE: f64 = 120.0;
-/// The nodes that callers use; faults only meet the others.
-const ENTRIES: usize = 3;
+/// The nodes that faults meet; callers use the others.
+const TARGETS: [usize; 3] = [0, 1, 2];
 
-fn programs() -> &'static Path {
-    Path::new(env!("CARGO_BIN_EXE_crank-node"))
-        .parent()
-        .unwrap()
+async fn start() -> Mesh {
+    Mesh::with_layout(Layout::new("sutkent", 6, 2, 3, &["panels"])).await
 }
 
-struct Mesh {
-    fleet: Fleet,
-    roster: Roster,
-    http: reqwest::Client,
-    _home: TempDir,
+/// Waits until a backend server has started this much more work.
+async fn worked(mesh: &Mesh, node: usize, more: u64) {
+    let before = started(mesh, node).await;
+    wait("work", PATIENCE, async || {
+        started(mesh, node).await >= before + more
+    })
+    .await
+    .unwrap();
 }
 
-impl Mesh {
-    async fn start() -> Self {
-        let home = TempDir::new().unwrap();
-        let layout = Layout::new("sutkent", 6, 2, 3, &[SERVICE]);
-        let fleet = Fleet::start(layout, programs(), home.path()).await.unwrap();
-        folder::fill(&fleet, &[SERVICE]).await.unwrap();
-        let roster = Roster::new(&fleet).unwrap();
-        roster.ready(PATIENCE).await.unwrap();
-        Self {
-            fleet,
-            roster,
-            http: reqwest::Client::new(),
-            _home: home,
-        }
-    }
+async fn started(mesh: &Mesh, node: usize) -> u64 {
+    let url = format!("{}/ledger/totals", mesh.fleet.nodes[node].backend_url());
+    let totals = mesh.client.get(url).send().await.unwrap();
+    let totals: Value = totals.json().await.unwrap();
+    totals["started"].as_u64().unwrap()
+}
 
-    /// Sends requests that are not idempotent until it is stopped, through nodes that stay well.
-    fn load(&self) -> Load {
-        let entries = self.roster.posts.iter().rev().take(ENTRIES);
-        let mut plan = Plan {
-            targets: entries.map(|post| post.callers.clone()).collect(),
-            paths: vec![format!("/{SERVICE}").into()],
-            rate: RATE,
-            time: Duration::from_secs(1),
-            warm_up: Duration::ZERO,
-            limit: PATIENCE,
-            body_bytes: 2_000,
-            keyed: false,
-            seed: 7,
-        };
+async fn control(mesh: &Mesh, node: usize, control: Value) {
+    let url = format!("{}/control", mesh.fleet.nodes[node].backend_url());
+    let sent = mesh.client.post(url).json(&control).send().await.unwrap();
+    assert_eq!(sent.status(), 204);
+}
+
+/// Requests that are not idempotent, sent until they are stopped.
+struct Load {
+    stop: CancellationToken,
+    sending: JoinHandle<Vec<calls::Tally>>,
+}
+
+impl Load {
+    fn start(mesh: &Mesh) -> Self {
+        let entries = mesh.roster_without(&TARGETS);
+        let mut plan = orders(&entries, "/orders", Duration::from_secs(1));
         let stop = CancellationToken::new();
         let stopped = stop.clone();
         let sending = tokio::spawn(async move {
@@ -75,51 +64,9 @@
             }
             tallies
         });
-        Load { stop, sending }
-    }
-
-    fn backends(&self) -> Vec<Arc<str>> {
-        let posts = self.roster.posts.iter();
-        posts.map(|post| post.backend.clone()).collect()
+        Self { stop, sending }
     }
 
-    /// Waits until a backend server has started this much more work.
-    async fn worked(&self, node: usize, more: u64) {
-        let before = self.started(node).await;
-        wait("work", PATIENCE, async || {
-            self.started(node).await >= before + more
-        })
-        .await
-        .unwrap();
-    }
-
-    async fn started(&self, node: usize) -> u64 {
-        let url = format!("{}/ledger/totals", self.roster.posts[node].backend);
-        let totals: Value = self
-            .http
-            .get(url)
-            .send()
-            .await
-            .unwrap()
-            .json()
-            .await
-            .unwrap();
-        totals["started"].as_u64().unwrap()
-    }
-
-    async fn control(&self, node: usize, control: Value) {
-        let url = format!("{}/control", self.roster.posts[node].backend);
-        let sent = self.http.post(url).json(&control).send().await.unwrap();
-        assert_eq!(sent.status(), 204);
-    }
-}
-
-struct Load {
-    stop: CancellationToken,
-    sending: JoinHandle<Vec<Tally>>,
-}
-
-impl Load {
     async fn stop(self) -> Outcome {
         self.stop.cancel();
         let mut outcome = Outcome::default();
@@ -141,22 +88,21 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn failing_servers_and_nodes_make_no_refusal_untrue_and_run_nothing_twice() {
-    let mesh = Mesh::start().await;
-    let load = mesh.load();
-    mesh.worked(1, 10).await;
-    mesh.control(1, json!({"drop": true})).await;
-    mesh.worked(1, 1).await;
-    mesh.control(2, json!({"cut": true})).await;
-    mesh.worked(2, 1).await;
-    mesh.control(2, json!({"cut": false})).await;
+    let mesh = start().await;
+    let load = Load::start(&mesh);
+    worked(&mesh, 1, 10).await;
+    control(&mesh, 1, json!({"drop": true})).await;
+    worked(&mesh, 1, 1).await;
+    control(&mesh, 2, json!({"cut": true})).await;
+    worked(&mesh, 2, 1).await;
+    control(&mesh, 2, json!({"cut": false})).await;
     mesh.fleet.nodes[2].node.signal(Signal::Freeze).unwrap();
-    mesh.worked(3, 50).await;
+    worked(&mesh, 3, 50).await;
     mesh.fleet.nodes[2].node.signal(Signal::Wake).unwrap();
     mesh.fleet.nodes[0].node.signal(Signal::Kill).unwrap();
-    mesh.worked(3, 50).await;
+    worked(&mesh, 3, 50).await;
     let outcome = load.stop().await;
-    let audit = Runs::read(&mesh.backends()).await.unwrap();
-    let audit = audit.audit(&outcome.done);
+    let audit = mesh.runs().await.audit(&outcome.done);
     let told = |told: Told| outcome.told.get(&told).copied().unwrap_or(0);
     assert_eq!(audit.unread_ledgers, 0);
     assert_eq!(
@@ -177,14 +123,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drained_server_and_a_drained_node_cut_nothing() {
-    let mut mesh = Mesh::start().await;
-    let load = mesh.load();
-    mesh.worked(0, 10).await;
+    let mut mesh = start().await;
+    let load = Load::start(&mesh);
+    worked(&mesh, 0, 10).await;
     mesh.fleet.nodes[0]
         .backend
         .signal(Signal::Terminate)
         .unwrap();
-    mesh.worked(1, 10).await;
+    worked(&mesh, 1, 10).await;
     mesh.fleet.nodes[1].node.signal(Signal::Terminate).unwrap();
     let left = mesh.fleet.nodes[1].node.ended(PATIENCE).await.unwrap();
     let gone = mesh.fleet.nodes[0].backend.ended(PATIENCE).await.unwrap();
