Tell requests that a leaving node never took that they were not run

A request that crossed the closing of a drained connection was told that its fate is unknown, though the target had answered all that it began. A drained target now says that it is away (WebSocket close code 1001) and reads on until the other side has closed, so that the message is not lost to a reset; what it has not answered by then was not run, and may be tried elsewhere. Any other end stays unknown.

--- a/crates/crank-mesh/src/call/attempt.rs
+++ b/crates/crank-mesh/src/call/attempt.rs
@@ -6,6 +6,7 @@
 use crank_protocol::call::{AnswerHead, Outcome, Refusal, Refused};
 use tokio::sync::mpsc;
 
+use super::frame::Ended;
 use super::{CREDIT_BYTES, MOST_IN_FLIGHT};
 use crate::Error;
 
@@ -167,12 +168,20 @@
         }
     }
 
-    /// Closes for good; tells each attempt what is certain about it.
-    pub(super) fn close(&mut self) {
+    /// Takes no more attempts.
+    pub(super) fn stop(&mut self) {
         self.closed = true;
+    }
+
+    /// Closes for good; tells each attempt what is certain about it.
+    pub(super) fn close(&mut self, ended: Ended) {
+        self.stop();
         for (_, attempt) in self.waiting.drain() {
             let refused = match attempt.stage {
                 Stage::Queued => not_sent(),
+                Stage::Written if ended == Ended::Away => {
+                    refused(Refusal::Leaving, Outcome::NotRun)
+                }
                 Stage::Written => lost(),
                 Stage::Answered { .. } => cut(),
             };
--- a/crates/crank-mesh/src/call/frame.rs
+++ b/crates/crank-mesh/src/call/frame.rs
@@ -3,8 +3,9 @@
 use crank_protocol::wire::{Call, Hello, LARGEST_CALL_BYTES, PROTOCOL};
 use futures::{Sink, SinkExt, Stream, StreamExt};
 use tokio::time::timeout;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
-use tokio_tungstenite::tungstenite::{Error as SocketError, Message};
+use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
+use tokio_tungstenite::tungstenite::protocol::{CloseFrame, WebSocketConfig};
+use tokio_tungstenite::tungstenite::{Error as SocketError, Message, Utf8Bytes};
 
 use super::HELLO_LIMIT;
 use crate::{Error, codec};
@@ -31,12 +32,29 @@
     Ok(Message::Binary(bytes.into()))
 }
 
+/// The last message of a side that leaves in good order.
+pub(super) fn away() -> Message {
+    Message::Close(Some(CloseFrame {
+        code: CloseCode::Away,
+        reason: Utf8Bytes::default(),
+    }))
+}
+
 /// What was read from a connection.
 pub(super) enum Heard {
     Frame(Call),
     /// A ping or a pong.
     Sign,
-    Close,
+    Close(Ended),
+}
+
+/// What the end of a connection says of requests that got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Ended {
+    /// Nothing.
+    Closed,
+    /// The other side left in good order: it answered all that it had begun.
+    Away,
 }
 
 pub(super) async fn read<S>(stream: &mut S) -> Result<Heard, Error>
@@ -44,7 +62,12 @@
     S: Stream<Item = Result<Message, SocketError>> + Unpin,
 {
     match stream.next().await {
-        None | Some(Ok(Message::Close(_))) => Ok(Heard::Close),
+        None => Ok(Heard::Close(Ended::Closed)),
+        Some(Ok(Message::Close(frame))) => {
+            let is_away = frame.is_some_and(|frame| frame.code == CloseCode::Away);
+            let ended = if is_away { Ended::Away } else { Ended::Closed };
+            Ok(Heard::Close(ended))
+        }
         Some(Ok(Message::Binary(bytes))) => {
             codec::decode(&bytes, LARGEST_CALL_BYTES).map(Heard::Frame)
         }
@@ -89,7 +112,7 @@
                 });
             }
             Heard::Sign => {}
-            Heard::Close => return Err(Error::Silent),
+            Heard::Close(_) => return Err(Error::Silent),
         }
     }
 }
--- a/crates/crank-mesh/src/call/link.rs
+++ b/crates/crank-mesh/src/call/link.rs
@@ -1,6 +1,7 @@
 //! The client's side of a call connection.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,8 +21,8 @@
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
 use super::attempt::{Attempts, Event, lost, not_sent, refused};
-use super::frame::{self, Heard};
-use super::{CLIENT_IDLE_LIMIT, CREDIT_BYTES, PING_AFTER, SILENCE_LIMIT};
+use super::frame::{self, Ended, Heard};
+use super::{CLIENT_IDLE_LIMIT, CREDIT_BYTES, LAST_WORDS_LIMIT, PING_AFTER, SILENCE_LIMIT};
 use crate::Error;
 
 type Socket = WebSocketStream<TcpStream>;
@@ -90,13 +91,13 @@
             outgoing,
         });
         tokio::spawn(async move {
-            let ended = tokio::select! {
-                ended = write_all(sink, queue, &attempts) => ended,
-                ended = read_all(stream, pings, &attempts) => ended,
-            };
-            attempts.lock().close();
-            if let Err(error) = ended {
-                log::debug!(error:% = error; "call connection closed");
+            let ended = drive(sink, stream, queue, pings, &attempts).await;
+            match ended {
+                Ok(ended) => attempts.lock().close(ended),
+                Err(error) => {
+                    attempts.lock().close(Ended::Closed);
+                    log::debug!(error:% = error; "call connection closed");
+                }
             }
         });
         Self { shared }
@@ -195,6 +196,30 @@
     Ok(socket)
 }
 
+/// Carries frames both ways until the connection ends.
+async fn drive(
+    sink: SplitSink<Socket, Message>,
+    stream: SplitStream<Socket>,
+    queue: mpsc::UnboundedReceiver<Outgoing>,
+    pings: mpsc::WeakUnboundedSender<Outgoing>,
+    attempts: &Mutex<Attempts>,
+) -> Result<Ended, Error> {
+    let mut reading = pin!(read_all(stream, pings, attempts));
+    let written = tokio::select! {
+        written = write_all(sink, queue, attempts) => written,
+        ended = &mut reading => return ended,
+    };
+    let Err(error) = written else {
+        return Ok(Ended::Closed);
+    };
+    // What the other side said last may still be unread.
+    attempts.lock().stop();
+    match timeout(LAST_WORDS_LIMIT, reading).await {
+        Ok(Ok(Ended::Away)) => Ok(Ended::Away),
+        _ => Err(error),
+    }
+}
+
 async fn write_all(
     mut sink: SplitSink<Socket, Message>,
     mut queue: mpsc::UnboundedReceiver<Outgoing>,
@@ -258,7 +283,7 @@
     mut stream: SplitStream<Socket>,
     pings: mpsc::WeakUnboundedSender<Outgoing>,
     attempts: &Mutex<Attempts>,
-) -> Result<(), Error> {
+) -> Result<Ended, Error> {
     let mut heard_at = Instant::now();
     loop {
         match timeout(PING_AFTER, frame::read(&mut stream)).await {
@@ -267,11 +292,11 @@
                 take(call, attempts)?;
             }
             Ok(Ok(Heard::Sign)) => heard_at = Instant::now(),
-            Ok(Ok(Heard::Close)) => return Ok(()),
+            Ok(Ok(Heard::Close(ended))) => return Ok(ended),
             Ok(Err(error)) => return Err(error),
             Err(_) => {
                 if is_finished(heard_at, attempts)? {
-                    return Ok(());
+                    return Ok(Ended::Closed);
                 }
                 ping(&pings, attempts);
             }
@@ -291,7 +316,7 @@
         };
     }
     if silence >= CLIENT_IDLE_LIMIT {
-        attempts.close();
+        attempts.close(Ended::Closed);
     }
     Ok(attempts.is_closed())
 }
--- a/crates/crank-mesh/src/call/mod.rs
+++ b/crates/crank-mesh/src/call/mod.rs
@@ -30,4 +30,5 @@
 const CLIENT_IDLE_LIMIT: Duration = Duration::from_secs(60);
 const SERVER_IDLE_LIMIT: Duration = Duration::from_secs(150);
 const STALL_LIMIT: Duration = Duration::from_secs(30);
+const LAST_WORDS_LIMIT: Duration = Duration::from_secs(1);
 const DRAIN_QUIET: Duration = Duration::from_millis(500);
--- a/crates/crank-mesh/src/call/server.rs
+++ b/crates/crank-mesh/src/call/server.rs
@@ -24,7 +24,8 @@
 use super::attempt::{lost, refused};
 use super::frame::{self, Heard};
 use super::{
-    CREDIT_BYTES, DRAIN_QUIET, LARGEST_PIECE_BYTES, MOST_IN_FLIGHT, SERVER_IDLE_LIMIT, STALL_LIMIT,
+    CREDIT_BYTES, DRAIN_QUIET, LARGEST_PIECE_BYTES, LAST_WORDS_LIMIT, MOST_IN_FLIGHT,
+    SERVER_IDLE_LIMIT, STALL_LIMIT,
 };
 use crate::Error;
 
@@ -75,7 +76,7 @@
 ) -> Result<(), Error> {
     let _ = socket.get_ref().set_nodelay(true);
     frame::greet(&mut socket, hello).await?;
-    let (sink, stream) = socket.split();
+    let (sink, mut stream) = socket.split();
     let (outgoing, queue) = mpsc::channel(QUEUED_FRAMES);
     let running = Arc::new(Mutex::new(Running::default()));
     let connection = Connection {
@@ -88,11 +89,12 @@
     let mut writing = pin!(write_all(sink, queue));
     let ended = tokio::select! {
         ended = &mut writing => ended.map(|()| End::Closed),
-        ended = connection.read_all(stream) => ended,
+        ended = connection.read_all(&mut stream) => ended,
     };
     running.lock().abort_all();
     if ended? == End::Drained {
         let _ = timeout(STALL_LIMIT, writing).await;
+        let _ = timeout(LAST_WORDS_LIMIT, read_out(&mut stream)).await;
     }
     Ok(())
 }
@@ -147,9 +149,9 @@
 }
 
 impl<T: Target> Connection<T> {
-    async fn read_all(mut self, mut stream: SplitStream<Socket>) -> Result<End, Error> {
+    async fn read_all(mut self, stream: &mut SplitStream<Socket>) -> Result<End, Error> {
         loop {
-            let heard = match timeout(DRAIN_QUIET, frame::read(&mut stream)).await {
+            let heard = match timeout(DRAIN_QUIET, frame::read(stream)).await {
                 Ok(heard) => heard?,
                 Err(_) if self.is_finished() => return Ok(End::Drained),
                 Err(_) => continue,
@@ -160,7 +162,7 @@
                     self.take(call)?;
                 }
                 Heard::Sign => {}
-                Heard::Close => return Ok(End::Closed),
+                Heard::Close(_) => return Ok(End::Closed),
             }
         }
     }
@@ -245,10 +247,16 @@
         let flushed = sink.flush().await;
         flushed?;
     }
-    let _ = sink.close().await;
+    let _ = sink.send(frame::away()).await;
     Ok(())
 }
 
+/// Reads until the other side has closed, because closing on unread frames would take from it the
+/// message that we are away.
+async fn read_out(stream: &mut SplitStream<Socket>) {
+    while let Some(Ok(_)) = stream.next().await {}
+}
+
 /// Sends the answer of one attempt.
 struct Sender {
     attempt: u64,
--- a/crates/crank-mesh/tests/call_connections.rs
+++ b/crates/crank-mesh/tests/call_connections.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use common::{LIMIT, answer, head, hello, link, name, node};
@@ -157,6 +158,11 @@
     paths.gate.add_permits(1);
     assert_eq!(waiting.await.unwrap(), Ok(Bytes::from("mine")));
     assert_eq!(paths.running.load(Ordering::SeqCst), 1);
+    while !link.is_closed() {
+        let refused = link.run(head("/echo"), Bytes::new()).await.err().unwrap();
+        assert_eq!(refused.outcome, Outcome::NotRun);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
 }
 
 #[tokio::test]
--- a/crates/crank-mesh/tests/call_frames.rs
+++ b/crates/crank-mesh/tests/call_frames.rs
@@ -15,6 +15,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::CloseFrame;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
 use tokio_tungstenite::{WebSocketStream, client_async};
 use tokio_util::sync::CancellationToken;
 
@@ -119,6 +121,25 @@
     );
 }
 
+#[tokio::test]
+async fn a_node_that_left_in_good_order_has_not_run_what_it_did_not_answer() {
+    for (code, refusal, outcome) in [
+        (CloseCode::Away, Refusal::Leaving, Outcome::NotRun),
+        (CloseCode::Normal, Refusal::Lost, Outcome::Unknown),
+    ] {
+        let (mut socket, link) = scripted().await;
+        let sent = tokio::spawn(run(link));
+        receive_attempt(&mut socket).await;
+        let reason = "".into();
+        socket
+            .close(Some(CloseFrame { code, reason }))
+            .await
+            .unwrap();
+        let refused = sent.await.unwrap().unwrap_err();
+        assert_eq!((refused.refusal, refused.outcome), (refusal, outcome));
+    }
+}
+
 #[tokio::test]
 async fn a_body_beyond_its_credit_closes_the_connection() {
     let (mut socket, link) = scripted().await;
