--- a/crates/crank-mesh/tests/call_frames.rs
+++ b/crates/crank-mesh/tests/call_frames.rs
@@ -4,6 +4,8 @@
 
 mod common;
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use ciborium::into_writer;
 use common::{LIMIT, accept, answer, head, hello, link, node};
@@ -187,17 +189,51 @@
     }
 }
 
+/// A connection to a target's node over which the test sends frames itself.
+async fn greeted(address: SocketAddr) -> Socket {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut socket, _) = client_async("ws://node/call", stream).await.unwrap();
+    let ours = Call::Hello(Box::new(hello("entry", "sutkent")));
+    send(&mut socket, &ours).await;
+    assert!(matches!(receive(&mut socket).await, Call::Hello(_)));
+    socket
+}
+
+#[tokio::test]
+async fn a_drained_node_says_that_it_is_away_once_all_is_answered() {
+    let leaving = CancellationToken::new();
+    let mut socket = greeted(node(Echo, leaving.clone()).await).await;
+    leaving.cancel();
+    let request = Call::Request {
+        attempt: 1,
+        head: Box::new(head("/")),
+        body: ByteBuf::new(),
+    };
+    send(&mut socket, &request).await;
+    let refused = receive(&mut socket).await;
+    assert!(matches!(
+        refused,
+        Call::Refused {
+            attempt: 1,
+            refusal: Refusal::Leaving,
+            ..
+        }
+    ));
+    let last = timeout(LIMIT, socket.next())
+        .await
+        .unwrap()
+        .unwrap()
+        .unwrap();
+    assert!(matches!(last, Message::Close(Some(frame)) if frame.code == CloseCode::Away));
+}
+
 #[tokio::test]
 async fn unreadable_and_oversized_frames_close_their_connection_only() {
     let address = node(Echo, CancellationToken::new()).await;
     let good = link(address).await;
     let oversized = vec![0; LARGEST_CALL_BYTES + 1];
     for bad in [b"not a frame".to_vec(), oversized] {
-        let stream = TcpStream::connect(address).await.unwrap();
-        let (mut socket, _) = client_async("ws://node/call", stream).await.unwrap();
-        let ours = Call::Hello(Box::new(hello("entry", "sutkent")));
-        send(&mut socket, &ours).await;
-        assert!(matches!(receive(&mut socket).await, Call::Hello(_)));
+        let mut socket = greeted(address).await;
         let _ = socket.send(Message::Binary(bad.into())).await;
         let closed = async { while let Some(Ok(_)) = socket.next().await {} };
         timeout(LIMIT, closed).await.unwrap();
