Bound the bytes of all requests' bodies at the edge, not only their number

2,048 requests of 1 MB would not have fitted a node's 64 MB. All bodies together have 16 MB of room; a body that finds none is refused as overloaded, not run, with Retry-After. The room is held until the gateway has answered.

--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -158,6 +158,7 @@
     gateway: G,
     is_leaving: Arc<AtomicBool>,
 ) -> impl Filter<Extract = (warp::reply::Response,), Error = Infallible> + Clone {
+    let room = request::Room::new();
     let query = warp::query::raw()
         .map(Some)
         .or_else(|_| async { Ok::<_, Infallible>((None,)) });
@@ -171,9 +172,10 @@
             move |method, path: warp::path::FullPath, query, headers, body| {
                 let gateway = gateway.clone();
                 let is_leaving = is_leaving.clone();
+                let room = room.clone();
                 async move {
                     let path = whole_path(path.as_str(), query);
-                    let mut response = answer(&gateway, method, path, headers, body).await;
+                    let mut response = answer(&gateway, &room, method, path, headers, body).await;
                     if is_leaving.load(Ordering::Relaxed) {
                         let close = HeaderValue::from_static("close");
                         response.headers_mut().insert(CONNECTION, close);
@@ -200,6 +202,7 @@
 
 async fn answer<G, S, B, E>(
     gateway: &G,
+    room: &request::Room,
     method: http::Method,
     path: Arc<str>,
     headers: HeaderMap,
@@ -210,8 +213,9 @@
     S: futures::Stream<Item = Result<B, E>>,
     B: bytes::Buf,
 {
-    let request = match request::read(method, path, headers, body).await {
-        Ok(request) => request,
+    // The room is held until the gateway needs the body no more.
+    let (request, _taken) = match request::read(method, path, headers, body, room).await {
+        Ok(read) => read,
         Err(fault) => return reply::fault(&fault),
     };
     let method = request.method;
--- a/crates/crank-caller/src/lib.rs
+++ b/crates/crank-caller/src/lib.rs
@@ -14,6 +14,8 @@
 
 /// The largest body of a request, in bytes.
 pub const LARGEST_BODY_BYTES: usize = 1_048_576;
+/// The room for the bodies of all requests that are on their way, in bytes.
+pub const BODY_ROOM_BYTES: usize = 16 * LARGEST_BODY_BYTES;
 
 /// What answers the requests that callers send.
 pub trait Gateway: Clone + Send + Sync + 'static {
--- a/crates/crank-caller/src/reply.rs
+++ b/crates/crank-caller/src/reply.rs
@@ -38,6 +38,7 @@
         Fault::Method => StatusCode::METHOD_NOT_ALLOWED,
         Fault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         Fault::Body => StatusCode::BAD_REQUEST,
+        Fault::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
     };
     with_status(&fault.refused(), status)
 }
--- a/crates/crank-caller/src/request.rs
+++ b/crates/crank-caller/src/request.rs
@@ -4,16 +4,18 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use crank_protocol::Millis;
 use crank_protocol::call::{Header, Outcome, Refusal, Refused, Request};
 use crank_protocol::config::Method;
 use futures::{Stream, StreamExt};
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
-
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
-use crate::LARGEST_BODY_BYTES;
+use crate::{BODY_ROOM_BYTES, LARGEST_BODY_BYTES};
 
 const BODY_LIMIT: Duration = Duration::from_secs(30);
+const ROOM_WAIT: Millis = Millis(1_000);
 
 const ONE_HOP: [&str; 8] = [
     "connection",
@@ -31,19 +33,27 @@
     Method,
     TooLarge,
     Body,
+    /// All bodies together would take more than the room for them.
+    NoRoom,
 }
 
 impl Fault {
     pub(crate) fn refused(&self) -> Refused {
-        let detail = match self {
-            Self::Method => "the method is not one of GET, HEAD, POST, PUT, PATCH and DELETE",
-            Self::TooLarge => "the body is larger than 1048576 bytes: send less at once",
-            Self::Body => "the body broke off: send the request again",
+        let detail = |detail: &str| Refusal::BadRequest {
+            detail: detail.into(),
         };
-        Refused {
-            refusal: Refusal::BadRequest {
-                detail: Arc::from(detail),
+        let refusal = match self {
+            Self::Method => {
+                detail("the method is not one of GET, HEAD, POST, PUT, PATCH and DELETE")
+            }
+            Self::TooLarge => detail("the body is larger than 1048576 bytes: send less at once"),
+            Self::Body => detail("the body broke off: send the request again"),
+            Self::NoRoom => Refusal::Overloaded {
+                retry_after: ROOM_WAIT,
             },
+        };
+        Refused {
+            refusal,
             outcome: Outcome::NotRun,
             load: None,
         }
@@ -67,7 +77,8 @@
     path: Arc<str>,
     headers: HeaderMap,
     body: S,
-) -> Result<Request, Fault>
+    room: &Room,
+) -> Result<(Request, Taken), Fault>
 where
     S: Stream<Item = Result<B, E>>,
     B: Buf,
@@ -77,35 +88,58 @@
     if length.is_some_and(|length| length > LARGEST_BODY_BYTES as u64) {
         return Err(Fault::TooLarge);
     }
-    Ok(Request {
+    let whole = timeout(BODY_LIMIT, whole(body, room));
+    let (body, taken) = whole.await.map_err(|_| Fault::Body)??;
+    let headers = end_to_end(&headers);
+    let request = Request {
         method,
         path,
-        headers: end_to_end(&headers),
-        body: timeout(BODY_LIMIT, whole(body))
-            .await
-            .map_err(|_| Fault::Body)??,
-    })
+        headers,
+        body,
+    };
+    Ok((request, taken))
+}
+
+/// The room for the bodies of all requests that are on their way.
+#[derive(Clone)]
+pub(crate) struct Room(Arc<Semaphore>);
+
+/// Room that is given back when this is dropped.
+pub(crate) struct Taken(OwnedSemaphorePermit);
+
+impl Room {
+    pub(crate) fn new() -> Self {
+        Self(Arc::new(Semaphore::new(BODY_ROOM_BYTES)))
+    }
+
+    fn take(&self, bytes: usize) -> Result<Taken, Fault> {
+        let bytes = u32::try_from(bytes).map_err(|_| Fault::TooLarge)?;
+        let taken = self.0.clone().try_acquire_many_owned(bytes);
+        taken.map(Taken).map_err(|_| Fault::NoRoom)
+    }
 }
 
 fn stated_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-async fn whole<S, B, E>(body: S) -> Result<Bytes, Fault>
+async fn whole<S, B, E>(body: S, room: &Room) -> Result<(Bytes, Taken), Fault>
 where
     S: Stream<Item = Result<B, E>>,
     B: Buf,
 {
     let mut body = std::pin::pin!(body);
     let mut whole = BytesMut::new();
+    let mut taken = room.take(0)?;
     while let Some(piece) = body.next().await {
         let mut piece = piece.map_err(|_| Fault::Body)?;
         if whole.len() + piece.remaining() > LARGEST_BODY_BYTES {
             return Err(Fault::TooLarge);
         }
+        taken.0.merge(room.take(piece.remaining())?.0);
         whole.extend_from_slice(&piece.copy_to_bytes(piece.remaining()));
     }
-    Ok(whole.freeze())
+    Ok((whole.freeze(), taken))
 }
 
 fn end_to_end(headers: &HeaderMap) -> Vec<Header> {
--- a/crates/crank-caller/tests/whole_answers.rs
+++ b/crates/crank-caller/tests/whole_answers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use crank_caller::{Edge, Gateway, LARGEST_BODY_BYTES};
+use crank_caller::{BODY_ROOM_BYTES, Edge, Gateway, LARGEST_BODY_BYTES};
 use crank_protocol::Millis;
 use crank_protocol::call::{
     Answer, AnswerHead, Body, Header, Load, Outcome, Refusal, Refused, Request,
@@ -216,6 +216,38 @@
     assert!(large.contains("crank-outcome: not-run"), "{large}");
 }
 
+#[tokio::test]
+async fn bodies_that_find_no_room_are_refused_as_not_run_until_there_is_some() {
+    let running = Running::start().await;
+    let client = reqwest::Client::new();
+    let post = |path: &str| {
+        let body = vec![b'x'; LARGEST_BODY_BYTES];
+        client.post(running.url(path)).body(body).send()
+    };
+    let bodies = BODY_ROOM_BYTES / LARGEST_BODY_BYTES;
+    let waiting: Vec<_> = (0..bodies).map(|_| tokio::spawn(post("/wait"))).collect();
+    let all = u32::try_from(bodies).unwrap();
+    running
+        .paths
+        .started
+        .acquire_many(all)
+        .await
+        .unwrap()
+        .forget();
+
+    let refused = post("/echo").await.unwrap();
+    assert_eq!(refused.status(), 503);
+    assert_eq!(refused.headers()["crank-outcome"], "not-run");
+    assert_eq!(refused.headers()["crank-refusal"], "overloaded");
+    assert!(refused.headers().contains_key("retry-after"));
+
+    running.paths.gate.add_permits(bodies);
+    for answer in waiting {
+        assert_eq!(answer.await.unwrap().unwrap().status(), 200);
+    }
+    assert_eq!(post("/echo").await.unwrap().status(), 200);
+}
+
 #[tokio::test]
 async fn headers_of_one_hop_are_not_passed_on() {
     let running = Running::start().await;
