--- a/crates/crank-load/src/capacity.rs
+++ b/crates/crank-load/src/capacity.rs
@@ -13,6 +13,8 @@
 const REGIONS: usize = 2;
 const DATA_CENTRES: usize = 8;
 const SERVICES: usize = 59;
+/// There and back between regions, for the nodes that do not stand where the store does.
+const STORE_DELAYS: &str = r#"{"delays_ms": {"region1": 16}}"#;
 const HERD_DATA_CENTRE: &str = "dc1";
 const READY_LIMIT: Duration = Duration::from_secs(120);
 const SETTLE: Duration = Duration::from_secs(10);
@@ -89,6 +91,7 @@
     let services: Vec<&str> = names.iter().map(String::as_str).collect();
     let layout = Layout::new("sutkent", plan.nodes, REGIONS, DATA_CENTRES, &services);
     let mut fleet = Fleet::start(layout, programs, directory).await?;
+    fleet.switch(STORE_DELAYS).await?;
     folder::fill(&fleet, &services).await?;
     let roster = Roster::new(&fleet)?;
     roster.ready(READY_LIMIT).await?;
--- a/crates/crank-load/src/fleet/start.rs
+++ b/crates/crank-load/src/fleet/start.rs
@@ -226,11 +226,13 @@
         format!(
             "[node]\nname = {}\nregion = {}\ndata_centre = {}\n\
              [listen]\ncallers = 127.0.0.1:0\nmesh = 127.0.0.1:0\nservers = 127.0.0.1:0\n\
-             operators = 127.0.0.1:0\n[log]\nlevel = info\n{}",
+             operators = 127.0.0.1:0\n[log]\nlevel = info\n{}access_key = {}\n",
             seat.name,
             seat.region,
             seat.data_centre,
-            self.store_section()
+            self.store_section(),
+            // By its key the stand-in tells from which region a node asks.
+            seat.region,
         )
     }
 }
--- a/tests/publishing_with_real_processes.rs
+++ b/tests/publishing_with_real_processes.rs
@@ -150,7 +150,7 @@
     let scene = Scene::open().await;
     let holder = scene.holder().await;
     let other = (holder + 1) % NODES;
-    scene.switch(r#"{"delays_ms": {"none": 300}}"#).await;
+    scene.switch(r#"{"delays_ms": {"region0": 300}}"#).await;
     let reads = scene.count("/operations/GetObject").await;
     scene.edit(2).await;
     let read = async || scene.count("/operations/GetObject").await > reads;
