--- a/crates/crank-mesh/src/handle.rs
+++ b/crates/crank-mesh/src/handle.rs
@@ -48,18 +48,33 @@
 
 impl Alarms {
     /// How often another node claimed a held version's number for another content.
+    ///
+    /// ```
+    /// # let alarms = crank_mesh::Alarms::default();
+    /// assert_eq!(alarms.conflicts(), 0);
+    /// ```
     #[must_use]
     pub fn conflicts(&self) -> u64 {
         self.conflicts.load(Ordering::Relaxed)
     }
 
     /// How often another process claimed this node's name.
+    ///
+    /// ```
+    /// # let alarms = crank_mesh::Alarms::default();
+    /// assert_eq!(alarms.contested(), 0);
+    /// ```
     #[must_use]
     pub fn contested(&self) -> u64 {
         self.contested.load(Ordering::Relaxed)
     }
 
     /// How many datagrams, frames and configurations were malformed or oversized.
+    ///
+    /// ```
+    /// # let alarms = crank_mesh::Alarms::default();
+    /// assert_eq!(alarms.malformed(), 0);
+    /// ```
     #[must_use]
     pub fn malformed(&self) -> u64 {
         self.malformed.load(Ordering::Relaxed)
@@ -81,42 +96,148 @@
 
 impl Handle {
     /// The address that other nodes are told.
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// assert_ne!(mesh.address().port(), 0);
+    /// # Ok(())
+    /// # }
+    /// ```
     #[must_use]
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Every member as this node knows it.
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// let view = mesh.view();
+    /// assert_eq!(view.borrow().me().as_str(), "node-1");
+    /// # Ok(())
+    /// # }
+    /// ```
     #[must_use]
     pub fn view(&self) -> watch::Receiver<Arc<View>> {
         self.view.clone()
     }
 
     /// The configuration in force here.
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// assert!(mesh.config().borrow().is_none());
+    /// # Ok(())
+    /// # }
+    /// ```
     #[must_use]
     pub fn config(&self) -> watch::Receiver<Option<Arc<Snapshot>>> {
         self.config.clone()
     }
 
     /// Whether this node may claim that its configuration is the fleet's.
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// assert!(!*mesh.ready().borrow());
+    /// # Ok(())
+    /// # }
+    /// ```
     #[must_use]
     pub fn ready(&self) -> watch::Receiver<bool> {
         self.ready.clone()
     }
 
     /// Control bytes by kind.
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// assert!(mesh.traffic().usages().count() > 0);
+    /// # Ok(())
+    /// # }
+    /// ```
     #[must_use]
     pub fn traffic(&self) -> &Arc<Traffic> {
         &self.traffic
     }
 
     /// Counts of what must not happen.
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// assert_eq!(mesh.alarms().conflicts(), 0);
+    /// # Ok(())
+    /// # }
+    /// ```
     #[must_use]
     pub fn alarms(&self) -> &Arc<Alarms> {
         &self.alarms
     }
 
     /// Sets what this node says of itself when it is asked.
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// mesh.set_vitals(Vitals { ready: true, in_flight: 3, ..Vitals::default() });
+    /// # Ok(())
+    /// # }
+    /// ```
     pub fn set_vitals(&self, vitals: Vitals) {
         self.vitals.send_replace(vitals);
     }
@@ -125,6 +246,25 @@
     ///
     /// # Errors
     /// [`Error::Stopped`] after [`Handle::leave`].
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// use crank_protocol::config::{Account, Config, Snapshot, Stamp, Version};
+    /// let account = Account { name: Name::new("lenha-viva")?, notice_ends: None };
+    /// let config = Config { account, services: Default::default(), routes: Default::default() };
+    /// let stamp = Stamp { version: Version(1), digest: crank_engine::config::digest(&config) };
+    /// assert_eq!(mesh.offer(Snapshot { stamp, config }).await?, Step::Applied);
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn offer(&self, snapshot: Snapshot) -> Result<Step, Error> {
         let offer = Offer { snapshot };
         self.mesh.send(offer).await.map_err(|_| Error::Stopped)
@@ -134,6 +274,22 @@
     ///
     /// # Errors
     /// [`Error::Stopped`] after [`Handle::leave`].
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// mesh.head(Head::Empty).await?;
+    /// assert!(!*mesh.ready().borrow(), "nothing is accepted yet");
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn head(&self, head: Head) -> Result<(), Error> {
         let read = HeadRead { head };
         self.mesh.send(read).await.map_err(|_| Error::Stopped)
@@ -143,6 +299,21 @@
     ///
     /// # Errors
     /// [`Error::Stopped`] after [`Handle::leave`].
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// mesh.announce(None).await?;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn announce(&self, endpoint: Option<Endpoint>) -> Result<(), Error> {
         let announce = Announce { endpoint };
         self.mesh.send(announce).await.map_err(|_| Error::Stopped)
@@ -152,6 +323,21 @@
     ///
     /// # Errors
     /// [`Error::Stopped`] after [`Handle::leave`].
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// mesh.seeds(vec!["127.0.0.1:9".parse()?]).await?;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn seeds(&self, seeds: Vec<SocketAddr>) -> Result<(), Error> {
         let seeds = Seeds { seeds };
         self.mesh.send(seeds).await.map_err(|_| Error::Stopped)
@@ -161,6 +347,21 @@
     ///
     /// # Errors
     /// [`Error::Stopped`] after [`Handle::leave`].
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// assert_eq!(mesh.nodes().await?.len(), 1);
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn nodes(&self) -> Result<Vec<Answer>, Error> {
         let (sender, mut answers) = mpsc::channel(ASK_BURST);
         let begun = self.mesh.send(BeginAsking { sender }).await;
@@ -203,6 +404,22 @@
     }
 
     /// Says goodbye to the other nodes and stops.
+    ///
+    /// ```
+    /// # use crank_mesh::{Head, Settings, Step, Vitals, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let settings = Settings::new(Name::new("lenha-viva")?, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// mesh.leave().await;
+    /// assert!(mesh.announce(None).await.is_err());
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn leave(&self) {
         if self.mesh.send(Leave).await.is_ok() {
             tokio::time::sleep(FAREWELL).await;
--- a/crates/crank-mesh/src/settings.rs
+++ b/crates/crank-mesh/src/settings.rs
@@ -53,6 +53,16 @@
     }
 
     /// The same with nodes through which to join.
+    ///
+    /// ```
+    /// # use crank_mesh::{Cut, Settings};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # let place = Place { region: Name::new("almaty").unwrap(), data_centre: Name::new("almaty-1").unwrap() };
+    /// # let listen = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    /// # let settings = Settings::new(Name::new("sutkent").unwrap(), Name::new("node-1").unwrap(), place, listen);
+    /// let seed = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    /// assert_eq!(settings.with_seeds(vec![seed]).seeds.len(), 1);
+    /// ```
     #[must_use]
     pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
         self.seeds = seeds;
@@ -60,6 +70,18 @@
     }
 
     /// The same with a switch by which tests cut addresses off.
+    ///
+    /// ```
+    /// # use crank_mesh::{Cut, Settings};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # let place = Place { region: Name::new("almaty").unwrap(), data_centre: Name::new("almaty-1").unwrap() };
+    /// # let listen = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    /// # let settings = Settings::new(Name::new("sutkent").unwrap(), Name::new("node-1").unwrap(), place, listen);
+    /// let cut = Cut::default();
+    /// let settings = settings.with_cut(cut.clone());
+    /// cut.set([settings.listen]);
+    /// assert!(settings.cut.holds(settings.listen));
+    /// ```
     #[must_use]
     pub fn with_cut(mut self, cut: Cut) -> Self {
         self.cut = cut;
@@ -67,6 +89,15 @@
     }
 
     /// The same with a fixed seed of random choices.
+    ///
+    /// ```
+    /// # use crank_mesh::{Cut, Settings};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # let place = Place { region: Name::new("almaty").unwrap(), data_centre: Name::new("almaty-1").unwrap() };
+    /// # let listen = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    /// # let settings = Settings::new(Name::new("sutkent").unwrap(), Name::new("node-1").unwrap(), place, listen);
+    /// assert_eq!(settings.with_random(7).random, Some(7));
+    /// ```
     #[must_use]
     pub fn with_random(mut self, random: u64) -> Self {
         self.random = Some(random);
@@ -92,6 +123,11 @@
     }
 
     /// Whether an address is cut off.
+    ///
+    /// ```
+    /// # let cut = crank_mesh::Cut::default();
+    /// assert!(!cut.holds(std::net::SocketAddr::from(([127, 0, 0, 1], 9))));
+    /// ```
     #[must_use]
     pub fn holds(&self, address: SocketAddr) -> bool {
         self.0.read().contains(&address)
