Cross to each region once also where there are three

A change that had come from another region was pushed on to the third by both: 1873 B between regions a change with three regions and 48 nodes. A node now tells its region that a delta has crossed, and bridges leave it to the region that it came from; probes make up for a cut between those two.

--- a/crates/crank-mesh/src/actor/frames.rs
+++ b/crates/crank-mesh/src/actor/frames.rs
@@ -109,7 +109,11 @@
                 self.pulling = None;
                 self.compare(peer, stamp.as_ref(), now);
             }
-            Control::Delta(delta) => self.take_delta(link, peer, &delta, now),
+            Control::Delta(delta) => {
+                let crossed = self.reach(peer) == Reach::Far;
+                self.take_delta(link, peer, &delta, crossed, now);
+            }
+            Control::Crossed(delta) => self.take_delta(link, peer, &delta, true, now),
             Control::Snapshot(snapshot) => self.take_snapshot(link, peer, *snapshot, now),
             Control::WantSnapshot => self.give_snapshot(link, now),
             Control::WantSince(base) => self.give_since(link, &base, now),
@@ -131,14 +135,14 @@
         }
     }
 
-    fn take_delta(&mut self, link: u64, peer: &Name, delta: &Delta, now: Moment) {
+    fn take_delta(&mut self, link: u64, peer: &Name, delta: &Delta, crossed: bool, now: Moment) {
         let step = self.holder.take_delta(delta);
         self.settle(&step, Some(peer));
         self.note_stamp(link, &delta.result);
         match step {
             Step::Applied => {
                 self.pulling = None;
-                self.push(Some(link));
+                self.push(Some(link), crossed);
             }
             Step::NeedWhole | Step::Bad(_) => {
                 self.pulling = None;
@@ -156,15 +160,17 @@
         match step {
             Step::Applied => {
                 self.note_stamp(link, &stamp);
-                self.push(Some(link));
+                let crossed = self.reach(peer) == Reach::Far;
+                self.push(Some(link), crossed);
             }
             Step::Bad(_) => self.pull.failed(now, &mut self.rng),
             Step::Old | Step::Conflict | Step::NeedWhole => {}
         }
     }
 
-    /// Pushes what came into force just now to every connection that may lack it.
-    pub(crate) fn push(&mut self, from: Option<u64>) {
+    /// Pushes what came into force just now to every connection that may lack it; what has crossed
+    /// regions once is left to the region that it came from.
+    pub(crate) fn push(&mut self, from: Option<u64>, crossed: bool) {
         let Some(stamp) = self.holder.stamp().cloned() else {
             return;
         };
@@ -177,14 +183,16 @@
             .iter()
             .filter(|(id, link)| Some(**id) != from && link.peer.is_some())
             .filter(|(_, link)| lacks(&link.stamp) && self.is_eager(link))
+            .filter(|(_, link)| !crossed || link.reach == Reach::Near)
             .map(|(id, _)| *id)
             .collect();
         let frame = match self.holder.last_delta() {
+            Some(delta) if crossed => Control::Crossed(Box::new(delta.clone())),
             Some(delta) => Control::Delta(Box::new(delta.clone())),
             None => Control::Holds(Some(stamp.clone())),
         };
         self.send_frames(&links, &frame);
-        if matches!(frame, Control::Delta(_)) {
+        if matches!(frame, Control::Delta(_) | Control::Crossed(_)) {
             for link in links {
                 self.note_stamp(link, &stamp);
             }
--- a/crates/crank-mesh/src/actor/requests.rs
+++ b/crates/crank-mesh/src/actor/requests.rs
@@ -15,7 +15,7 @@
         let step = self.holder.take_snapshot(offer.snapshot);
         self.settle(&step, None);
         if step == Step::Applied {
-            self.push(None);
+            self.push(None, false);
             let now = self.now();
             self.keep_start(now);
         }
--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -375,7 +375,7 @@
     match frame {
         Control::News(_) => Kind::News,
         Control::Members(_) => Kind::Members,
-        Control::Delta(_) => Kind::Delta,
+        Control::Delta(_) | Control::Crossed(_) => Kind::Delta,
         Control::Snapshot(_) => Kind::Snapshot,
         _ => Kind::Other,
     }
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -117,6 +117,8 @@
     Holds(Option<Stamp>),
     /// What turns one configuration into the next.
     Delta(Box<Delta>),
+    /// The same, come from another region, which sends it to all other regions itself.
+    Crossed(Box<Delta>),
     /// Give me your whole configuration.
     WantSnapshot,
     /// My whole configuration.
