--- a/crates/crank-mesh/tests/failures.rs
+++ b/crates/crank-mesh/tests/failures.rs
@@ -226,3 +226,22 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_goes_round_a_cut_between_two_of_three_regions() {
+    let nodes = fleet(12, 3).await;
+    until("full tables", || nodes.iter().all(|node| knows(node, 12))).await;
+    let of = |region: usize| nodes.iter().skip(region).step_by(3);
+    for (here, there) in [(0, 2), (2, 0)] {
+        for node in of(here) {
+            node.cut.set(of(there).map(|other| other.mesh.address()));
+        }
+    }
+    for number in 1..=2 {
+        nodes[0].mesh.offer(snapshot(number)).await.unwrap();
+        until("the version everywhere", || {
+            nodes.iter().all(|node| version(node) == Some(number))
+        })
+        .await;
+    }
+}
