--- a/crates/crank-engine/examples/requests/main.rs
+++ b/crates/crank-engine/examples/requests/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Every line is the median of five seeds, in simulated time.
 
+mod setup;
 mod shared;
 mod world;
 
@@ -10,7 +11,8 @@
 
 use crank_protocol::member::Place;
 use crank_protocol::{Millis, Name, Permille};
-use world::{Chooser, Fault, Figures, Queueing, Setup, Trouble, World};
+use setup::{Chooser, Fault, Figures, Queueing, Setup, Trouble};
+use world::World;
 
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
 
