--- a/crates/crank-engine/examples/requests/world.rs
+++ b/crates/crank-engine/examples/requests/world.rs
@@ -11,7 +11,7 @@
 use crank_protocol::call::{Load, Refusal};
 use crank_protocol::config::{Importance, Service};
 use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
-use crank_protocol::{Millis, Name, Permille};
+use crank_protocol::{Millis, Name};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -125,6 +125,28 @@
         self.fleet.switch(switches).await.unwrap();
     }
 
+    /// Sets switches of the backend server beside a node.
+    pub async fn backend(&self, index: usize, switches: &str) {
+        let url = format!("{}/control", self.fleet.nodes[index].backend_url());
+        let set = self
+            .client
+            .post(url)
+            .body(switches.to_owned())
+            .send()
+            .await
+            .unwrap();
+        assert!(set.status().is_success(), "{}", set.text().await.unwrap());
+    }
+
+    /// Sets switches of every backend server of a service.
+    pub async fn backends(&self, service: &str, switches: &str) {
+        for (index, seat) in self.fleet.layout.seats.iter().enumerate() {
+            if &*seat.service == service {
+                self.backend(index, switches).await;
+            }
+        }
+    }
+
     pub fn roster(&self) -> Roster {
         Roster::new(&self.fleet).unwrap()
     }
--- a/tests/requests_meet_failures.rs
+++ b/tests/requests_meet_failures.rs
@@ -11,6 +11,8 @@
 use crank_load::fleet::Signal;
 
 const LOAD: Duration = Duration::from_secs(4);
+/// What the fleet's backend servers take for a request.
+const WORK_MS: u64 = 5;
 const BEFORE: Duration = Duration::from_millis(1_200);
 
 fn told(tally: &calls::Tally, told: &Told) -> u64 {
@@ -211,3 +213,58 @@
         assert_eq!(mesh.keys().await[&key], 1);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_thirty_times_as_slow_holds_up_nobody_else() {
+    let mesh = Mesh::start(6, 2, 3).await;
+    let slow = WORK_MS * 30;
+    mesh.backends("panels", &format!(r#"{{"work_ms": {slow}}}"#))
+        .await;
+    let all = mesh.roster();
+    let mut plan = orders(&all, "/orders", LOAD);
+    plan.rate *= 4.0;
+    let writes = tokio::spawn(calls::run(plan));
+    let reads = tokio::spawn(calls::run(load(&all, "/recipes/apricot", LOAD)));
+    let (writes, reads) = (
+        writes.await.unwrap().unwrap(),
+        reads.await.unwrap().unwrap(),
+    );
+
+    let figures = reads.figures();
+    assert_eq!(told(&reads, &Told::Whole), figures.requests, "{figures:?}");
+    let audit = mesh.runs().await.audit(writes.done());
+    assert_eq!(
+        (audit.run_twice, audit.not_run_but_ran),
+        (0, 0),
+        "{audit:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_fails_while_it_calls_itself_ready_makes_no_refusal_untrue() {
+    let mesh = Mesh::start(6, 2, 3).await;
+    let seats = mesh.fleet.layout.seats.iter();
+    let lying = seats
+        .clone()
+        .position(|seat| &*seat.service == "recipes")
+        .unwrap();
+    mesh.backend(lying, r#"{"lie": true, "drop": true}"#).await;
+    let all = mesh.roster();
+    let writes = tokio::spawn(calls::run(orders(&all, "/orders", LOAD)));
+    let reads = tokio::spawn(calls::run(load(&all, "/recipes/apricot", LOAD)));
+    let (writes, reads) = (
+        writes.await.unwrap().unwrap(),
+        reads.await.unwrap().unwrap(),
+    );
+
+    let runs = mesh.runs().await;
+    let audit = runs.audit(writes.done());
+    assert_eq!(
+        (audit.run_twice, audit.not_run_but_ran),
+        (0, 0),
+        "{audit:?}"
+    );
+    assert_eq!(runs.audit(reads.done()).not_run_but_ran, 0);
+    let figures = reads.figures();
+    assert_eq!(told(&reads, &Told::Whole), figures.requests, "{figures:?}");
+}
