--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -158,7 +158,9 @@
         let help = "Configurations with a known version and another digest";
         counter(&mut encoder, "config_conflicts", help, alarms.conflicts())?;
         let help = "Frames and datagrams that could not be read";
-        counter(&mut encoder, "malformed_frames", help, alarms.malformed())
+        counter(&mut encoder, "malformed_frames", help, alarms.malformed())?;
+        let help = "Times that another process answered to this node's name";
+        counter(&mut encoder, "name_contests", help, alarms.contested())
     }
 }
 
