Share what the searches and the load tests repeat

The checks are the same: no broken invariant and the exact count of states, a goal from every state, the expected invariant without each guard; and for load, nothing run twice and no untrue refusal.

--- a/crates/crank-model/tests/claims_run_once.rs
+++ b/crates/crank-model/tests/claims_run_once.rs
@@ -2,9 +2,11 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by it")]
 
+mod common;
+
+use common::{assert_safe, counterexample};
 use crank_model::Invariant;
 use crank_model::claim::{Claim, Guard};
-use crank_model::explore::{broken, count};
 
 /// Three targets, two claims each, one late write.
 const STATES: usize = 1_017_310;
@@ -12,9 +14,11 @@
 #[test]
 fn no_reachable_state_of_claims_breaks_an_invariant() {
     let spec = Claim::new(None);
-    let (start, steps) = (spec.start(), |state: &_| spec.steps(state));
-    assert_eq!(broken(&start, steps, |state| spec.broken(state)), None);
-    assert_eq!(count(&start, steps), STATES);
+    let (steps, broken) = (
+        |state: &_| spec.steps(state),
+        |state: &_| spec.broken(state),
+    );
+    assert_safe(&spec.start(), steps, broken, STATES);
 }
 
 #[test]
@@ -30,13 +34,11 @@
     ];
     for (guard, invariant) in needed {
         let spec = Claim::new(Some(guard));
-        let trace = broken(
-            &spec.start(),
-            |state| spec.steps(state),
-            |state| spec.broken(state),
+        let (steps, broken) = (
+            |state: &_| spec.steps(state),
+            |state: &_| spec.broken(state),
         );
-        let trace = trace.unwrap();
-        assert_eq!(trace.broken, Some(invariant), "without {guard:?}\n{trace}");
+        let trace = counterexample(&spec.start(), steps, broken, guard, invariant);
         insta::assert_snapshot!(format!("claim_without_{guard:?}"), trace);
     }
 }
--- a/crates/crank-model/tests/spreading_is_safe.rs
+++ b/crates/crank-model/tests/spreading_is_safe.rs
@@ -2,8 +2,11 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by it")]
 
+mod common;
+
+use common::{assert_live, assert_safe, counterexample};
 use crank_model::Invariant;
-use crank_model::explore::{broken, count, stuck};
+use crank_model::explore::broken;
 use crank_model::spread::{Guard, Spread};
 
 /// Three versions, three proxies.
@@ -12,20 +15,21 @@
 #[test]
 fn no_reachable_state_of_spreading_breaks_an_invariant() {
     let spec = Spread::new(None);
-    let (start, steps) = (spec.start(), |state: &_| spec.steps(state));
-    assert_eq!(broken(&start, steps, |state| spec.broken(state)), None);
-    assert_eq!(count(&start, steps), STATES);
+    let (steps, broken) = (
+        |state: &_| spec.steps(state),
+        |state: &_| spec.broken(state),
+    );
+    assert_safe(&spec.start(), steps, broken, STATES);
 }
 
 #[test]
 fn the_last_version_can_reach_every_proxy_from_every_state() {
     let spec = Spread::new(None);
-    let trace = stuck(
-        &spec.start(),
-        |state| spec.steps(state),
-        |state| spec.is_goal(state),
+    let (steps, goal) = (
+        |state: &_| spec.steps(state),
+        |state: &_| spec.is_goal(state),
     );
-    assert_eq!(trace, None);
+    assert_live(&spec.start(), steps, goal);
 }
 
 #[test]
@@ -38,13 +42,11 @@
     ];
     for (guard, invariant) in needed {
         let spec = Spread::new(Some(guard));
-        let trace = broken(
-            &spec.start(),
-            |state| spec.steps(state),
-            |state| spec.broken(state),
+        let (steps, broken) = (
+            |state: &_| spec.steps(state),
+            |state: &_| spec.broken(state),
         );
-        let trace = trace.unwrap();
-        assert_eq!(trace.broken, Some(invariant), "without {guard:?}\n{trace}");
+        let trace = counterexample(&spec.start(), steps, broken, guard, invariant);
         insta::assert_snapshot!(format!("spread_without_{guard:?}"), trace);
     }
 }
--- a/tests/requests_meet_failures.rs
+++ b/tests/requests_meet_failures.rs
@@ -15,6 +15,17 @@
 const WORK_MS: u64 = 5;
 const BEFORE: Duration = Duration::from_millis(1_200);
 
+/// Sends orders and lookups side by side.
+async fn both(orders: calls::Plan, lookups: calls::Plan) -> (calls::Tally, calls::Tally) {
+    let (orders, lookups) = tokio::join!(calls::run(orders), calls::run(lookups));
+    (orders.unwrap(), lookups.unwrap())
+}
+
+/// Nothing ran twice, and nothing ran that a caller was told was not run.
+fn assert_sound(audit: &calls::Audit) {
+    assert!(audit.is_clean(), "{audit:?}");
+}
+
 fn told(tally: &calls::Tally, told: &Told) -> u64 {
     tally.figures().told.get(told).copied().unwrap_or(0)
 }
@@ -23,22 +34,18 @@
 async fn a_killed_node_makes_nothing_run_twice_and_no_refusal_untrue() {
     let mesh = Mesh::start(6, 2, 3).await;
     let living = mesh.roster_without(&[2]);
-    let writes = tokio::spawn(calls::run(orders(&living, "/orders", LOAD)));
-    let reads = tokio::spawn(calls::run(load(&living, "/recipes/apricot", LOAD)));
+    let sent = both(
+        orders(&living, "/orders", LOAD),
+        load(&living, "/recipes/apricot", LOAD),
+    );
+    let sent = tokio::spawn(sent);
     tokio::time::sleep(BEFORE).await;
     mesh.fleet.nodes[2].node.signal(Signal::Kill).unwrap();
-    let (writes, reads) = (
-        writes.await.unwrap().unwrap(),
-        reads.await.unwrap().unwrap(),
-    );
+    let (writes, reads) = sent.await.unwrap();
 
     let runs = mesh.runs().await;
     let audit = runs.audit(writes.done());
-    assert_eq!(
-        (audit.run_twice, audit.not_run_but_ran),
-        (0, 0),
-        "{audit:?}"
-    );
+    assert_sound(&audit);
     assert_eq!(audit.unread_ledgers, 0);
     assert_eq!(runs.audit(reads.done()).not_run_but_ran, 0);
     assert_eq!(
@@ -57,8 +64,11 @@
 async fn a_node_that_is_told_to_leave_cuts_nothing() {
     let mut mesh = Mesh::start(6, 2, 3).await;
     let staying = mesh.roster_without(&[1]);
-    let writes = tokio::spawn(calls::run(orders(&staying, "/orders", LOAD)));
-    let reads = tokio::spawn(calls::run(load(&staying, "/recipes/apricot", LOAD)));
+    let sent = both(
+        orders(&staying, "/orders", LOAD),
+        load(&staying, "/recipes/apricot", LOAD),
+    );
+    let sent = tokio::spawn(sent);
     tokio::time::sleep(BEFORE).await;
     mesh.fleet.nodes[1].node.signal(Signal::Terminate).unwrap();
     let code = mesh.fleet.nodes[1]
@@ -66,10 +76,7 @@
         .ended(common::PATIENCE)
         .await
         .unwrap();
-    let (writes, reads) = (
-        writes.await.unwrap().unwrap(),
-        reads.await.unwrap().unwrap(),
-    );
+    let (writes, reads) = sent.await.unwrap();
 
     assert_eq!(code, Some(0));
     for tally in [&writes, &reads] {
@@ -77,11 +84,7 @@
         assert_eq!(told(tally, &Told::Whole), figures.requests, "{figures:?}");
     }
     let audit = mesh.runs().await.audit(writes.done());
-    assert_eq!(
-        (audit.run_twice, audit.not_run_but_ran),
-        (0, 0),
-        "{audit:?}"
-    );
+    assert_sound(&audit);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -120,11 +123,7 @@
     let mut runs = calls::Runs::read(&backends).await.unwrap();
     runs.add_line(&mesh.fleet.nodes[leaving].backend.last_line());
     let audit = runs.audit(writes.done());
-    assert_eq!(
-        (audit.run_twice, audit.not_run_but_ran),
-        (0, 0),
-        "{audit:?}"
-    );
+    assert_sound(&audit);
     assert_eq!((audit.unread_ledgers, audit.runs), (0, figures.requests));
 }
 
@@ -150,11 +149,7 @@
     mesh.roster().ready(common::PATIENCE).await.unwrap();
 
     let audit = mesh.runs().await.audit(writes.done());
-    assert_eq!(
-        (audit.run_twice, audit.not_run_but_ran),
-        (0, 0),
-        "{audit:?}"
-    );
+    assert_sound(&audit);
     assert_eq!(audit.unread_ledgers, 0);
     let figures = writes.figures();
     assert_eq!(
@@ -185,11 +180,7 @@
     let writes = writes.await.unwrap().unwrap();
 
     let audit = mesh.runs().await.audit(writes.done());
-    assert_eq!(
-        (audit.run_twice, audit.not_run_but_ran),
-        (0, 0),
-        "{audit:?}"
-    );
+    assert_sound(&audit);
     mesh.edit(2).await;
     mesh.holds(&all, start + 2).await;
 }
@@ -223,21 +214,13 @@
     let all = mesh.roster();
     let mut plan = orders(&all, "/orders", LOAD);
     plan.rate *= 4.0;
-    let writes = tokio::spawn(calls::run(plan));
-    let reads = tokio::spawn(calls::run(load(&all, "/recipes/apricot", LOAD)));
-    let (writes, reads) = (
-        writes.await.unwrap().unwrap(),
-        reads.await.unwrap().unwrap(),
-    );
+    let sent = tokio::spawn(both(plan, load(&all, "/recipes/apricot", LOAD)));
+    let (writes, reads) = sent.await.unwrap();
 
     let figures = reads.figures();
     assert_eq!(told(&reads, &Told::Whole), figures.requests, "{figures:?}");
     let audit = mesh.runs().await.audit(writes.done());
-    assert_eq!(
-        (audit.run_twice, audit.not_run_but_ran),
-        (0, 0),
-        "{audit:?}"
-    );
+    assert_sound(&audit);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -250,20 +233,16 @@
         .unwrap();
     mesh.backend(lying, r#"{"lie": true, "drop": true}"#).await;
     let all = mesh.roster();
-    let writes = tokio::spawn(calls::run(orders(&all, "/orders", LOAD)));
-    let reads = tokio::spawn(calls::run(load(&all, "/recipes/apricot", LOAD)));
-    let (writes, reads) = (
-        writes.await.unwrap().unwrap(),
-        reads.await.unwrap().unwrap(),
+    let sent = both(
+        orders(&all, "/orders", LOAD),
+        load(&all, "/recipes/apricot", LOAD),
     );
+    let sent = tokio::spawn(sent);
+    let (writes, reads) = sent.await.unwrap();
 
     let runs = mesh.runs().await;
     let audit = runs.audit(writes.done());
-    assert_eq!(
-        (audit.run_twice, audit.not_run_but_ran),
-        (0, 0),
-        "{audit:?}"
-    );
+    assert_sound(&audit);
     assert_eq!(runs.audit(reads.done()).not_run_but_ran, 0);
     let figures = reads.figures();
     assert_eq!(told(&reads, &Told::Whole), figures.requests, "{figures:?}");
