--- a/crates/crank-engine/examples/requests/main.rs
+++ b/crates/crank-engine/examples/requests/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Every line is the median of five seeds, in simulated time.
 
+mod parts;
 mod setup;
 mod shared;
 mod world;
--- /dev/null
+++ b/crates/crank-engine/examples/requests/parts.rs
@@ -0,0 +1,121 @@
+//! What the simulation is made of.
+
+use crank_engine::admit::Admission;
+use crank_engine::balance::Pool;
+use crank_engine::retry::Budget;
+use crank_protocol::call::Refusal;
+use crank_protocol::config::{Importance, Service};
+use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
+use crank_protocol::{Millis, Name};
+
+use crate::setup::Setup;
+
+const SECOND: u64 = 1_000_000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Event {
+    Arrive {
+        entry: usize,
+    },
+    Reach {
+        attempt: usize,
+    },
+    Served {
+        attempt: usize,
+    },
+    Back {
+        attempt: usize,
+        answer: Reply,
+        load: Option<Seen>,
+    },
+    Expire {
+        request: usize,
+    },
+    Members,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Reply {
+    Answered,
+    Full,
+    TooLate,
+    Unreached,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Seen {
+    pub(crate) running: u32,
+    pub(crate) waiting: u32,
+    pub(crate) slots: u32,
+}
+
+pub(crate) struct Request {
+    pub(crate) entry: usize,
+    pub(crate) began: u64,
+    pub(crate) deadline: u64,
+    pub(crate) tried: Vec<Name>,
+    pub(crate) is_done: bool,
+    pub(crate) open: Option<usize>,
+}
+
+pub(crate) struct Sent {
+    pub(crate) request: usize,
+    pub(crate) server: usize,
+    pub(crate) began: u64,
+    pub(crate) runs: bool,
+}
+
+pub(crate) struct Server {
+    pub(crate) id: Name,
+    pub(crate) place: Place,
+    pub(crate) admission: Admission,
+}
+
+pub(crate) struct Entry {
+    pub(crate) place: Place,
+    pub(crate) pool: Pool,
+    pub(crate) budget: Budget,
+}
+
+pub(crate) fn full() -> Refusal {
+    Refusal::Overloaded {
+        retry_after: Millis(10),
+    }
+}
+
+pub(crate) fn micros(seconds: f64) -> u64 {
+    (seconds * SECOND as f64) as u64
+}
+
+pub(crate) fn name(kind: &str, number: usize) -> Name {
+    crate::named(&format!("{kind}-{number}"))
+}
+
+pub(crate) fn member(server: &Server, slots: u32) -> Member {
+    Member {
+        id: server.id.clone(),
+        place: server.place.clone(),
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: 1,
+        state: State::Alive,
+        endpoint: Some(Endpoint {
+            service: crate::named("service"),
+            stage: Stage::Ready,
+            slots,
+        }),
+    }
+}
+
+pub(crate) fn service(setup: &Setup) -> Service {
+    Service {
+        slots: setup.slots,
+        connections: 110,
+        queue: setup.queue,
+        timeout: setup.timeout,
+        retry_budget: setup.retry_budget,
+        importance: Importance::Normal,
+        warm_up: setup.warm_up,
+        drain_grace: Millis(10_000),
+        objective: None,
+    }
+}
--- a/crates/crank-engine/examples/requests/world.rs
+++ b/crates/crank-engine/examples/requests/world.rs
@@ -8,83 +8,21 @@
 use crank_engine::balance::{Choice, Distance, End, Pool};
 use crank_engine::limit::{Size, Step, Ticket};
 use crank_engine::retry::{self, Attempt, Budget};
+use crank_protocol::Millis;
 use crank_protocol::call::{Load, Refusal};
-use crank_protocol::config::{Importance, Service};
-use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
-use crank_protocol::{Millis, Name};
+use crank_protocol::config::Importance;
+use crank_protocol::member::{Member, Stage};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::parts::{
+    Entry, Event, Reply, Request, Seen, Sent, Server, full, member, micros, name, service,
+};
 use crate::setup::{Chooser, Fault, Figures, Queueing, Setup, Trouble};
 
 const SECOND: u64 = 1_000_000;
 const MILLI: u64 = 1_000;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Arrive {
-        entry: usize,
-    },
-    Reach {
-        attempt: usize,
-    },
-    Served {
-        attempt: usize,
-    },
-    Back {
-        attempt: usize,
-        answer: Reply,
-        load: Option<Seen>,
-    },
-    Expire {
-        request: usize,
-    },
-    Members,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Reply {
-    Answered,
-    Full,
-    TooLate,
-    Unreached,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Seen {
-    running: u32,
-    waiting: u32,
-    slots: u32,
-}
-
-struct Request {
-    entry: usize,
-    began: u64,
-    deadline: u64,
-    tried: Vec<Name>,
-    is_done: bool,
-    open: Option<usize>,
-}
-
-struct Sent {
-    request: usize,
-    server: usize,
-    began: u64,
-    runs: bool,
-}
-
-struct Server {
-    id: Name,
-    place: Place,
-    admission: Admission,
-}
-
-struct Entry {
-    place: Place,
-    pool: Pool,
-    budget: Budget,
-}
-
 /// The simulation.
 pub(crate) struct World {
     setup: Setup,
@@ -508,46 +446,3 @@
         }
     }
 }
-
-fn full() -> Refusal {
-    Refusal::Overloaded {
-        retry_after: Millis(10),
-    }
-}
-
-fn micros(seconds: f64) -> u64 {
-    (seconds * SECOND as f64) as u64
-}
-
-fn name(kind: &str, number: usize) -> Name {
-    crate::named(&format!("{kind}-{number}"))
-}
-
-fn member(server: &Server, slots: u32) -> Member {
-    Member {
-        id: server.id.clone(),
-        place: server.place.clone(),
-        address: ([127, 0, 0, 1], 1).into(),
-        incarnation: 1,
-        state: State::Alive,
-        endpoint: Some(Endpoint {
-            service: crate::named("service"),
-            stage: Stage::Ready,
-            slots,
-        }),
-    }
-}
-
-fn service(setup: &Setup) -> Service {
-    Service {
-        slots: setup.slots,
-        connections: 110,
-        queue: setup.queue,
-        timeout: setup.timeout,
-        retry_budget: setup.retry_budget,
-        importance: Importance::Normal,
-        warm_up: setup.warm_up,
-        drain_grace: Millis(10_000),
-        objective: None,
-    }
-}
