--- a/crates/crank-command/tests/support/mod.rs
+++ b/crates/crank-command/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use crank_engine::burn::{Burn, Report};
 use crank_engine::folder::{File, merge};
 use crank_engine::{Moment, config, publish};
-use crank_operator::{Desk, listener};
+use crank_operator::{Admin, listener};
 use crank_platform_client::{Error, Memory, folder, head, verdict};
 use crank_protocol::config::{Account, Config, Stamp};
 use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
@@ -84,7 +84,7 @@
     }
 }
 
-impl Desk for Desktop {
+impl Admin for Desktop {
     async fn status(&self) -> Mesh {
         let head = head::read(&self.platform, &name("sutkent")).await;
         let refused = verdict::read(&self.platform, &name("sutkent")).await;
--- a/crates/crank-engine/src/config.rs
+++ b/crates/crank-engine/src/config.rs
@@ -128,11 +128,25 @@
         let (wanted, held) = (Box::new(delta.base.clone()), Box::new(base.stamp.clone()));
         return Err(Error::WrongBase { wanted, held });
     }
-    let mut config = base.config.clone();
-    for change in &delta.changes {
+    let config = patched(base.config.clone(), &delta.changes);
+    sealed(config, delta.result.clone())
+}
+
+/// A configuration with changes made to it, without any check.
+///
+/// ```
+/// # use crank_protocol::{Name, config::{Account, Change, Config}};
+/// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// # let config = Config { account, services: Default::default(), routes: Default::default() };
+/// let gone = Change::NoService(Name::new("recipes").unwrap());
+/// assert_eq!(crank_engine::config::patched(config.clone(), &[gone]), config);
+/// ```
+#[must_use]
+pub fn patched(mut config: Config, changes: &[Change]) -> Config {
+    for change in changes {
         change_one(&mut config, change.clone());
     }
-    sealed(config, delta.result.clone())
+    config
 }
 
 fn change_one(config: &mut Config, change: Change) {
--- a/crates/crank-model/src/spread/proxy.rs
+++ b/crates/crank-model/src/spread/proxy.rs
@@ -2,8 +2,9 @@
 
 use std::collections::HashMap;
 
+use crank_engine::config;
 use crank_engine::spread::{Head, Holder, Report, Start};
-use crank_protocol::config::{Change, Config, Delta, Snapshot};
+use crank_protocol::config::{Config, Delta, Snapshot};
 
 use super::{Guard, Message, PROXIES, Spread, State, cut, damaged, messages};
 use crate::Invariant;
@@ -213,29 +214,10 @@
     held.max().unwrap_or(0)
 }
 
-fn patched(mut held: Snapshot, delta: &Delta) -> Snapshot {
-    for change in &delta.changes {
-        patch(&mut held.config, change.clone());
-    }
-    held.stamp = delta.result.clone();
-    held
-}
-
-fn patch(config: &mut Config, change: Change) {
-    match change {
-        Change::Account(account) => config.account = account,
-        Change::Service(name, service) => {
-            config.services.insert(name, service);
-        }
-        Change::NoService(name) => {
-            config.services.remove(&name);
-        }
-        Change::Route(name, route) => {
-            config.routes.insert(name, route);
-        }
-        Change::NoRoute(name) => {
-            config.routes.remove(&name);
-        }
+fn patched(held: Snapshot, delta: &Delta) -> Snapshot {
+    Snapshot {
+        stamp: delta.result.clone(),
+        config: config::patched(held.config, &delta.changes),
     }
 }
 
--- a/crates/crank-node/src/desk.rs
+++ b/crates/crank-node/src/admin.rs
@@ -6,7 +6,7 @@
 use crank_engine::burn::{Burn, Report};
 use crank_engine::status::is_in_force;
 use crank_mesh::Handle;
-use crank_operator::Desk;
+use crank_operator::Admin;
 use crank_platform_client::{Error, Platform, head, verdict};
 use crank_protocol::Name;
 use crank_protocol::config::Account;
@@ -19,7 +19,7 @@
 
 /// Answers operators from the mesh and the store.
 #[derive(Clone)]
-pub struct Office<P> {
+pub struct Api<P> {
     /// The process's clock.
     pub clock: Clock,
     /// The node's name.
@@ -38,7 +38,7 @@
     pub metrics: Arc<Metrics>,
 }
 
-impl<P: Platform> Desk for Office<P> {
+impl<P: Platform> Admin for Api<P> {
     async fn status(&self) -> Mesh {
         let began = Instant::now();
         let (head, verdict, nodes) = tokio::join!(
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -1,7 +1,7 @@
 //! The entry node: route, choose, call, and try again where that is safe.
 
 mod asked;
-mod lane;
+mod bulkhead;
 
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -26,7 +26,7 @@
 use crate::clock::Clock;
 use crate::gate::{Gate, Pass};
 use asked::Asked;
-use lane::Lane;
+use bulkhead::Bulkhead;
 
 /// The places for the requests of all services together.
 pub const PLACES: Size = Size {
@@ -90,7 +90,7 @@
     parts: Parts<L>,
     places: Gate,
     table: ArcSwapOption<Table>,
-    lanes: Mutex<BTreeMap<Name, Arc<Lane>>>,
+    bulkheads: Mutex<BTreeMap<Name, Arc<Bulkhead>>>,
     drain: Mutex<Drain>,
 }
 
@@ -101,9 +101,9 @@
 }
 
 /// A request on its way.
-struct Journey {
+struct Routed {
     rule: Arc<Rule>,
-    lane: Arc<Lane>,
+    bulkhead: Arc<Bulkhead>,
     head: Head,
     body: Bytes,
     began: Moment,
@@ -152,7 +152,7 @@
                 parts,
                 places,
                 table: ArcSwapOption::empty(),
-                lanes: Mutex::new(BTreeMap::new()),
+                bulkheads: Mutex::new(BTreeMap::new()),
                 drain: Mutex::new(drain),
             }),
         }
@@ -172,21 +172,21 @@
     /// ```
     pub async fn call(&self, request: Request) -> Result<Answer, Refused> {
         let began = self.now();
-        let (journey, pass) = self
-            .depart(request, began)
+        let (routed, pass) = self
+            .prepare(request, began)
             .await
             .map_err(|refusal| retry::refused(refusal, None))?;
-        let result = self.travel(&journey).await;
+        let result = self.try_targets(&routed).await;
         match result {
-            Ok(answer) => Ok(self.arrive(journey, pass, answer)),
+            Ok(answer) => Ok(self.finish(routed, pass, answer)),
             Err(refused) => {
-                self.count(&journey.rule, &refused, began);
+                self.count(&routed.rule, &refused, began);
                 Err(refused)
             }
         }
     }
 
-    async fn depart(&self, request: Request, began: Moment) -> Result<(Journey, Passes), Refusal> {
+    async fn prepare(&self, request: Request, began: Moment) -> Result<(Routed, Passes), Refusal> {
         let table = self.table()?;
         let rule = table.find(request.method, &request.path)?.clone();
         let asked = Asked::read(&request, &rule)?;
@@ -194,31 +194,31 @@
             self.shared.drain.lock().admit(began, asked.depth)?;
         }
         let deadline = began.after(asked.timeout);
-        let lane = self.lane(&rule);
-        self.refresh(&lane, table.version(), &rule);
-        let turn = self.enter(&lane, &rule, deadline, asked.depth).await;
+        let bulkhead = self.bulkhead(&rule);
+        self.refresh(&bulkhead, table.version(), &rule);
+        let turn = self.enter(&bulkhead, &rule, deadline, asked.depth).await;
         let pass = turn.inspect_err(|_| self.record(&rule, false, began))?;
-        let journey = Journey {
+        let routed = Routed {
             head: asked.head(&request, &rule, table.version()),
             body: request.body,
             rule,
-            lane,
+            bulkhead,
             began,
             deadline,
         };
-        Ok((journey, pass))
+        Ok((routed, pass))
     }
 
     /// A place of the service first, so that no service waits for another's.
     async fn enter(
         &self,
-        lane: &Lane,
+        bulkhead: &Bulkhead,
         rule: &Rule,
         deadline: Moment,
         depth: u32,
     ) -> Result<Passes, Refusal> {
         let importance = rule.service.importance;
-        let service = lane.gate().enter(importance, deadline, depth).await?;
+        let service = bulkhead.gate().enter(importance, deadline, depth).await?;
         let places = &self.shared.places;
         Ok(Passes {
             _node: places.enter(importance, deadline, depth).await?,
@@ -227,30 +227,30 @@
     }
 
     /// Tries one target after another, as long as that is safe and worth it.
-    async fn travel(&self, journey: &Journey) -> Result<Answer, Refused> {
+    async fn try_targets(&self, routed: &Routed) -> Result<Answer, Refused> {
         let mut tried: Vec<Name> = Vec::new();
         let mut certain = Outcome::NotRun;
         let mut last = Refusal::NoServer;
-        journey.lane.earn();
+        routed.bulkhead.earn();
         loop {
-            self.refresh(&journey.lane, journey.head.version, &journey.rule);
-            let choice = journey.lane.choose(self.now(), &tried);
+            self.refresh(&routed.bulkhead, routed.head.version, &routed.rule);
+            let choice = routed.bulkhead.choose(self.now(), &tried);
             let Some(choice) = choice else {
                 break;
             };
-            let refused = match self.attempt(journey, &choice).await {
+            let refused = match self.attempt(routed, &choice).await {
                 Ok(answer) => return Ok(answer),
                 Err(refused) => refused,
             };
             certain = retry::combine(certain, refused.outcome);
             tried.push(choice.id);
             let attempt = retry::Attempt {
-                idempotent: journey.head.idempotent,
-                depth: journey.head.depth,
+                idempotent: routed.head.idempotent,
+                depth: routed.head.depth,
                 made: u32::try_from(tried.len()).unwrap_or(u32::MAX),
-                deadline: journey.deadline,
+                deadline: routed.deadline,
             };
-            let again = journey.lane.again(self.now(), attempt, &refused);
+            let again = routed.bulkhead.again(self.now(), attempt, &refused);
             last = refused.refusal;
             if !again {
                 break;
@@ -263,17 +263,18 @@
         })
     }
 
-    async fn attempt(&self, journey: &Journey, choice: &Choice) -> Result<Answer, Refused> {
+    async fn attempt(&self, routed: &Routed, choice: &Choice) -> Result<Answer, Refused> {
         let began = self.now();
-        let mut head = journey.head.clone();
-        head.time_left = journey.deadline.since(began);
-        let flight = lane::Flight::new(&journey.lane, self.shared.parts.clock, choice, began);
+        let mut head = routed.head.clone();
+        head.time_left = routed.deadline.since(began);
+        let flight =
+            bulkhead::Flight::new(&routed.bulkhead, self.shared.parts.clock, choice, began);
         let call = self
             .shared
             .parts
             .links
-            .call(choice, head, journey.body.clone());
-        let end = self.shared.parts.clock.instant(journey.deadline);
+            .call(choice, head, routed.body.clone());
+        let end = self.shared.parts.clock.instant(routed.deadline);
         let result = tokio::time::timeout_at(end, call)
             .await
             .unwrap_or_else(|_| Err(retry::refused(Refusal::TimedOut, None)));
@@ -282,17 +283,17 @@
     }
 
     /// Hands the answer over; the place is held and the request counted until its body has ended.
-    fn arrive(&self, journey: Journey, pass: Passes, mut answer: Answer) -> Answer {
+    fn finish(&self, routed: Routed, pass: Passes, mut answer: Answer) -> Answer {
         let arrival = Arrival {
             burn: self.shared.parts.burn.clone(),
             clock: self.shared.parts.clock,
             served: answer.head.status < FIRST_SERVER_FAULT,
             whole: false,
-            rule: journey.rule,
-            began: journey.began,
+            rule: routed.rule,
+            began: routed.began,
             _pass: pass,
         };
-        let end = self.shared.parts.clock.instant(journey.deadline);
+        let end = self.shared.parts.clock.instant(routed.deadline);
         let body = (answer.body, arrival);
         let held = futures::stream::unfold(Some(body), move |held| async move {
             let (mut body, mut arrival) = held?;
@@ -327,21 +328,21 @@
         }
     }
 
-    fn lane(&self, rule: &Rule) -> Arc<Lane> {
+    fn bulkhead(&self, rule: &Rule) -> Arc<Bulkhead> {
         let name = &rule.route.service;
-        let mut lanes = self.shared.lanes.lock();
-        if let Some(lane) = lanes.get(name) {
-            return lane.clone();
+        let mut bulkheads = self.shared.bulkheads.lock();
+        if let Some(bulkhead) = bulkheads.get(name) {
+            return bulkhead.clone();
         }
         let parts = &self.shared.parts;
-        let lane = Arc::new(Lane::new(parts.clock, &parts.own, &parts.place, rule));
-        lanes.insert(name.clone(), lane.clone());
-        lane
+        let bulkhead = Arc::new(Bulkhead::new(parts.clock, &parts.own, &parts.place, rule));
+        bulkheads.insert(name.clone(), bulkhead.clone());
+        bulkhead
     }
 
-    fn refresh(&self, lane: &Lane, version: Version, rule: &Rule) {
+    fn refresh(&self, bulkhead: &Bulkhead, version: Version, rule: &Rule) {
         let view = self.shared.parts.view.borrow().clone();
-        lane.refresh(self.now(), version, rule, &view);
+        bulkhead.refresh(self.now(), version, rule, &view);
     }
 
     /// The node begins to leave: callers' new requests are refused, those under way are finished.
@@ -385,10 +386,10 @@
     /// ```
     #[must_use]
     pub fn load(&self) -> BTreeMap<Name, Load> {
-        let lanes = self.shared.lanes.lock();
-        lanes
+        let bulkheads = self.shared.bulkheads.lock();
+        bulkheads
             .iter()
-            .map(|(name, lane)| (name.clone(), lane.gate().load()))
+            .map(|(name, bulkhead)| (name.clone(), bulkhead.gate().load()))
             .collect()
     }
 
--- a/crates/crank-node/src/entry/lane.rs
+++ b/crates/crank-node/src/entry/bulkhead.rs
@@ -21,7 +21,7 @@
 
 /// What the entry holds for one service, apart from all others: places, targets, retry budget.
 #[derive(Debug)]
-pub(super) struct Lane {
+pub(super) struct Bulkhead {
     gate: Gate,
     state: Mutex<State>,
 }
@@ -34,7 +34,7 @@
     view: Option<Arc<View>>,
 }
 
-impl Lane {
+impl Bulkhead {
     pub(super) fn new(clock: Clock, own: &Name, place: &Place, rule: &Rule) -> Self {
         let gate = Gate::new(clock, size(&rule.service, 0));
         gate.announce(Stage::Ready, Millis(0));
@@ -100,7 +100,7 @@
 
 /// One attempt, in flight at its target until it lands or is dropped.
 pub(super) struct Flight<'a> {
-    lane: &'a Lane,
+    bulkhead: &'a Bulkhead,
     clock: Clock,
     target: &'a Name,
     began: Moment,
@@ -108,9 +108,14 @@
 }
 
 impl<'a> Flight<'a> {
-    pub(super) fn new(lane: &'a Lane, clock: Clock, choice: &'a Choice, began: Moment) -> Self {
+    pub(super) fn new(
+        bulkhead: &'a Bulkhead,
+        clock: Clock,
+        choice: &'a Choice,
+        began: Moment,
+    ) -> Self {
         Self {
-            lane,
+            bulkhead,
             clock,
             target: &choice.id,
             began,
@@ -129,7 +134,7 @@
             Ok(answer) => (End::Failed, Some(answer.head.load)),
             Err(refused) => (end(&refused.refusal, micros), refused.load),
         };
-        let mut state = self.lane.state.lock();
+        let mut state = self.bulkhead.state.lock();
         state.pool.finish(now, self.target, end, load);
     }
 }
@@ -138,7 +143,7 @@
     fn drop(&mut self) {
         if !self.landed {
             let now = self.clock.now();
-            let mut state = self.lane.state.lock();
+            let mut state = self.bulkhead.state.lock();
             state.pool.finish(now, self.target, End::Unrelated, None);
         }
     }
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -1,7 +1,7 @@
 //! The node process: wires the peer packages together as actors.
 
+pub mod admin;
 pub mod clock;
-pub mod desk;
 pub mod entry;
 pub mod front;
 pub mod gate;
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -17,8 +17,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
+use crate::admin::Api;
 use crate::clock::Clock;
-use crate::desk::Office;
 use crate::entry::{self, Entry};
 use crate::front::Front;
 use crate::handover;
@@ -137,7 +137,7 @@
         let front = Front::new(entry.clone(), metrics.clone());
         let edge = tokio::spawn(listeners.edge.run(front, leaving.clone()));
         let (ready, is_ready) = watch::channel(false);
-        let office = Office {
+        let api = Api {
             clock,
             own: settings.name.clone(),
             account: settings.platform.account.clone(),
@@ -150,7 +150,7 @@
         let left = leaving.clone().cancelled_owned();
         tokio::spawn(crank_operator::listener::serve(
             listeners.operators,
-            office,
+            api,
             left,
         ));
         let node = Self {
--- a/crates/crank-operator/src/desk.rs
+++ b/crates/crank-operator/src/admin.rs
@@ -7,7 +7,7 @@
 use crank_protocol::status::{Entry, Mesh};
 
 /// What a node answers to operators.
-pub trait Desk: Clone + Send + Sync + 'static {
+pub trait Admin: Clone + Send + Sync + 'static {
     /// The status of the whole mesh; asks every other node.
     fn status(&self) -> impl Future<Output = Mesh> + Send;
 
--- a/crates/crank-operator/src/lib.rs
+++ b/crates/crank-operator/src/lib.rs
@@ -2,16 +2,16 @@
 
 pub mod listener;
 
+mod admin;
 mod client;
-mod desk;
 mod error;
 mod local;
 mod push;
 mod store;
 mod trouble;
 
+pub use admin::Admin;
 pub use client::Client;
-pub use desk::Desk;
 pub use error::Error;
 pub use local::{Local, read_local};
 pub use store::{Pull, Push, Store};
--- a/crates/crank-operator/src/listener.rs
+++ b/crates/crank-operator/src/listener.rs
@@ -10,7 +10,7 @@
 use warp::reply::Response;
 use warp::{Filter, Reply};
 
-use crate::{Desk, Trouble};
+use crate::{Admin, Trouble};
 
 const DEFAULT_HISTORY: u32 = 20;
 const MOST_HISTORY: u32 = 1_000;
@@ -28,60 +28,60 @@
 /// `/readyz` as text.
 ///
 /// ```no_run
-/// # async fn run(desk: impl crank_operator::Desk) -> std::io::Result<()> {
+/// # async fn run(admin: impl crank_operator::Admin) -> std::io::Result<()> {
 /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
-/// crank_operator::listener::serve(listener, desk, std::future::pending()).await;
+/// crank_operator::listener::serve(listener, admin, std::future::pending()).await;
 /// # Ok(())
 /// # }
 /// ```
 pub async fn serve(
     listener: TcpListener,
-    desk: impl Desk,
+    admin: impl Admin,
     stop: impl Future<Output = ()> + Send + 'static,
 ) {
-    warp::serve(questions(desk.clone()).or(texts(desk)))
+    warp::serve(questions(admin.clone()).or(texts(admin)))
         .incoming(listener)
         .graceful(stop)
         .run()
         .await;
 }
 
-fn at<D: Desk>(
+fn at<D: Admin>(
     path: &'static str,
-    desk: &D,
+    admin: &D,
 ) -> impl Filter<Extract = (D,), Error = warp::Rejection> + Clone + use<D> {
-    let desk = desk.clone();
+    let admin = admin.clone();
     warp::get()
         .and(warp::path(path))
         .and(warp::path::end())
-        .map(move || desk.clone())
+        .map(move || admin.clone())
 }
 
-fn questions<D: Desk>(
-    desk: D,
+fn questions<D: Admin>(
+    admin: D,
 ) -> impl Filter<Extract = (impl Reply,), Error = warp::Rejection> + Clone {
-    let status = at("status", &desk).then(async |desk: D| json(&desk.status().await));
-    let history = at("history", &desk)
+    let status = at("status", &admin).then(async |admin: D| json(&admin.status().await));
+    let history = at("history", &admin)
         .and(warp::query::<Page>())
         .then(history::<D>);
-    let notice = at("notice", &desk).then(notice::<D>);
-    let burn = at("burn", &desk).map(|desk: D| json(&desk.burn()));
+    let notice = at("notice", &admin).then(notice::<D>);
+    let burn = at("burn", &admin).map(|admin: D| json(&admin.burn()));
     status.or(history).or(notice).or(burn)
 }
 
-fn texts<D: Desk>(
-    desk: D,
+fn texts<D: Admin>(
+    admin: D,
 ) -> impl Filter<Extract = (impl Reply,), Error = warp::Rejection> + Clone {
-    let metrics = at("metrics", &desk).map(|desk: D| {
+    let metrics = at("metrics", &admin).map(|admin: D| {
         warp::reply::with_header(
-            desk.metrics(),
+            admin.metrics(),
             warp::http::header::CONTENT_TYPE,
             METRICS_TYPE,
         )
     });
-    let health = at("healthz", &desk).map(|_| "ok\n");
-    let ready = at("readyz", &desk).map(|desk: D| {
-        if desk.is_ready() {
+    let health = at("healthz", &admin).map(|_| "ok\n");
+    let ready = at("readyz", &admin).map(|admin: D| {
+        if admin.is_ready() {
             warp::reply::with_status("ready\n", StatusCode::OK)
         } else {
             warp::reply::with_status("not ready\n", StatusCode::SERVICE_UNAVAILABLE)
@@ -90,9 +90,9 @@
     metrics.or(health).or(ready)
 }
 
-async fn history<D: Desk>(desk: D, page: Page) -> Response {
+async fn history<D: Admin>(admin: D, page: Page) -> Response {
     let limit = page.limit.unwrap_or(DEFAULT_HISTORY).clamp(1, MOST_HISTORY);
-    match desk.history(limit).await {
+    match admin.history(limit).await {
         Ok(entries) => json(&entries),
         Err(error) => trouble(&Trouble {
             detail: error.to_string().into(),
@@ -100,13 +100,13 @@
     }
 }
 
-async fn notice<D: Desk>(desk: D) -> Response {
-    let Some(account) = desk.account() else {
+async fn notice<D: Admin>(admin: D) -> Response {
+    let Some(account) = admin.account() else {
         return trouble(&Trouble {
             detail: "no configuration is in force on this node yet: ask another, or wait".into(),
         });
     };
-    let mesh = desk.status().await;
+    let mesh = admin.status().await;
     json(&notice::count(&account, &mesh, OffsetDateTime::now_utc()))
 }
 
--- a/crates/crank-operator/tests/listener_answers_operators.rs
+++ b/crates/crank-operator/tests/listener_answers_operators.rs
@@ -1,10 +1,10 @@
-//! The listener and its client, over a desk with fixed answers.
+//! The listener and its client, over an admin edge with fixed answers.
 
 #![allow(clippy::unwrap_used)]
 
 use crank_engine::Moment;
 use crank_engine::burn::{Burn, Report};
-use crank_operator::{Client, Desk, Error, listener};
+use crank_operator::{Admin, Client, Error, listener};
 use crank_protocol::config::Account;
 use crank_protocol::status::{Entry, Mesh};
 use crank_protocol::{Millis, Name};
@@ -19,7 +19,7 @@
     Name::new(text).unwrap()
 }
 
-impl Desk for Fixed {
+impl Admin for Fixed {
     async fn status(&self) -> Mesh {
         Mesh {
             account: name("sutkent"),
--- a/crates/crank-report/tests/silence_is_not_good.rs
+++ b/crates/crank-report/tests/silence_is_not_good.rs
@@ -5,7 +5,7 @@
 use crank_engine::Moment;
 use crank_engine::burn::{Burn, Report, Tally};
 use crank_engine::folder::{File, merge};
-use crank_operator::{Desk, listener};
+use crank_operator::{Admin, listener};
 use crank_protocol::config::{Account, Version};
 use crank_protocol::member::{Member, Place, State};
 use crank_protocol::status::{Answer, Entry, Mesh};
@@ -27,7 +27,7 @@
     members: Vec<&'static str>,
 }
 
-impl Desk for Counting {
+impl Admin for Counting {
     async fn status(&self) -> Mesh {
         let silent = |id: &&str| {
             Answer::Silent(Member {
@@ -87,14 +87,14 @@
 }
 
 async fn start(id: &str, good: u64, bad: u64) -> String {
-    let desk = Counting {
+    let admin = Counting {
         id: name(id),
         tally: Tally { good, bad },
         members: vec!["n1", "n2"],
     };
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    tokio::spawn(listener::serve(listener, desk, std::future::pending()));
+    tokio::spawn(listener::serve(listener, admin, std::future::pending()));
     address
 }
 
