--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use crank_protocol::Dialect;
 use http::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -30,6 +31,8 @@
 pub struct Edge {
     listener: TcpListener,
     address: SocketAddr,
+    dialect: Arc<Dialect>,
+    gentle_close: Duration,
 }
 
 impl Edge {
@@ -52,7 +55,42 @@
         };
         let listener = TcpListener::bind(address).await.map_err(refused)?;
         let address = listener.local_addr().map_err(refused)?;
-        Ok(Self { listener, address })
+        Ok(Self {
+            listener,
+            address,
+            dialect: Arc::default(),
+            gentle_close: GENTLE_CLOSE,
+        })
+    }
+
+    /// The same with other header names and customs.
+    ///
+    /// ```
+    /// # use crank_caller::Edge;
+    /// # use crank_protocol::Dialect;
+    /// fn whole_seconds(edge: Edge) -> Edge {
+    ///     edge.with_dialect(Dialect::default().into())
+    /// }
+    /// ```
+    #[must_use]
+    pub fn with_dialect(self, dialect: Arc<Dialect>) -> Self {
+        Self { dialect, ..self }
+    }
+
+    /// The same, but a leaving edge still takes new connections for this long.
+    ///
+    /// ```
+    /// # use crank_caller::Edge;
+    /// fn slow_to_go(edge: Edge) -> Edge {
+    ///     edge.with_gentle_close(std::time::Duration::from_secs(3))
+    /// }
+    /// ```
+    #[must_use]
+    pub fn with_gentle_close(self, gentle_close: Duration) -> Self {
+        Self {
+            gentle_close,
+            ..self
+        }
     }
 
     /// The address that callers reach it at.
@@ -85,11 +123,11 @@
             room: Arc::new(Semaphore::new(MOST_CONNECTIONS)),
             open: GracefulShutdown::new(),
         };
-        let service = warp::service(filter(gateway, is_leaving.clone()));
+        let service = warp::service(filter(gateway, self.dialect, is_leaving.clone()));
         let accept = connections.accept_all(&self.listener, service);
         tokio::select! {
             () = accept => {}
-            () = gentle_close(&leaving, &is_leaving) => {}
+            () = gentle_close(&leaving, &is_leaving, self.gentle_close) => {}
         }
         drop(self.listener);
         connections.open.shutdown().await;
@@ -98,10 +136,10 @@
 
 /// After `leaving`, answers ask callers to close their connections, so that closing those that are
 /// left races with no request.
-async fn gentle_close(leaving: &CancellationToken, is_leaving: &AtomicBool) {
+async fn gentle_close(leaving: &CancellationToken, is_leaving: &AtomicBool, wait: Duration) {
     leaving.cancelled().await;
     is_leaving.store(true, Ordering::Relaxed);
-    sleep(GENTLE_CLOSE).await;
+    sleep(wait).await;
 }
 
 struct Connections {
@@ -156,9 +194,11 @@
 
 fn filter<G: Gateway>(
     gateway: G,
+    dialect: Arc<Dialect>,
     is_leaving: Arc<AtomicBool>,
 ) -> impl Filter<Extract = (warp::reply::Response,), Error = Infallible> + Clone {
     let room = request::Room::new();
+    let unread = dialect.clone();
     let query = warp::query::raw()
         .map(Some)
         .or_else(|_| async { Ok::<_, Infallible>((None,)) });
@@ -172,10 +212,17 @@
             move |method, path: warp::path::FullPath, query, headers, body| {
                 let gateway = gateway.clone();
                 let is_leaving = is_leaving.clone();
+                let dialect = dialect.clone();
                 let room = room.clone();
                 async move {
                     let path = whole_path(path.as_str(), query);
-                    let mut response = answer(&gateway, &room, method, path, headers, body).await;
+                    let came = Came {
+                        method,
+                        path,
+                        headers,
+                        body,
+                    };
+                    let mut response = answer(&gateway, &room, &dialect, came).await;
                     if is_leaving.load(Ordering::Relaxed) {
                         let close = HeaderValue::from_static("close");
                         response.headers_mut().insert(CONNECTION, close);
@@ -184,13 +231,16 @@
                 }
             },
         )
-        .recover(|rejection| async move { Ok::<_, Infallible>(unreadable(&rejection)) })
+        .recover(move |rejection| {
+            let response = unreadable(&rejection, &unread);
+            async move { Ok::<_, Infallible>(response) }
+        })
         .unify()
 }
 
-fn unreadable(rejection: &warp::Rejection) -> warp::reply::Response {
+fn unreadable(rejection: &warp::Rejection, dialect: &Dialect) -> warp::reply::Response {
     log::debug!(rejection:? = rejection; "unreadable request");
-    reply::fault(&request::Fault::Body)
+    reply::fault(&request::Fault::Body, dialect)
 }
 
 fn whole_path(path: &str, query: Option<String>) -> Arc<str> {
@@ -200,27 +250,39 @@
     }
 }
 
-async fn answer<G, S, B, E>(
-    gateway: &G,
-    room: &request::Room,
+/// A request as the library hands it over.
+struct Came<S> {
     method: http::Method,
     path: Arc<str>,
     headers: HeaderMap,
     body: S,
+}
+
+async fn answer<G, S, B, E>(
+    gateway: &G,
+    room: &request::Room,
+    dialect: &Dialect,
+    came: Came<S>,
 ) -> warp::reply::Response
 where
     G: Gateway,
     S: futures::Stream<Item = Result<B, E>>,
     B: bytes::Buf,
 {
+    let Came {
+        method,
+        path,
+        headers,
+        body,
+    } = came;
     // The room is held until the gateway needs the body no more.
     let (request, _taken) = match request::read(method, path, headers, body, room).await {
         Ok(read) => read,
-        Err(fault) => return reply::fault(&fault),
+        Err(fault) => return reply::fault(&fault, dialect),
     };
     let method = request.method;
     match gateway.call(request).await {
         Ok(answer) => reply::answer(answer, method),
-        Err(refused) => reply::refused(&refused),
+        Err(refused) => reply::refused(&refused, dialect),
     }
 }
--- a/crates/crank-caller/src/reply.rs
+++ b/crates/crank-caller/src/reply.rs
@@ -5,11 +5,11 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use crank_protocol::Millis;
 use crank_protocol::call::{
     Answer, AnswerHead, Body, OUTCOME_HEADER, Outcome, REFUSAL_HEADER, Refusal, Refused,
 };
 use crank_protocol::config::Method;
+use crank_protocol::{Dialect, Millis};
 use futures::Stream;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
@@ -33,22 +33,22 @@
     retry_after_ms: Option<Millis>,
 }
 
-pub(crate) fn fault(fault: &Fault) -> warp::reply::Response {
+pub(crate) fn fault(fault: &Fault, dialect: &Dialect) -> warp::reply::Response {
     let status = match fault {
         Fault::Method => StatusCode::METHOD_NOT_ALLOWED,
         Fault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         Fault::Body => StatusCode::BAD_REQUEST,
         Fault::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
     };
-    with_status(&fault.refused(), status)
+    with_status(&fault.refused(), status, dialect)
 }
 
-pub(crate) fn refused(refused: &Refused) -> warp::reply::Response {
-    with_status(refused, status(&refused.refusal))
+pub(crate) fn refused(refused: &Refused, dialect: &Dialect) -> warp::reply::Response {
+    with_status(refused, status(refused), dialect)
 }
 
-fn with_status(refused: &Refused, status: StatusCode) -> warp::reply::Response {
-    let retry_after = retry_after(&refused.refusal);
+fn with_status(refused: &Refused, status: StatusCode, dialect: &Dialect) -> warp::reply::Response {
+    let retry_after = retry_after(&refused.refusal).filter(|_| refused.outcome == Outcome::NotRun);
     let refusal = name(&refused.refusal);
     let note = Note {
         refusal,
@@ -65,13 +65,21 @@
     headers.insert(OUTCOME_HEADER, outcome(refused.outcome));
     headers.insert(REFUSAL_HEADER, HeaderValue::from_static(refusal));
     if let Some(wait) = retry_after {
-        let seconds = wait.0.div_ceil(MILLIS_PER_SECOND).max(1);
-        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+        headers.insert(RETRY_AFTER, seconds(wait, dialect));
     }
     response
 }
 
 /// When to try again what was not run for a reason that passes.
+fn seconds(wait: Millis, dialect: &Dialect) -> HeaderValue {
+    let whole = HeaderValue::from(wait.0.div_ceil(MILLIS_PER_SECOND).max(1));
+    if !dialect.fractions {
+        return whole;
+    }
+    let (seconds, rest) = (wait.0 / MILLIS_PER_SECOND, wait.0 % MILLIS_PER_SECOND);
+    HeaderValue::try_from(format!("{seconds}.{rest:03}")).unwrap_or(whole)
+}
+
 fn retry_after(refusal: &Refusal) -> Option<Millis> {
     match refusal {
         Refusal::Overloaded { retry_after } => Some(*retry_after),
@@ -90,8 +98,9 @@
     })
 }
 
-fn status(refusal: &Refusal) -> StatusCode {
-    match refusal {
+/// Unavailable means that the request was not run, so that callers may send it again.
+fn status(refused: &Refused) -> StatusCode {
+    let status = match &refused.refusal {
         Refusal::NotReady
         | Refusal::NoServer
         | Refusal::Leaving
@@ -105,6 +114,12 @@
         Refusal::Lost | Refusal::Cut => StatusCode::BAD_GATEWAY,
         Refusal::KeyInUse => StatusCode::CONFLICT,
         Refusal::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
+    };
+    match (status, refused.outcome) {
+        (StatusCode::SERVICE_UNAVAILABLE, Outcome::Unknown | Outcome::Ran) => {
+            StatusCode::BAD_GATEWAY
+        }
+        (status, _) => status,
     }
 }
 
--- a/crates/crank-caller/src/request.rs
+++ b/crates/crank-caller/src/request.rs
@@ -56,6 +56,7 @@
             refusal,
             outcome: Outcome::NotRun,
             load: None,
+            reached: false,
         }
     }
 }
@@ -90,9 +91,11 @@
     }
     let whole = timeout(BODY_LIMIT, whole(body, room));
     let (body, taken) = whole.await.map_err(|_| Fault::Body)??;
+    let host = host(&headers);
     let headers = end_to_end(&headers);
     let request = Request {
         method,
+        host,
         path,
         headers,
         body,
@@ -119,6 +122,17 @@
     }
 }
 
+/// In lower case and without the port, as routes name hosts.
+fn host(headers: &HeaderMap) -> Arc<str> {
+    let text = headers.get(HOST).and_then(|value| value.to_str().ok());
+    let text = text.unwrap_or_default();
+    let name = match text.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => text,
+    };
+    Arc::from(name.to_ascii_lowercase())
+}
+
 fn stated_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
--- a/crates/crank-caller/tests/whole_answers.rs
+++ b/crates/crank-caller/tests/whole_answers.rs
@@ -61,6 +61,7 @@
         refusal,
         outcome,
         load: None,
+        reached: outcome != Outcome::NotRun,
     }
 }
 
--- a/crates/crank-engine/examples/requests/world.rs
+++ b/crates/crank-engine/examples/requests/world.rs
@@ -397,6 +397,8 @@
             idempotent: false,
             depth: 0,
             made: held.tried.len() as u32,
+            reached: 0,
+            most: retry::MOST_ATTEMPTS,
             deadline: Moment(held.deadline),
         };
         let budget = &mut self.entries[held.entry].budget;
--- a/crates/crank-engine/src/announce.rs
+++ b/crates/crank-engine/src/announce.rs
@@ -5,7 +5,7 @@
 
 use crate::Moment;
 
-/// A backend server that has not announced itself for this long is gone.
+/// A backend server that announces itself each second and was not heard for this long is gone.
 pub const HEARTBEAT_LIMIT: Millis = Millis(3_000);
 
 /// The last announcement of a backend server.
@@ -19,19 +19,20 @@
     pub refused_at: Option<Moment>,
 }
 
-/// The stage to believe: what was announced, unless it is old or the address refuses since.
+/// The stage to believe: what was announced, unless `silence` has passed or the address refuses
+/// since.
 ///
 /// ```
-/// use crank_engine::{Moment, announce::{Heartbeat, stage}};
+/// use crank_engine::{Moment, announce::{HEARTBEAT_LIMIT, Heartbeat, stage}};
 /// use crank_protocol::member::Stage;
 /// let heard_at = Moment(0);
 /// let heartbeat = Heartbeat { stage: Stage::Ready, heard_at, refused_at: None };
-/// assert_eq!(stage(&heartbeat, Moment(1_000_000)), Stage::Ready);
-/// assert_eq!(stage(&heartbeat, Moment(3_000_000)), Stage::Gone);
+/// assert_eq!(stage(&heartbeat, Moment(1_000_000), HEARTBEAT_LIMIT), Stage::Ready);
+/// assert_eq!(stage(&heartbeat, Moment(3_000_000), HEARTBEAT_LIMIT), Stage::Gone);
 /// ```
 #[must_use]
-pub fn stage(heartbeat: &Heartbeat, now: Moment) -> Stage {
-    let is_old = now.since(heartbeat.heard_at) >= HEARTBEAT_LIMIT;
+pub fn stage(heartbeat: &Heartbeat, now: Moment, silence: Millis) -> Stage {
+    let is_old = now.since(heartbeat.heard_at) >= silence;
     let refuses = heartbeat
         .refused_at
         .is_some_and(|at| at >= heartbeat.heard_at);
--- a/crates/crank-engine/src/folder/merge.rs
+++ b/crates/crank-engine/src/folder/merge.rs
@@ -175,22 +175,31 @@
 
     fn check_services(&self, whole: &Document, faults: &mut Vec<Fault>) {
         for (name, route) in &self.routes {
-            // A service that is there but faulty is not also missing.
-            let heading = format!("service {}", route.service);
-            if whole.sections.contains_key(heading.as_str()) {
-                continue;
+            let parts = route.split.iter().map(|part| ("split", &part.service));
+            let whole_route = route
+                .split
+                .is_empty()
+                .then_some(("service", &route.service));
+            for (key, service) in parts.chain(whole_route) {
+                // A service that is there but faulty is not also missing.
+                let heading = format!("service {service}");
+                if whole.sections.contains_key(heading.as_str()) {
+                    continue;
+                }
+                let service = service.clone().into();
+                let problem = Problem::NoService { service };
+                faults.extend(route_fault(whole, name, key, problem));
             }
-            let service = route.service.clone().into();
-            let problem = Problem::NoService { service };
-            faults.extend(route_fault(whole, name, "service", problem));
         }
     }
 
     fn check_claims(&self, whole: &Document, faults: &mut Vec<Fault>) {
-        let mut claims: BTreeMap<(&str, Method), &Name> = BTreeMap::new();
+        let mut claims: BTreeMap<(Option<&str>, &str, Method), &Name> = BTreeMap::new();
         for (name, route) in &self.routes {
             for method in &route.methods {
-                let Some(other) = claims.insert((&route.path, *method), name) else {
+                let Some(other) =
+                    claims.insert((route.host.as_deref(), &route.path, *method), name)
+                else {
                     continue;
                 };
                 let problem = Problem::Claimed {
--- a/crates/crank-engine/src/folder/route.rs
+++ b/crates/crank-engine/src/folder/route.rs
@@ -3,27 +3,42 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use crank_protocol::config::{Method, Route};
+use crank_protocol::config::{Method, Route, Share};
 
 use super::Problem;
-use super::service::LONGEST_TIMEOUT_MILLIS;
+use super::service::{LONGEST_TIMEOUT_MILLIS, importance};
 use crate::ini::{self, Fault, Reader, Section, value};
 
 const LONGEST_PATH_BYTES: usize = 512;
 const PATH: &str =
-    "a path prefix such as /recipes, of plain segments, without '%', '?', '//' or a last '/'";
+    "a path prefix such as /recipes or /recipes/, of plain segments, without '%', '?' or '//'";
+const HOST: &str = "a host name in lower case, without a port";
+const SPLIT: &str = "services with their weights, such as recipes 90, panels 10";
+const LONGEST_HOST_BYTES: usize = 253;
+const MOST_WEIGHT: u32 = 1_000_000;
+const MOST_ATTEMPTS: u32 = 16;
 const METHODS: &str = "methods with blanks between them, of GET HEAD POST PUT PATCH DELETE";
 
 pub(super) fn read(section: &Section, faults: &mut Vec<Fault>) -> Option<Route> {
     let mut reader = Reader::new(section);
     let path = reader.required("path", "a path prefix such as /recipes", path);
     let methods = reader.required("methods", "such as GET HEAD", methods);
-    let service = reader.required("service", "the service it leads to", value::name);
+    let split = reader.optional("split", split).unwrap_or_default();
+    let service = match split.first() {
+        Some(first) => Some(first.service.clone()),
+        None => reader.required("service", "the service it leads to", value::name),
+    };
     let timeout = reader.optional("timeout", |text| {
         value::duration(text, 1, LONGEST_TIMEOUT_MILLIS)
     });
     let idempotent = reader.optional("idempotent", value::flag).unwrap_or(false);
     let once = reader.optional("once", value::flag).unwrap_or(false);
+    let host = reader.optional("host", host);
+    let attempts = reader.optional("attempts", |text| value::count(text, 1, MOST_ATTEMPTS));
+    let importance = reader.optional("importance", importance);
+    let latency = reader.optional("latency", |text| {
+        value::duration(text, 1, LONGEST_TIMEOUT_MILLIS)
+    });
     if idempotent && once {
         reader.refuse("once", Problem::OnceAndIdempotent.into());
     }
@@ -35,13 +50,47 @@
         timeout,
         idempotent,
         once,
+        host,
+        split,
+        attempts,
+        importance,
+        latency,
     })
 }
 
+fn host(text: &str) -> Result<Arc<str>, ini::Problem> {
+    let plain =
+        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-.".contains(&byte);
+    let fits = !text.is_empty() && text.len() <= LONGEST_HOST_BYTES && text.bytes().all(plain);
+    fits.then(|| text.into())
+        .ok_or_else(|| ini::Problem::BadValue {
+            given: text.into(),
+            wanted: HOST,
+        })
+}
+
+fn split(text: &str) -> Result<Vec<Share>, ini::Problem> {
+    let bad = || ini::Problem::BadValue {
+        given: text.into(),
+        wanted: SPLIT,
+    };
+    let share = |part: &str| -> Result<Share, ini::Problem> {
+        let (service, weight) = part.trim().split_once(' ').ok_or_else(bad)?;
+        Ok(Share {
+            service: value::name(service)?,
+            weight: value::count(weight.trim(), 0, MOST_WEIGHT)?,
+        })
+    };
+    let shares: Vec<Share> = text.split(',').map(share).collect::<Result<_, _>>()?;
+    let has_weight = shares.iter().any(|share| share.weight > 0);
+    has_weight.then_some(shares).ok_or_else(bad)
+}
+
 fn path(text: &str) -> Result<Arc<str>, ini::Problem> {
-    let segments_fit = text
-        .strip_prefix('/')
-        .is_some_and(|rest| rest.is_empty() || rest.split('/').all(is_segment));
+    let segments_fit = text.strip_prefix('/').is_some_and(|rest| {
+        let segments = rest.strip_suffix('/').unwrap_or(rest);
+        rest.is_empty() || segments.split('/').all(is_segment)
+    });
     if segments_fit && text.len() <= LONGEST_PATH_BYTES {
         return Ok(text.into());
     }
--- a/crates/crank-engine/src/folder/service.rs
+++ b/crates/crank-engine/src/folder/service.rs
@@ -85,7 +85,7 @@
     })
 }
 
-fn importance(text: &str) -> Result<Importance, ini::Problem> {
+pub(super) fn importance(text: &str) -> Result<Importance, ini::Problem> {
     match text {
         "low" => Ok(Importance::Low),
         "normal" => Ok(Importance::Normal),
--- a/crates/crank-engine/src/retry.rs
+++ b/crates/crank-engine/src/retry.rs
@@ -50,10 +50,12 @@
 /// ```
 #[must_use]
 pub fn refused(refusal: Refusal, load: Option<Load>) -> Refused {
+    let outcome = outcome(&refusal);
     Refused {
-        outcome: outcome(&refusal),
+        outcome,
         refusal,
         load,
+        reached: outcome != Outcome::NotRun,
     }
 }
 
@@ -80,6 +82,16 @@
 pub struct Budget {
     share: Permille,
     tokens: u64,
+    repeats: Option<Repeats>,
+}
+
+/// Bounds the requests that come to a service's backend servers more than once, over all nodes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Repeats {
+    share: Permille,
+    most: u64,
+    tokens: u64,
 }
 
 impl Budget {
@@ -98,7 +110,52 @@
         } else {
             FULL_BUDGET_RETRIES * TOKENS_PER_RETRY
         };
-        Self { share, tokens }
+        Self {
+            share,
+            tokens,
+            repeats: None,
+        }
+    }
+
+    /// Bounds repeats at backend servers too: this share of the requests, and `slack` in
+    /// thousandths of a repeat at once.
+    ///
+    /// The slack may change with the number of nodes that divide what a whole fleet is allowed. It
+    /// begins with one repeat at most, because a node that has just started knows few others.
+    ///
+    /// ```
+    /// # use crank_engine::retry::Budget;
+    /// # use crank_protocol::Permille;
+    /// let mut budget = Budget::new(Permille(100));
+    /// budget.bound_repeats(Permille(200), 2_500);
+    /// assert_eq!((0..9).filter(|_| budget.repeat()).count(), 1);
+    /// ```
+    pub fn bound_repeats(&mut self, share: Permille, slack: u64) {
+        let tokens = match &self.repeats {
+            Some(held) => held.tokens.min(slack),
+            None => slack.min(TOKENS_PER_RETRY),
+        };
+        self.repeats = Some(Repeats {
+            share,
+            most: slack,
+            tokens,
+        });
+    }
+
+    /// Pays for a request that may come to a backend server once more; free where unbounded.
+    ///
+    /// ```
+    /// # use crank_engine::retry::Budget;
+    /// # use crank_protocol::Permille;
+    /// assert!(Budget::new(Permille(100)).repeat());
+    /// ```
+    pub fn repeat(&mut self) -> bool {
+        let Some(repeats) = &mut self.repeats else {
+            return true;
+        };
+        let left = repeats.tokens.checked_sub(TOKENS_PER_RETRY);
+        repeats.tokens = left.unwrap_or(repeats.tokens);
+        left.is_some()
     }
 
     /// Takes another share from now on.
@@ -132,6 +189,10 @@
     pub fn earn(&mut self) {
         let earned = self.tokens.saturating_add(u64::from(self.share.0));
         self.tokens = earned.min(FULL_BUDGET_RETRIES * TOKENS_PER_RETRY);
+        if let Some(repeats) = &mut self.repeats {
+            let earned = repeats.tokens.saturating_add(u64::from(repeats.share.0));
+            repeats.tokens = earned.min(repeats.most);
+        }
     }
 
     /// Pays for a retry, if there is enough left.
@@ -162,6 +223,10 @@
     pub depth: u32,
     /// Attempts made so far.
     pub made: u32,
+    /// How many of them may have come to a backend server.
+    pub reached: u32,
+    /// The most that may come to a backend server.
+    pub most: u32,
     /// When its time is over.
     pub deadline: Moment,
 }
@@ -175,7 +240,9 @@
 /// use crank_engine::{Moment, retry};
 /// use crank_protocol::{Permille, call::Refusal};
 /// let mut budget = retry::Budget::new(Permille(100));
-/// let order = retry::Attempt { idempotent: false, depth: 0, made: 1, deadline: Moment(900) };
+/// let order = retry::Attempt {
+///     idempotent: false, depth: 0, made: 1, reached: 0, most: 2, deadline: Moment(900),
+/// };
 /// let leaving = retry::refused(Refusal::Leaving, None);
 /// assert!(retry::again(Moment(0), order, &leaving, &mut budget));
 /// let lost = retry::refused(Refusal::Lost, None);
@@ -190,8 +257,31 @@
     safe && another_may_differ(&refused.refusal)
         && attempt.depth == 0
         && attempt.made < MOST_ATTEMPTS
+        && attempt.reached < attempt.most
+        && now < attempt.deadline
+        && budget.spend()
+        && (!refused.reached || budget.repeat())
+}
+
+/// Whether a request that a backend server answered with a failure of its own is tried at another.
+///
+/// ```
+/// use crank_engine::{Moment, retry};
+/// use crank_protocol::Permille;
+/// let mut budget = retry::Budget::new(Permille(100));
+/// let lookup = retry::Attempt {
+///     idempotent: true, depth: 0, made: 1, reached: 1, most: 2, deadline: Moment(900),
+/// };
+/// assert!(retry::failed_again(Moment(0), lookup, &mut budget));
+/// ```
+pub fn failed_again(now: Moment, attempt: Attempt, budget: &mut Budget) -> bool {
+    attempt.idempotent
+        && attempt.depth == 0
+        && attempt.made < MOST_ATTEMPTS
+        && attempt.reached < attempt.most
         && now < attempt.deadline
         && budget.spend()
+        && budget.repeat()
 }
 
 fn another_may_differ(refusal: &Refusal) -> bool {
--- a/crates/crank-engine/src/route.rs
+++ b/crates/crank-engine/src/route.rs
@@ -4,8 +4,13 @@
 use std::sync::Arc;
 
 use crank_protocol::call::Refusal;
-use crank_protocol::config::{Config, Method, Route, Service, Snapshot, Version};
-use crank_protocol::{Millis, Name};
+use crank_protocol::config::{
+    Config, Importance, Method, Objective, Route, Service, Snapshot, Version,
+};
+use crank_protocol::{Millis, Name, Permille};
+
+/// The share of good answers wanted of a route that states a latency and a service that states none.
+const USUAL_GOOD: Permille = Permille(990);
 
 /// A route with the policy of its service, as one configuration states them.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,13 +36,98 @@
     pub fn timeout(&self) -> Millis {
         self.route.timeout.unwrap_or(self.service.timeout)
     }
+
+    /// What is kept for longer when there is not room for all.
+    ///
+    /// ```
+    /// # use crank_engine::route::Rule;
+    /// # use crank_protocol::config::Importance;
+    /// fn goes_first(rule: &Rule) -> bool {
+    ///     rule.importance() == Importance::High
+    /// }
+    /// ```
+    #[must_use]
+    pub fn importance(&self) -> Importance {
+        self.route.importance.unwrap_or(self.service.importance)
+    }
+
+    /// The time within which an answer is good, where there is such an objective.
+    ///
+    /// ```
+    /// # use crank_engine::route::Rule;
+    /// fn is_measured(rule: &Rule) -> bool {
+    ///     rule.objective().is_some()
+    /// }
+    /// ```
+    #[must_use]
+    pub fn objective(&self) -> Option<Objective> {
+        let stated = self.service.objective;
+        match self.route.latency {
+            Some(latency) => {
+                let good = stated.map_or(USUAL_GOOD, |objective| objective.good);
+                Some(Objective { good, latency })
+            }
+            None => stated,
+        }
+    }
 }
 
 /// The routes of one configuration, immutable; a request keeps the table that it began with.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Table {
     version: Version,
-    rules: BTreeMap<Box<str>, BTreeMap<Method, Arc<Rule>>>,
+    any_host: Paths,
+    hosts: BTreeMap<Box<str>, Paths>,
+}
+
+type Paths = BTreeMap<Box<str>, BTreeMap<Method, Fork>>;
+
+/// The services of one route, each with its weight; one alone where the route is not split.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Fork {
+    parts: Vec<(u32, Arc<Rule>)>,
+}
+
+impl Fork {
+    /// `None` where no part has weight and a service in the configuration.
+    fn new(name: &Name, route: &Route, config: &Config) -> Option<Self> {
+        let whole = (1, &route.service);
+        let split = route.split.iter().map(|part| (part.weight, &part.service));
+        let parts: Vec<_> = match route.split.as_slice() {
+            [] => vec![whole],
+            _ => split.filter(|(weight, _)| *weight > 0).collect(),
+        };
+        let rule = |(weight, service): (u32, &Name)| {
+            let policy = config.services.get(service)?;
+            let rule = Rule {
+                name: name.clone(),
+                route: Route {
+                    service: service.clone(),
+                    ..route.clone()
+                },
+                service: policy.clone(),
+            };
+            Some((weight, Arc::new(rule)))
+        };
+        let parts: Vec<_> = parts.into_iter().filter_map(rule).collect();
+        (!parts.is_empty()).then_some(Self { parts })
+    }
+
+    fn pick(&self, draw: u32) -> Option<&Arc<Rule>> {
+        let total: u64 = self
+            .parts
+            .iter()
+            .map(|(weight, _)| u64::from(*weight))
+            .sum();
+        let mut left = u64::from(draw) * total >> u32::BITS;
+        for (weight, rule) in &self.parts {
+            match left.checked_sub(u64::from(*weight)) {
+                Some(rest) => left = rest,
+                None => return Some(rule),
+            }
+        }
+        None
+    }
 }
 
 impl Table {
@@ -58,7 +148,8 @@
     pub fn new(snapshot: &Snapshot) -> Self {
         let mut table = Self {
             version: snapshot.stamp.version,
-            rules: BTreeMap::new(),
+            any_host: Paths::new(),
+            hosts: BTreeMap::new(),
         };
         for (name, route) in &snapshot.config.routes {
             table.add(name, route, &snapshot.config);
@@ -67,18 +158,17 @@
     }
 
     fn add(&mut self, name: &Name, route: &Route, config: &Config) {
-        let Some(service) = config.services.get(&route.service) else {
+        let Some(fork) = Fork::new(name, route, config) else {
             return;
         };
-        let rule = Arc::new(Rule {
-            name: name.clone(),
-            route: route.clone(),
-            service: service.clone(),
-        });
-        let prefix = route.path.trim_end_matches('/');
-        let methods = self.rules.entry(prefix.into()).or_default();
+        let paths = match &route.host {
+            Some(host) => self.hosts.entry(Box::from(&**host)).or_default(),
+            None => &mut self.any_host,
+        };
+        let prefix = if &*route.path == "/" { "" } else { &route.path };
+        let methods = paths.entry(prefix.into()).or_default();
         for method in &route.methods {
-            methods.entry(*method).or_insert_with(|| rule.clone());
+            methods.entry(*method).or_insert_with(|| fork.clone());
         }
     }
 
@@ -115,19 +205,54 @@
     /// assert!(matches!(table.find(Method::Get, "/a/../b"), Err(Refusal::BadRequest { .. })));
     /// ```
     pub fn find(&self, method: Method, path: &str) -> Result<&Arc<Rule>, Refusal> {
+        self.find_at("", method, path, 0)
+    }
+
+    /// The same for a host; routes of that host go before those of all hosts.
+    ///
+    /// `draw` is a number drawn for the request, by which a split route deals it to a service.
+    ///
+    /// # Errors
+    /// As [`Table::find`].
+    ///
+    /// ```
+    /// # use crank_engine::route::{Rule, Table};
+    /// # use crank_protocol::{Name, call::Refusal, config::Method};
+    /// fn service(table: &Table, host: &str, draw: u32) -> Result<Name, Refusal> {
+    ///     let rule = table.find_at(host, Method::Get, "/recipes/7", draw)?;
+    ///     Ok(rule.route.service.clone())
+    /// }
+    /// ```
+    pub fn find_at(
+        &self,
+        host: &str,
+        method: Method,
+        path: &str,
+        draw: u32,
+    ) -> Result<&Arc<Rule>, Refusal> {
         let path = path.split(['?', '#']).next().unwrap_or_default();
         check(path)?;
-        let mut prefix = path.trim_end_matches('/');
-        loop {
-            let methods = self.rules.get(prefix);
-            if let Some(rule) = methods.and_then(|methods| methods.get(&method)) {
-                return Ok(rule);
-            }
-            let Some((shorter, _)) = prefix.rsplit_once('/') else {
-                return Err(Refusal::NoRoute);
-            };
-            prefix = shorter;
+        let own = self.hosts.get(host);
+        let fork = own.and_then(|paths| longest(paths, method, path));
+        let fork = fork.or_else(|| longest(&self.any_host, method, path));
+        fork.and_then(|fork| fork.pick(draw))
+            .ok_or(Refusal::NoRoute)
+    }
+}
+
+/// Tries the whole path and each shorter one at a border, with its last slash before without it.
+fn longest<'a>(paths: &'a Paths, method: Method, path: &str) -> Option<&'a Fork> {
+    let found = |prefix: &str| paths.get(prefix).and_then(|methods| methods.get(&method));
+    let mut prefix = path;
+    loop {
+        if let Some(fork) = found(prefix) {
+            return Some(fork);
+        }
+        let slash = prefix.rfind('/')?;
+        if let Some(fork) = found(&prefix[..=slash]) {
+            return Some(fork);
         }
+        prefix = &prefix[..slash];
     }
 }
 
--- a/crates/crank-engine/tests/retries.rs
+++ b/crates/crank-engine/tests/retries.rs
@@ -13,6 +13,8 @@
         idempotent,
         depth,
         made,
+        reached: made,
+        most: MOST_ATTEMPTS,
         deadline: Moment(u64::MAX),
     }
 }
--- a/crates/crank-engine/tests/routing.rs
+++ b/crates/crank-engine/tests/routing.rs
@@ -44,6 +44,11 @@
                 timeout: None,
                 idempotent: true,
                 once: false,
+                host: None,
+                split: Vec::new(),
+                attempts: None,
+                importance: None,
+                latency: None,
             };
             (name(&format!("r{number}")), route)
         })
--- a/crates/crank-engine/tests/spreading.rs
+++ b/crates/crank-engine/tests/spreading.rs
@@ -38,6 +38,11 @@
         timeout: None,
         idempotent: true,
         once: false,
+        host: None,
+        split: Vec::new(),
+        attempts: None,
+        importance: None,
+        latency: None,
     };
     let config = Config {
         account: Account {
--- a/crates/crank-mesh/examples/spreading/scene.rs
+++ b/crates/crank-mesh/examples/spreading/scene.rs
@@ -327,6 +327,11 @@
         timeout: (index as u64 == version % ROUTES as u64).then_some(Millis(version)),
         idempotent: index.is_multiple_of(2),
         once: !index.is_multiple_of(2),
+        host: None,
+        split: Vec::new(),
+        attempts: None,
+        importance: None,
+        latency: None,
     };
     let config = Config {
         account: Account {
--- a/crates/crank-mesh/src/call/attempt.rs
+++ b/crates/crank-mesh/src/call/attempt.rs
@@ -207,5 +207,6 @@
         refusal,
         outcome,
         load: None,
+        reached: outcome != Outcome::NotRun,
     }
 }
--- a/crates/crank-mesh/src/call/link.rs
+++ b/crates/crank-mesh/src/call/link.rs
@@ -341,11 +341,13 @@
             refusal,
             outcome,
             load,
+            reached,
         } => {
             let refused = Refused {
                 refusal,
                 outcome,
                 load,
+                reached,
             };
             attempts.refuse(attempt, refused);
         }
--- a/crates/crank-mesh/src/call/server.rs
+++ b/crates/crank-mesh/src/call/server.rs
@@ -281,6 +281,7 @@
             refusal: refused.refusal,
             outcome: refused.outcome,
             load: refused.load,
+            reached: refused.reached,
         };
         let _ = self.outgoing.send(frame).await;
     }
--- a/crates/crank-mesh/tests/call_frames.rs
+++ b/crates/crank-mesh/tests/call_frames.rs
@@ -83,6 +83,7 @@
         refusal,
         outcome: Outcome::Ran,
         load: None,
+        reached: false,
     })?;
     Ok(String::from_utf8(pieces.concat()).unwrap())
 }
--- a/crates/crank-mesh/tests/support/mod.rs
+++ b/crates/crank-mesh/tests/support/mod.rs
@@ -101,6 +101,11 @@
         timeout: None,
         idempotent: true,
         once: false,
+        host: None,
+        split: Vec::new(),
+        attempts: None,
+        importance: None,
+        latency: None,
     };
     let routes: BTreeMap<Name, Route> = (0..version)
         .map(|index| (name(&format!("route-{index}")), route(index)))
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -18,7 +18,7 @@
 use crank_protocol::call::{Answer, Body, Head, Load, Outcome, Refusal, Refused, Request};
 use crank_protocol::config::{Snapshot, Version};
 use crank_protocol::member::{Place, Stage};
-use crank_protocol::{Millis, Name};
+use crank_protocol::{Dialect, Millis, Name, Permille};
 use futures::StreamExt;
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -34,6 +34,9 @@
     queue: 256,
 };
 
+/// When to ask again for what was too late within the route's time.
+const LATE_WAIT: Millis = Millis(100);
+
 /// The edge to the targets' nodes, this one included.
 pub trait Links: Send + Sync + 'static {
     /// Sends one attempt to a target's node; dropping the future cancels it.
@@ -68,6 +71,43 @@
     pub links: L,
     /// Where every finished request is counted.
     pub burn: Arc<Mutex<burn::Burn>>,
+    /// What differs from one platform to another.
+    pub customs: Customs,
+}
+
+/// What differs from one platform to another at the entry; the default is the project's own.
+#[derive(Debug, Clone, Default)]
+pub struct Customs {
+    /// The header names of callers and backend servers.
+    pub dialect: Arc<Dialect>,
+    /// The service beside this node, as its requests are marked.
+    pub origin: Option<Name>,
+    /// What bounds the requests that reach backend servers more than once.
+    pub repeats: Option<Repeats>,
+}
+
+/// What all nodes together may let come to a service's backend servers more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Repeats {
+    /// The share of the service's requests.
+    pub share: Permille,
+    /// What is allowed beyond it, in thousandths of a repeat, over all nodes.
+    pub slack: u64,
+}
+
+impl Repeats {
+    /// The part of one of so many nodes, which need not ask each other.
+    ///
+    /// ```
+    /// use crank_node::entry::Repeats;
+    /// use crank_protocol::Permille;
+    /// let repeats = Repeats { share: Permille(200), slack: 56_000 };
+    /// assert_eq!(repeats.slack_of_one(28), 2_000);
+    /// ```
+    #[must_use]
+    pub fn slack_of_one(self, nodes: u64) -> u64 {
+        self.slack / nodes.max(1)
+    }
 }
 
 /// Takes callers' requests; cloning shares it.
@@ -107,7 +147,41 @@
     head: Head,
     body: Bytes,
     began: Moment,
+    /// When its time is over.
     deadline: Moment,
+    /// When the caller gives it up.
+    leaves_at: Moment,
+}
+
+impl Routed {
+    fn attempt(&self, tried: &[Name], reached: u32) -> retry::Attempt {
+        retry::Attempt {
+            idempotent: self.head.idempotent,
+            depth: self.head.depth,
+            made: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+            reached,
+            most: self.rule.route.attempts.unwrap_or(retry::MOST_ATTEMPTS),
+            deadline: self.deadline,
+        }
+    }
+
+    /// What was not run within the route's time may be asked again by a caller who still waits.
+    fn refused(&self, refusal: Refusal, outcome: Outcome, now: Moment, reached: bool) -> Refused {
+        let refusal = match refusal {
+            Refusal::TooLate if outcome == Outcome::NotRun && now < self.leaves_at => {
+                Refusal::Overloaded {
+                    retry_after: LATE_WAIT,
+                }
+            }
+            refusal => refusal,
+        };
+        Refused {
+            refusal,
+            outcome,
+            load: None,
+            reached,
+        }
+    }
 }
 
 impl<L: Links> crank_caller::Gateway for Entry<L> {
@@ -188,8 +262,11 @@
 
     async fn prepare(&self, request: Request, began: Moment) -> Result<(Routed, Passes), Refusal> {
         let table = self.table()?;
-        let rule = table.find(request.method, &request.path)?.clone();
-        let asked = Asked::read(&request, &rule)?;
+        let rule = table
+            .find_at(&request.host, request.method, &request.path, rand::random())?
+            .clone();
+        let customs = &self.shared.parts.customs;
+        let asked = Asked::read(&request, &rule, &customs.dialect)?;
         if asked.depth == 0 {
             self.shared.drain.lock().admit(began, asked.depth)?;
         }
@@ -199,7 +276,8 @@
         let turn = self.enter(&bulkhead, &rule, deadline, asked.depth).await;
         let pass = turn.inspect_err(|_| self.record(&rule, false, began))?;
         let routed = Routed {
-            head: asked.head(&request, &rule, table.version()),
+            leaves_at: began.after(asked.patience),
+            head: asked.head(&request, &rule, table.version(), customs),
             body: request.body,
             rule,
             bulkhead,
@@ -217,7 +295,7 @@
         deadline: Moment,
         depth: u32,
     ) -> Result<Passes, Refusal> {
-        let importance = rule.service.importance;
+        let importance = rule.importance();
         let service = bulkhead.gate().enter(importance, deadline, depth).await?;
         let places = &self.shared.places;
         Ok(Passes {
@@ -229,38 +307,40 @@
     /// Tries one target after another, as long as that is safe and worth it.
     async fn try_targets(&self, routed: &Routed) -> Result<Answer, Refused> {
         let mut tried: Vec<Name> = Vec::new();
+        let mut reached = 0;
         let mut certain = Outcome::NotRun;
         let mut last = Refusal::NoServer;
+        let mut failure = None;
         routed.bulkhead.earn();
         loop {
             self.refresh(&routed.bulkhead, routed.head.version, &routed.rule);
-            let choice = routed.bulkhead.choose(self.now(), &tried);
-            let Some(choice) = choice else {
+            let Some(choice) = routed.bulkhead.choose(self.now(), &tried) else {
                 break;
             };
-            let refused = match self.attempt(routed, &choice).await {
-                Ok(answer) => return Ok(answer),
-                Err(refused) => refused,
-            };
-            certain = retry::combine(certain, refused.outcome);
+            let result = self.attempt(routed, &choice).await;
             tried.push(choice.id);
-            let attempt = retry::Attempt {
-                idempotent: routed.head.idempotent,
-                depth: routed.head.depth,
-                made: u32::try_from(tried.len()).unwrap_or(u32::MAX),
-                deadline: routed.deadline,
-            };
-            let again = routed.bulkhead.again(self.now(), attempt, &refused);
-            last = refused.refusal;
-            if !again {
-                break;
+            reached += u32::from(result.as_ref().err().is_none_or(|refused| refused.reached));
+            let attempt = routed.attempt(&tried, reached);
+            let now = self.now();
+            match result {
+                Ok(answer) if answer.head.status < FIRST_SERVER_FAULT => return Ok(answer),
+                Ok(answer) => {
+                    if !routed.bulkhead.failed_again(now, attempt) {
+                        return Ok(answer);
+                    }
+                    failure = Some(answer);
+                }
+                Err(refused) => {
+                    certain = retry::combine(certain, refused.outcome);
+                    let again = routed.bulkhead.again(now, attempt, &refused);
+                    last = refused.refusal;
+                    if !again {
+                        break;
+                    }
+                }
             }
         }
-        Err(Refused {
-            refusal: last,
-            outcome: certain,
-            load: None,
-        })
+        failure.ok_or_else(|| routed.refused(last, certain, self.now(), reached > 0))
     }
 
     async fn attempt(&self, routed: &Routed, choice: &Choice) -> Result<Answer, Refused> {
@@ -335,7 +415,7 @@
             return bulkhead.clone();
         }
         let parts = &self.shared.parts;
-        let bulkhead = Arc::new(Bulkhead::new(parts.clock, &parts.own, &parts.place, rule));
+        let bulkhead = Arc::new(Bulkhead::new(parts, rule));
         bulkheads.insert(name.clone(), bulkhead.clone());
         bulkhead
     }
@@ -450,7 +530,7 @@
 }
 
 fn record(burn: &Mutex<burn::Burn>, rule: &Rule, answered: bool, began: Moment, now: Moment) {
-    let objective = rule.service.objective.as_ref();
-    let good = burn::is_good(objective, answered, now.since(began));
+    let objective = rule.objective();
+    let good = burn::is_good(objective.as_ref(), answered, now.since(began));
     burn.lock().record(&rule.route.service, good, now);
 }
--- a/crates/crank-node/src/entry/asked.rs
+++ b/crates/crank-node/src/entry/asked.rs
@@ -1,46 +1,56 @@
 use std::sync::Arc;
 
 use crank_engine::route::Rule;
-use crank_protocol::Millis;
-use crank_protocol::call::{
-    DEPTH_HEADER, Head, Header, IDEMPOTENCY_HEADER, REQUEST_HEADER, Refusal, Request,
-    TIMEOUT_HEADER,
-};
+use crank_protocol::call::{DEPTH_HEADER, Head, Header, IDEMPOTENCY_HEADER, Refusal, Request};
 use crank_protocol::config::Version;
+use crank_protocol::{Dialect, Millis};
 
+use super::Customs;
+
+const HOST_HEADER: &str = "host";
 const LONGEST_KEY_BYTES: usize = 255;
 const HEXADECIMAL: u32 = 16;
 
 /// What a request's headers ask for.
 pub(super) struct Asked {
+    /// How long it may take: the caller's limit and the route's.
     pub(super) timeout: Millis,
+    /// How long the caller waits.
+    pub(super) patience: Millis,
     request: u128,
     pub(super) depth: u32,
     once: Option<Arc<str>>,
 }
 
 impl Asked {
-    pub(super) fn read(request: &Request, rule: &Rule) -> Result<Self, Refusal> {
+    pub(super) fn read(request: &Request, rule: &Rule, dialect: &Dialect) -> Result<Self, Refusal> {
         let longest = rule.timeout();
-        let timeout = number(request, TIMEOUT_HEADER)?;
+        let timeout = number(request, &dialect.timeout)?;
         let depth = number(request, DEPTH_HEADER)?.unwrap_or(0);
         Ok(Self {
             timeout: timeout.map_or(longest, |asked| Millis(asked).min(longest)),
-            request: identifier(request),
+            patience: timeout.map_or(longest, Millis),
+            request: identifier(request, &dialect.request),
             depth: u32::try_from(depth).unwrap_or(u32::MAX),
             once: once(request, rule)?,
         })
     }
 
-    pub(super) fn head(self, request: &Request, rule: &Rule, version: Version) -> Head {
+    pub(super) fn head(
+        self,
+        request: &Request,
+        rule: &Rule,
+        version: Version,
+        customs: &Customs,
+    ) -> Head {
         Head {
             request: self.request,
             service: rule.route.service.clone(),
             method: request.method,
             path: request.path.clone(),
-            headers: request.headers.clone(),
+            headers: headers(request, rule, customs),
             time_left: self.timeout,
-            importance: rule.service.importance,
+            importance: rule.importance(),
             idempotent: rule.route.idempotent,
             once: self.once,
             depth: self.depth,
@@ -49,6 +59,32 @@
     }
 }
 
+/// The caller's headers, with those that only a node may set.
+fn headers(request: &Request, rule: &Rule, customs: &Customs) -> Vec<Header> {
+    let header = |name: &Arc<str>, value: &str| Header {
+        name: name.clone(),
+        value: value.as_bytes().to_vec(),
+    };
+    let dialect = &customs.dialect;
+    let own = [&dialect.origin, &dialect.server, &dialect.not_run];
+    let is_own = |name: &str| {
+        let mut names = own.into_iter().flatten();
+        names.any(|own| own.eq_ignore_ascii_case(name))
+    };
+    let kept = request
+        .headers
+        .iter()
+        .filter(|header| !is_own(&header.name));
+    let mut headers: Vec<Header> = kept.cloned().collect();
+    if let (Some(name), Some(origin)) = (&dialect.origin, &customs.origin) {
+        headers.push(header(name, origin.as_str()));
+    }
+    if rule.route.host.is_some() {
+        headers.push(header(&Arc::from(HOST_HEADER), &request.host));
+    }
+    headers
+}
+
 fn once(request: &Request, rule: &Rule) -> Result<Option<Arc<str>>, Refusal> {
     if !rule.route.once {
         return Ok(None);
@@ -70,8 +106,8 @@
     }
 }
 
-fn identifier(request: &Request) -> u128 {
-    text(request, REQUEST_HEADER)
+fn identifier(request: &Request, name: &str) -> u128 {
+    text(request, name)
         .ok()
         .flatten()
         .and_then(|text| u128::from_str_radix(&text.replace('-', ""), HEXADECIMAL).ok())
--- a/crates/crank-node/src/entry/bulkhead.rs
+++ b/crates/crank-node/src/entry/bulkhead.rs
@@ -8,11 +8,11 @@
 use crank_mesh::View;
 use crank_protocol::call::{Answer, Refusal, Refused};
 use crank_protocol::config::{Service, Version};
-use crank_protocol::member::{Place, Stage};
+use crank_protocol::member::{self, Member, Stage};
 use crank_protocol::{Millis, Name};
 use parking_lot::Mutex;
 
-use super::FIRST_SERVER_FAULT;
+use super::{FIRST_SERVER_FAULT, Parts, Repeats};
 use crate::clock::Clock;
 use crate::gate::Gate;
 
@@ -32,17 +32,20 @@
     budget: Budget,
     version: Version,
     view: Option<Arc<View>>,
+    repeats: Option<Repeats>,
 }
 
 impl Bulkhead {
-    pub(super) fn new(clock: Clock, own: &Name, place: &Place, rule: &Rule) -> Self {
+    pub(super) fn new<L>(parts: &Parts<L>, rule: &Rule) -> Self {
+        let clock = parts.clock;
         let gate = Gate::new(clock, size(&rule.service, 0));
         gate.announce(Stage::Ready, Millis(0));
         let state = State {
-            pool: Pool::new(own.clone(), place.clone()),
+            pool: Pool::new(parts.own.clone(), parts.place.clone()),
             budget: Budget::new(rule.service.retry_budget),
             version: Version::default(),
             view: None,
+            repeats: parts.customs.repeats,
         };
         Self {
             gate,
@@ -68,6 +71,10 @@
         state.view = Some(view.clone());
         state.budget.set_share(rule.service.retry_budget);
         let name = &rule.route.service;
+        if let Some(repeats) = state.repeats {
+            let slack = repeats.slack_of_one(nodes(view));
+            state.budget.bound_repeats(repeats.share, slack);
+        }
         let reached = view.members().filter(|member| view.reaches(member));
         state.pool.update(now, name, &rule.service, reached);
         self.gate.resize(size(&rule.service, state.pool.slots()));
@@ -82,12 +89,24 @@
         state.pool.choose(now, tried, &mut rand::rng())
     }
 
+    /// Whether a request that its server answered with a failure is tried at another.
+    pub(super) fn failed_again(&self, now: Moment, attempt: retry::Attempt) -> bool {
+        let mut state = self.state.lock();
+        retry::failed_again(now, attempt, &mut state.budget)
+    }
+
     pub(super) fn again(&self, now: Moment, attempt: retry::Attempt, refused: &Refused) -> bool {
         let mut state = self.state.lock();
         retry::again(now, attempt, refused, &mut state.budget)
     }
 }
 
+/// The nodes that may be alive.
+fn nodes(view: &View) -> u64 {
+    let left = |member: &&Member| member.state != member::State::Left;
+    view.members().filter(left).count() as u64
+}
+
 /// Room for all that the targets can run and let wait.
 fn size(service: &Service, slots: u32) -> Size {
     let targets = slots.div_ceil(service.slots.max(1)).max(1);
--- a/crates/crank-node/src/follow.rs
+++ b/crates/crank-node/src/follow.rs
@@ -6,7 +6,7 @@
 
 use crank_engine::overlay;
 use crank_mesh::{Handle, Step, View, Vitals};
-use crank_platform_client::Platform;
+use crank_platform_client::Rows;
 use crank_protocol::Name;
 use crank_protocol::config::Snapshot;
 use crank_protocol::member::{Endpoint, Stage};
@@ -63,12 +63,12 @@
 }
 
 /// Keeps what the mesh tells of this node, and whether it takes requests, up to date.
-pub(crate) async fn vitals<P: Platform, F: Forwarder>(
+pub(crate) async fn vitals<P: Rows, F: Forwarder>(
     mesh: Handle,
     ready: Arc<watch::Sender<bool>>,
     target: Target<P, F>,
     draining: CancellationToken,
-    operators: SocketAddr,
+    operators: Option<SocketAddr>,
 ) {
     let mut mesh_ready = mesh.ready();
     loop {
@@ -79,7 +79,7 @@
         mesh.set_vitals(Vitals {
             ready: is_ready,
             in_flight: load.running + load.waiting,
-            operators: Some(operators),
+            operators,
         });
         let _ = tokio::time::timeout(VITALS_PERIOD, mesh_ready.changed()).await;
     }
--- a/crates/crank-node/src/join.rs
+++ b/crates/crank-node/src/join.rs
@@ -5,85 +5,89 @@
 use crank_engine::backoff;
 use crank_mesh::{Handle, Head};
 use crank_platform_client::contacts::Contact;
-use crank_platform_client::{Error, Platform, configs, contacts, head};
+use crank_platform_client::{Error, Platform, Rows, configs, contacts, head};
 use crank_protocol::Name;
 use crank_protocol::member::Place;
 
 const CONTACT_REFRESH: Duration = Duration::from_secs(600);
+const SHORTEST_SEARCH: Duration = Duration::from_millis(500);
+const LONGEST_SEARCH: Duration = Duration::from_millis(2_000);
 
-/// Helps a starting node to its peers and to the accepted configuration.
+/// Helps a starting node to its peers: the contact rows, of which each node keeps one.
 #[derive(Clone)]
-pub struct Join<P> {
+pub struct Contacts<P> {
     /// The client account.
     pub account: Name,
     /// The node's name.
     pub own: Name,
     /// Where the node stands.
     pub place: Place,
-    /// The platform's store.
+    /// The platform's table service.
     pub platform: P,
     /// The mesh.
     pub mesh: Handle,
 }
 
-impl<P: Platform> Join<P> {
-    /// Asks the store until this node may serve.
+impl<P: Rows> Contacts<P> {
+    /// Looks for peers until there is one, and now and then after that.
     ///
     /// ```
-    /// # use crank_node::join::Join;
-    /// # use crank_platform_client::Platform;
-    /// fn start<P: Platform>(join: Join<P>) {
-    ///     tokio::spawn(join.until_ready());
+    /// # use crank_node::join::Contacts;
+    /// # use crank_platform_client::Rows;
+    /// fn start<P: Rows>(contacts: Contacts<P>) {
+    ///     tokio::spawn(contacts.find_peers());
     /// }
     /// ```
-    pub async fn until_ready(self) {
-        let mut ready = self.mesh.ready();
+    pub async fn find_peers(self) {
         let mut failures = 0;
-        while !*ready.borrow() {
-            if let Err(error) = self.ask().await {
-                log::warn!(error:% = error; "the store does not help a starting node");
-                let _ = self.mesh.head(Head::Down).await;
+        loop {
+            let is_alone = self.is_alone();
+            if is_alone && let Err(error) = self.read().await {
+                log::debug!(error:% = error; "contact rows not read");
             }
-            failures += 1;
+            failures = if is_alone { failures + 1 } else { 0 };
             let wait = Duration::from(backoff::wait(failures, &mut rand::rng()));
-            let _ = tokio::time::timeout(wait, ready.wait_for(|ready| *ready)).await;
+            tokio::time::sleep(wait.clamp(SHORTEST_SEARCH, LONGEST_SEARCH)).await;
         }
     }
 
-    /// One round: peers from the contact rows, then the head and its configuration.
-    async fn ask(&self) -> Result<(), Error> {
+    fn is_alone(&self) -> bool {
+        let view = self.mesh.view().borrow().clone();
+        !view
+            .members()
+            .any(|member| member.id != self.own && view.reaches(member))
+    }
+
+    /// Gives the mesh the addresses in the contact rows.
+    ///
+    /// # Errors
+    /// What the store answered.
+    ///
+    /// ```
+    /// # use crank_node::join::Contacts;
+    /// # use crank_platform_client::{Error, Rows};
+    /// async fn once<P: Rows>(contacts: Contacts<P>) -> Result<(), Error> {
+    ///     contacts.read().await
+    /// }
+    /// ```
+    pub async fn read(&self) -> Result<(), Error> {
         let known = contacts::read(&self.platform, &self.account).await?;
         let seeds = known.iter().filter(|contact| contact.id != self.own);
         let seeds = seeds.map(|contact| contact.address).collect();
         let _ = self.mesh.seeds(seeds).await;
-        let Some(head) = head::read(&self.platform, &self.account).await? else {
-            let _ = self.mesh.head(Head::Empty).await;
-            return Ok(());
-        };
-        let _ = self.mesh.head(Head::At(head.stamp.clone())).await;
-        let held = self
-            .mesh
-            .config()
-            .borrow()
-            .as_ref()
-            .map(|held| held.stamp.version);
-        if held < Some(head.stamp.version) {
-            let snapshot = configs::read(&self.platform, &self.account, &head.stamp).await?;
-            let _ = self.mesh.offer(snapshot).await;
-        }
         Ok(())
     }
 
     /// Keeps this node's contact row, by which later starters find it.
     ///
     /// ```
-    /// # use crank_node::join::Join;
-    /// # use crank_platform_client::Platform;
-    /// fn start<P: Platform>(join: Join<P>) {
-    ///     tokio::spawn(join.keep_contact());
+    /// # use crank_node::join::Contacts;
+    /// # use crank_platform_client::Rows;
+    /// fn start<P: Rows>(contacts: Contacts<P>) {
+    ///     tokio::spawn(contacts.keep());
     /// }
     /// ```
-    pub async fn keep_contact(self) {
+    pub async fn keep(self) {
         let mut failures = 0;
         loop {
             let contact = Contact {
@@ -106,3 +110,61 @@
         }
     }
 }
+
+/// Helps a starting node to its peers and to the accepted configuration.
+#[derive(Clone)]
+pub struct Join<P> {
+    /// The way to its peers.
+    pub contacts: Contacts<P>,
+}
+
+impl<P: Platform> Join<P> {
+    /// Asks the store until this node may serve.
+    ///
+    /// ```
+    /// # use crank_node::join::Join;
+    /// # use crank_platform_client::Platform;
+    /// fn start<P: Platform>(join: Join<P>) {
+    ///     tokio::spawn(join.until_ready());
+    /// }
+    /// ```
+    pub async fn until_ready(self) {
+        let mut ready = self.contacts.mesh.ready();
+        let mut failures = 0;
+        while !*ready.borrow() {
+            if let Err(error) = self.ask().await {
+                log::warn!(error:% = error; "the store does not help a starting node");
+                let _ = self.contacts.mesh.head(Head::Down).await;
+            }
+            failures += 1;
+            let wait = Duration::from(backoff::wait(failures, &mut rand::rng()));
+            let _ = tokio::time::timeout(wait, ready.wait_for(|ready| *ready)).await;
+        }
+    }
+
+    /// One round: peers from the contact rows, then the head and its configuration.
+    async fn ask(&self) -> Result<(), Error> {
+        let Contacts {
+            account,
+            platform,
+            mesh,
+            ..
+        } = &self.contacts;
+        self.contacts.read().await?;
+        let Some(head) = head::read(platform, account).await? else {
+            let _ = mesh.head(Head::Empty).await;
+            return Ok(());
+        };
+        let _ = mesh.head(Head::At(head.stamp.clone())).await;
+        let held = mesh
+            .config()
+            .borrow()
+            .as_ref()
+            .map(|held| held.stamp.version);
+        if held < Some(head.stamp.version) {
+            let snapshot = configs::read(platform, account, &head.stamp).await?;
+            let _ = mesh.offer(snapshot).await;
+        }
+        Ok(())
+    }
+}
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod join;
 pub mod logs;
 pub mod metrics;
+pub mod node;
 pub mod publisher;
+pub mod source;
 pub mod target;
 pub mod wire;
 
--- /dev/null
+++ b/crates/crank-node/src/node.rs
@@ -0,0 +1,308 @@
+//! What every node is made of: mesh, target, entry and the callers' edge.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crank_engine::burn::Burn;
+use crank_engine::drain::Progress;
+use crank_mesh::call::{self, Pool};
+use crank_mesh::{Handle, Socket};
+use crank_platform_client::Rows;
+use crank_protocol::member::{Member, Place, State};
+use crank_protocol::wire::{Hello, PROTOCOL};
+use crank_protocol::{Millis, Name};
+use crank_server::Announcement;
+use parking_lot::Mutex;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Clock;
+use crate::entry::{self, Customs, Entry};
+use crate::front::Front;
+use crate::metrics::Metrics;
+use crate::target::{self, Target};
+use crate::wire::Wire;
+use crate::{Error, follow, handover};
+
+const CALL_SOCKETS: usize = 64;
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+type NodeTarget<P> = Target<P, crank_server::Forwarder>;
+type NodeEntry<P> = Entry<Wire<NodeTarget<P>>>;
+
+/// What a node is made of; the platforms differ in how these come about.
+pub struct Parts<P> {
+    /// The client account.
+    pub account: Name,
+    /// The node's name.
+    pub name: Name,
+    /// Where the node stands.
+    pub place: Place,
+    /// Where it meets other nodes.
+    pub mesh: SocketAddr,
+    /// Nodes to meet first.
+    pub seeds: Vec<SocketAddr>,
+    /// How long what runs may take once the node leaves.
+    pub grace: Millis,
+    /// How long a leaving node still takes new requests, until callers know that it leaves.
+    pub linger: Millis,
+    /// The platform's table service.
+    pub platform: P,
+    /// What the backend server beside the node announces.
+    pub announced: watch::Receiver<Option<Announcement>>,
+    /// The listener for callers.
+    pub edge: crank_caller::Edge,
+    /// What differs at the entry from one platform to another.
+    pub customs: Customs,
+}
+
+/// A running node.
+pub struct Node<P: Rows> {
+    name: Name,
+    grace: Millis,
+    linger: Millis,
+    mesh: Handle,
+    entry: NodeEntry<P>,
+    target: NodeTarget<P>,
+    ready: Arc<watch::Sender<bool>>,
+    burn: Arc<Mutex<Burn>>,
+    metrics: Arc<Metrics>,
+    clock: Clock,
+    announced: watch::Receiver<Option<Announcement>>,
+    draining: CancellationToken,
+    leaving: CancellationToken,
+    edge: tokio::task::JoinHandle<()>,
+}
+
+impl<P: Rows> Node<P> {
+    /// Starts a node that takes requests once it may claim to hold the fleet's configuration.
+    ///
+    /// # Errors
+    /// [`Error::Mesh`] where its address is taken.
+    ///
+    /// ```no_run
+    /// # use crank_node::{Error, node::{Node, Parts}};
+    /// # use crank_platform_client::Rows;
+    /// async fn example<P: Rows>(parts: Parts<P>) -> Result<(), Error> {
+    ///     let node = Node::start(parts).await?;
+    ///     node.leave().await;
+    ///     Ok(())
+    /// }
+    /// ```
+    pub async fn start(parts: Parts<P>) -> Result<Self, Error> {
+        let clock = Clock::new();
+        let leaving = CancellationToken::new();
+        let (sockets, accepted) = mpsc::channel(CALL_SOCKETS);
+        let mesh = crank_mesh::start(mesh_settings(&parts), sockets).await?;
+        let hello = hello(&parts, &mesh);
+        let announced = handover::follow(parts.announced, mesh.config());
+        let dialect = parts.customs.dialect.clone();
+        let target = Target::new(target::Parts {
+            clock,
+            config: mesh.config(),
+            announced: announced.clone(),
+            account: parts.account,
+            platform: parts.platform,
+            dialect: dialect.clone(),
+            forwarder: crank_server::Forwarder::new().with_dialect(dialect.clone()),
+        });
+        tokio::spawn(target.clone().follow());
+        let burn = Arc::new(Mutex::new(Burn::new(clock.now())));
+        let links = Wire::new(parts.name.clone(), target.clone(), Pool::new(hello.clone()));
+        let entry = Entry::new(entry::Parts {
+            clock,
+            own: parts.name.clone(),
+            place: parts.place,
+            config: mesh.config(),
+            view: mesh.view(),
+            ready: mesh.ready(),
+            links,
+            burn: burn.clone(),
+            customs: parts.customs,
+        });
+        let calls = serve_calls(accepted, hello, target.clone(), leaving.clone());
+        tokio::spawn(calls);
+        let metrics = Arc::new(Metrics::new());
+        metrics.add_mesh(mesh.clone());
+        let front = Front::new(entry.clone(), metrics.clone());
+        let edge = parts.edge.with_dialect(dialect);
+        let edge = edge.with_gentle_close(GENTLE_CLOSE.max(parts.linger.into()));
+        let edge = tokio::spawn(edge.run(front, leaving.clone()));
+        Ok(Self {
+            name: parts.name,
+            grace: parts.grace,
+            linger: parts.linger,
+            mesh,
+            entry,
+            target,
+            ready: Arc::new(watch::Sender::new(false)),
+            burn,
+            metrics,
+            clock,
+            announced,
+            draining: CancellationToken::new(),
+            leaving,
+            edge,
+        })
+    }
+
+    /// Begins to tell the other nodes what this one and its backend server are up to.
+    ///
+    /// `operators` is where operators ask this node, if they can.
+    ///
+    /// ```
+    /// # use crank_node::node::Node;
+    /// # use crank_platform_client::Rows;
+    /// fn example<P: Rows>(node: &Node<P>) {
+    ///     node.announce(None);
+    /// }
+    /// ```
+    pub fn announce(&self, operators: Option<SocketAddr>) {
+        let draining = self.draining.clone();
+        let announce = follow::announce(self.announced.clone(), draining, self.mesh.clone());
+        tokio::spawn(announce);
+        let (mesh, ready) = (self.mesh.clone(), self.ready.clone());
+        let (target, draining) = (self.target.clone(), self.draining.clone());
+        let vitals = follow::vitals(mesh, ready, target, draining, operators);
+        tokio::spawn(vitals);
+    }
+
+    /// The mesh.
+    ///
+    /// ```
+    /// # use crank_node::node::Node;
+    /// # use crank_platform_client::Rows;
+    /// fn address<P: Rows>(node: &Node<P>) -> std::net::SocketAddr {
+    ///     node.mesh().address()
+    /// }
+    /// ```
+    #[must_use]
+    pub fn mesh(&self) -> &Handle {
+        &self.mesh
+    }
+
+    /// Whether it takes callers' requests: it holds the configuration and does not leave.
+    ///
+    /// ```
+    /// # use crank_node::node::Node;
+    /// # use crank_platform_client::Rows;
+    /// fn takes<P: Rows>(node: &Node<P>) -> bool {
+    ///     *node.ready().borrow()
+    /// }
+    /// ```
+    #[must_use]
+    pub fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.subscribe()
+    }
+
+    /// Ends once the node begins to leave.
+    ///
+    /// ```
+    /// # use crank_node::node::Node;
+    /// # use crank_platform_client::Rows;
+    /// fn leaves<P: Rows>(node: &Node<P>) -> bool {
+    ///     node.draining().is_cancelled()
+    /// }
+    /// ```
+    #[must_use]
+    pub fn draining(&self) -> CancellationToken {
+        self.draining.clone()
+    }
+
+    /// Ends once the node has finished its work and closes its connections.
+    pub(crate) fn left(&self) -> CancellationToken {
+        self.leaving.clone()
+    }
+
+    /// Its clock, the burn of its objectives and its metrics, as operators ask for them.
+    pub(crate) fn books(&self) -> (Clock, Arc<Mutex<Burn>>, Arc<Metrics>) {
+        (self.clock, self.burn.clone(), self.metrics.clone())
+    }
+
+    /// Takes nothing new once its linger is over, finishes what is in flight, and goes.
+    ///
+    /// ```no_run
+    /// # use crank_node::node::Node;
+    /// # use crank_platform_client::Rows;
+    /// async fn on_sigterm<P: Rows>(node: Node<P>) {
+    ///     node.leave().await;
+    /// }
+    /// ```
+    pub async fn leave(self) {
+        log::info!(node:% = self.name; "leaving");
+        self.ready.send_replace(false);
+        self.draining.cancel();
+        if self.linger > Millis(0) {
+            self.leaving.cancel();
+            tokio::time::sleep(self.linger.into()).await;
+        }
+        self.entry.drain(self.grace);
+        self.target.drain(self.grace);
+        let patience = Duration::from(self.grace);
+        let drained = tokio::time::timeout(patience, self.drained()).await.is_ok();
+        if !drained {
+            let load = self.target.load();
+            log::error!(
+                running = load.running,
+                waiting = load.waiting,
+                unsettled = self.target.unsettled();
+                "work outlasts the grace"
+            );
+        }
+        self.leaving.cancel();
+        let _ = tokio::time::timeout(patience, self.edge).await;
+        self.mesh.leave().await;
+        log::info!(node:% = self.name, drained = drained; "left");
+    }
+
+    async fn drained(&self) {
+        while self.entry.progress() != Progress::Drained
+            || self.target.progress() != Progress::Drained
+            || self.target.unsettled() > 0
+        {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+}
+
+/// How long the callers' connections are closed between requests before they are cut off.
+const GENTLE_CLOSE: Duration = Duration::from_secs(1);
+
+fn mesh_settings<P>(parts: &Parts<P>) -> crank_mesh::Settings {
+    let (account, name, place) = (&parts.account, &parts.name, &parts.place);
+    crank_mesh::Settings::new(account.clone(), name.clone(), place.clone(), parts.mesh)
+        .with_seeds(parts.seeds.clone())
+}
+
+fn hello<P>(parts: &Parts<P>, mesh: &Handle) -> Hello {
+    Hello {
+        protocol: PROTOCOL,
+        account: parts.account.clone(),
+        member: Member {
+            id: parts.name.clone(),
+            place: parts.place.clone(),
+            address: mesh.address(),
+            incarnation: 0,
+            state: State::Alive,
+            endpoint: None,
+        },
+    }
+}
+
+async fn serve_calls<P: Rows>(
+    mut accepted: mpsc::Receiver<Socket>,
+    hello: Hello,
+    target: NodeTarget<P>,
+    leaving: CancellationToken,
+) {
+    let hello = Arc::new(hello);
+    while let Some(socket) = accepted.recv().await {
+        let (hello, target, leaving) = (hello.clone(), target.clone(), leaving.clone());
+        tokio::spawn(async move {
+            if let Err(error) = call::serve(socket, &hello, target, leaving).await {
+                log::warn!(error:% = error; "call connection closed");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/crank-node/src/source.rs
@@ -0,0 +1,176 @@
+//! Configurations that the platform's store accepts itself, followed by every node.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crank_engine::backoff;
+use crank_engine::config::digest;
+use crank_mesh::{Handle, Head};
+use crank_protocol::Millis;
+use crank_protocol::config::{Config, Snapshot, Stamp, Version};
+use thiserror::Error as ThisError;
+use tokio::time::Instant;
+
+/// How long one question for changes waits for one.
+const WAIT: Millis = Millis(20_000);
+/// The longest pause before a store that does not answer is asked again: a node must hold the newest
+/// configuration soon after the store is back.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// A place in the store's history of changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Cursor(pub u64);
+
+/// A configuration that the store holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Accepted {
+    /// Its number.
+    pub version: Version,
+    /// Its content.
+    pub config: Config,
+}
+
+/// What a question to the store brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct News {
+    /// From where to ask on.
+    pub cursor: Cursor,
+    /// The newest configuration, where there is one since the last question.
+    pub accepted: Option<Accepted>,
+}
+
+/// Why the store did not tell.
+#[derive(Debug, Clone, PartialEq, Eq, ThisError)]
+pub enum Silence {
+    /// The history no longer reaches back to the cursor.
+    #[error("the store has forgotten the changes since the last question: read it anew")]
+    Forgotten,
+    /// It could not be asked, or refused.
+    #[error("the store does not answer ({detail}): wait until it is back")]
+    Unavailable {
+        /// What was met.
+        detail: Arc<str>,
+    },
+    /// What it holds cannot be used.
+    #[error("the store's configuration cannot be read ({detail}): the one in force stays")]
+    Malformed {
+        /// What is wrong.
+        detail: Arc<str>,
+    },
+}
+
+/// The edge to a store that accepts configurations itself.
+pub trait Source: Send + Sync + 'static {
+    /// Reads the newest configuration.
+    ///
+    /// # Errors
+    /// [`Silence::Unavailable`] or [`Silence::Malformed`].
+    fn newest(&self) -> impl Future<Output = Result<News, Silence>> + Send;
+
+    /// Waits this long for changes after a cursor.
+    ///
+    /// # Errors
+    /// Any [`Silence`].
+    fn changes(
+        &self,
+        after: Cursor,
+        wait: Millis,
+    ) -> impl Future<Output = Result<News, Silence>> + Send;
+}
+
+/// Brings each configuration that the store accepts into force on this node, until it is dropped.
+///
+/// ```
+/// # use crank_mesh::Handle;
+/// # use crank_node::source::{Source, follow};
+/// fn start<S: Source>(source: S, mesh: Handle) {
+///     tokio::spawn(follow(source, mesh));
+/// }
+/// ```
+pub async fn follow<S: Source>(source: S, mesh: Handle) {
+    let mut cursor = None;
+    let mut outage = Outage::default();
+    loop {
+        let told = match cursor {
+            None => source.newest().await,
+            Some(after) => source.changes(after, WAIT).await,
+        };
+        match told {
+            Ok(news) => {
+                outage.end();
+                let is_first = cursor.replace(news.cursor).is_none();
+                take(news, is_first, &mesh).await;
+            }
+            Err(Silence::Forgotten) => {
+                log::info!("the store has dropped its history: reading it anew");
+                cursor = None;
+            }
+            Err(silence) => {
+                outage.begin(&silence);
+                if cursor.is_none() {
+                    tell(&mesh, Head::Down).await;
+                }
+                tokio::time::sleep(outage.pause()).await;
+            }
+        }
+    }
+}
+
+async fn take(news: News, is_first: bool, mesh: &Handle) {
+    let Some(Accepted { version, config }) = news.accepted else {
+        if is_first {
+            tell(mesh, Head::Empty).await;
+        }
+        return;
+    };
+    let stamp = Stamp {
+        version,
+        digest: digest(&config),
+    };
+    let snapshot = Snapshot {
+        stamp: stamp.clone(),
+        config,
+    };
+    tell(mesh, Head::At(stamp)).await;
+    match mesh.offer(snapshot).await {
+        Ok(step) => log::info!(version = version.0, step:? = step; "configuration accepted"),
+        Err(error) => log::error!(version = version.0, error:% = error; "configuration not taken"),
+    }
+}
+
+async fn tell(mesh: &Handle, head: Head) {
+    if let Err(error) = mesh.head(head).await {
+        log::error!(error:% = error; "the mesh does not listen");
+    }
+}
+
+/// One time in which the store does not answer, for one line at each end of it.
+#[derive(Debug, Default)]
+struct Outage {
+    began: Option<Instant>,
+    failures: u32,
+}
+
+impl Outage {
+    fn begin(&mut self, silence: &Silence) {
+        if self.began.is_none() {
+            self.began = Some(Instant::now());
+            log::warn!(reason:% = silence; "store lost");
+        }
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    fn end(&mut self) {
+        if let Some(began) = self.began.take() {
+            let away = Millis::from(began.elapsed());
+            log::info!(away_ms = away.0, failures = self.failures; "store regained");
+        }
+        self.failures = 0;
+    }
+
+    fn pause(&self) -> Duration {
+        let wait = Duration::from(backoff::wait(self.failures, &mut rand::rng()));
+        wait.min(LONGEST_PAUSE)
+    }
+}
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -6,14 +6,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use crank_engine::limit::Size;
 use crank_engine::{Moment, drain::Progress, retry};
-use crank_platform_client::Platform;
-use crank_protocol::call::{Answer, Body, Head, Load, Refusal, Refused};
+use crank_platform_client::Rows;
+use crank_protocol::call::{Answer, Body, Head, Header, Load, Refusal, Refused};
 use crank_protocol::config::{Service, Snapshot};
 use crank_protocol::member::Stage;
-use crank_protocol::{Millis, Name};
+use crank_protocol::{Dialect, Millis, Name};
 use crank_server::Announcement;
 use futures::StreamExt;
 use parking_lot::Mutex;
@@ -26,6 +26,7 @@
 
 /// The grace of a backend server whose service the configuration does not know.
 const DEFAULT_GRACE: Millis = Millis(10_000);
+const GATHERED_BODY_BYTES: usize = 64 * 1_024;
 
 /// The edge to the backend server beside the node.
 pub trait Forwarder: Send + Sync + 'static {
@@ -65,6 +66,8 @@
     pub account: Name,
     /// Where requests that may run only once are claimed.
     pub platform: P,
+    /// The header names of the backend server.
+    pub dialect: Arc<Dialect>,
     /// The way to the backend server.
     pub forwarder: F,
 }
@@ -92,21 +95,21 @@
     unsettled: Arc<()>,
 }
 
-impl<P: Platform, F: Forwarder> crank_mesh::call::Target for Target<P, F> {
+impl<P: Rows, F: Forwarder> crank_mesh::call::Target for Target<P, F> {
     async fn run(&self, head: Head, body: Bytes) -> Result<Answer, Refused> {
         Self::run(self, head, body).await
     }
 }
 
-impl<P: Platform, F: Forwarder> Target<P, F> {
+impl<P: Rows, F: Forwarder> Target<P, F> {
     /// A target that takes nothing until the backend server has announced that it is ready.
     ///
     /// Spawn [`Target::follow`] once, so that announcements take effect between requests too.
     ///
     /// ```
     /// use crank_node::target::{Forwarder, Parts, Target};
-    /// use crank_platform_client::Platform;
-    /// fn start<P: Platform, F: Forwarder>(parts: Parts<P, F>) -> Target<P, F> {
+    /// use crank_platform_client::Rows;
+    /// fn start<P: Rows, F: Forwarder>(parts: Parts<P, F>) -> Target<P, F> {
     ///     let target = Target::new(parts);
     ///     tokio::spawn(target.clone().follow());
     ///     target
@@ -131,8 +134,8 @@
     ///
     /// ```
     /// # use crank_node::target::{Forwarder, Target};
-    /// # use crank_platform_client::Platform;
-    /// fn spawn<P: Platform, F: Forwarder>(target: &Target<P, F>) {
+    /// # use crank_platform_client::Rows;
+    /// fn spawn<P: Rows, F: Forwarder>(target: &Target<P, F>) {
     ///     tokio::spawn(target.clone().follow());
     /// }
     /// ```
@@ -172,10 +175,15 @@
         }
         Some(announced)
     }
-
-    fn address(&self) -> Option<SocketAddr> {
-        let announced = self.shared.parts.announced.borrow();
-        announced.as_ref().map(|announced| announced.address)
+    /// Marks a request with the server that it is for: another one at the address refuses it.
+    fn name_server(&self, head: &mut Head, announced: &Announcement) {
+        let name = &self.shared.parts.dialect.server;
+        if let (Some(name), Some(server)) = (name, &announced.server) {
+            head.headers.push(Header {
+                name: name.clone(),
+                value: server.as_bytes().to_vec(),
+            });
+        }
     }
 
     fn service(&self, name: &Name) -> Option<Service> {
@@ -193,9 +201,9 @@
     ///
     /// ```
     /// # use crank_node::target::{Forwarder, Target};
-    /// # use crank_platform_client::Platform;
+    /// # use crank_platform_client::Rows;
     /// # use crank_protocol::call::{Head, Outcome};
-    /// async fn ran<P: Platform, F: Forwarder>(target: &Target<P, F>, head: Head) -> bool {
+    /// async fn ran<P: Rows, F: Forwarder>(target: &Target<P, F>, head: Head) -> bool {
     ///     match target.run(head, "spoons".into()).await {
     ///         Ok(_) => true,
     ///         Err(refused) => refused.outcome != Outcome::NotRun,
@@ -232,21 +240,33 @@
     ) -> Result<Answer, Refused> {
         let clock = self.shared.parts.clock;
         head.time_left = deadline.since(clock.now());
-        let Some(address) = self.address() else {
+        let Some(announced) = self.shared.parts.announced.borrow().clone() else {
             drop(pass);
             return Err(self.refused(Refusal::Leaving));
         };
-        let forwarded = self.shared.parts.forwarder.forward(address, head, body);
+        self.name_server(&mut head, &announced);
+        let forwarder = &self.shared.parts.forwarder;
+        let forwarded = async {
+            let answer = forwarder.forward(announced.address, head, body).await?;
+            gathered(answer).await
+        };
         let result = tokio::time::timeout_at(clock.instant(deadline), forwarded).await;
         match result.unwrap_or(Err(Refusal::TimedOut)) {
-            Ok(mut answer) => {
+            Ok(Gathered::Whole(mut answer)) => {
+                drop(pass);
+                answer.head.load = self.load();
+                Ok(answer)
+            }
+            Ok(Gathered::Large(mut answer)) => {
                 answer.head.load = self.load();
                 answer.body = hold(answer.body, pass, clock, deadline);
                 Ok(answer)
             }
             Err(refusal) => {
                 drop(pass);
-                Err(self.refused(refusal))
+                let reached = !matches!(refusal, Refusal::NotSent | Refusal::BadRequest { .. });
+                let refused = self.refused(refusal);
+                Err(Refused { reached, ..refused })
             }
         }
     }
@@ -257,9 +277,9 @@
     ///
     /// ```
     /// # use crank_node::target::{Forwarder, Target};
-    /// # use crank_platform_client::Platform;
+    /// # use crank_platform_client::Rows;
     /// # use crank_protocol::Millis;
-    /// fn on_sigterm<P: Platform, F: Forwarder>(target: &Target<P, F>) {
+    /// fn on_sigterm<P: Rows, F: Forwarder>(target: &Target<P, F>) {
     ///     target.drain(Millis(30_000));
     /// }
     /// ```
@@ -272,8 +292,8 @@
     /// ```
     /// # use crank_engine::drain::Progress;
     /// # use crank_node::target::{Forwarder, Target};
-    /// # use crank_platform_client::Platform;
-    /// fn may_go<P: Platform, F: Forwarder>(target: &Target<P, F>) -> bool {
+    /// # use crank_platform_client::Rows;
+    /// fn may_go<P: Rows, F: Forwarder>(target: &Target<P, F>) -> bool {
     ///     target.progress() == Progress::Drained
     /// }
     /// ```
@@ -286,8 +306,8 @@
     ///
     /// ```
     /// # use crank_node::target::{Forwarder, Target};
-    /// # use crank_platform_client::Platform;
-    /// fn is_idle<P: Platform, F: Forwarder>(target: &Target<P, F>) -> bool {
+    /// # use crank_platform_client::Rows;
+    /// fn is_idle<P: Rows, F: Forwarder>(target: &Target<P, F>) -> bool {
     ///     target.load().running == 0
     /// }
     /// ```
@@ -306,6 +326,33 @@
 }
 
 /// A body that holds its place until it has ended, and is cut at the deadline.
+/// An answer with as much of its body as is read before any of it is passed on.
+enum Gathered {
+    Whole(Answer),
+    Large(Answer),
+}
+
+/// Reads a small body whole: what breaks off before its caller has got any of it is lost, and may
+/// be asked for again where that does no harm.
+async fn gathered(mut answer: Answer) -> Result<Gathered, Refusal> {
+    let mut read = BytesMut::new();
+    while read.len() <= GATHERED_BODY_BYTES {
+        match answer.body.next().await {
+            Some(Ok(data)) => read.extend_from_slice(&data),
+            Some(Err(Refusal::Cut)) => return Err(Refusal::Lost),
+            Some(Err(refusal)) => return Err(refusal),
+            None => {
+                let whole = read.freeze();
+                answer.body = Box::pin(futures::stream::once(async move { Ok(whole) }));
+                return Ok(Gathered::Whole(answer));
+            }
+        }
+    }
+    let first = futures::stream::once(async move { Ok(read.freeze()) });
+    answer.body = Box::pin(first.chain(answer.body));
+    Ok(Gathered::Large(answer))
+}
+
 fn hold(body: Body, pass: Pass, clock: Clock, deadline: Moment) -> Body {
     let end = clock.instant(deadline);
     let held = futures::stream::unfold(Some((body, pass)), move |held| async move {
--- a/crates/crank-node/src/target/once.rs
+++ b/crates/crank-node/src/target/once.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use crank_engine::claim::{Fingerprint, Recorded, Verdict};
 use crank_engine::{Moment, Nonce};
-use crank_platform_client::{Error, Platform, claims};
+use crank_platform_client::{Error, Rows, claims};
 use crank_protocol::Millis;
 use crank_protocol::call::{Answer, Body, Head, Outcome, Refusal, Refused};
 use futures::StreamExt;
@@ -48,7 +48,7 @@
     Cut,
 }
 
-impl<P: Platform, F: Forwarder> Target<P, F> {
+impl<P: Rows, F: Forwarder> Target<P, F> {
     /// Claims and runs in a task of its own, because the outcome must be recorded even if the
     /// caller leaves.
     pub(super) async fn run_once(
@@ -250,8 +250,8 @@
     ///
     /// ```
     /// # use crank_node::target::{Forwarder, Target};
-    /// # use crank_platform_client::Platform;
-    /// fn may_go<P: Platform, F: Forwarder>(target: &Target<P, F>) -> bool {
+    /// # use crank_platform_client::Rows;
+    /// fn may_go<P: Rows, F: Forwarder>(target: &Target<P, F>) -> bool {
     ///     target.unsettled() == 0
     /// }
     /// ```
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -54,6 +54,11 @@
         timeout: None,
         idempotent,
         once,
+        host: None,
+        split: Vec::new(),
+        attempts: None,
+        importance: None,
+        latency: None,
     }
 }
 
@@ -132,6 +137,7 @@
 pub fn request(path: &str) -> Request {
     Request {
         method: Method::Post,
+        host: Arc::from(""),
         path: Arc::from(path),
         headers: Vec::new(),
         body: Bytes::from_static(b"12 t"),
@@ -219,6 +225,7 @@
         ready: watch::Sender::new(true).subscribe(),
         links,
         burn: Arc::new(Mutex::new(Burn::new(Moment(0)))),
+        customs: entry::Customs::default(),
     }
 }
 
@@ -284,6 +291,7 @@
         announced: announced.subscribe(),
         account: name("lenha-viva"),
         platform,
+        dialect: Arc::default(),
         forwarder: server,
     });
     Side {
@@ -297,6 +305,7 @@
     Announcement {
         endpoint: endpoint(service, stage),
         address: address(),
+        server: None,
     }
 }
 
--- a/crates/crank-node/tests/hooked/mod.rs
+++ b/crates/crank-node/tests/hooked/mod.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use crank_platform_client::{
-    Condition, Error, Etag, Key, Listing, Memory, Object, Platform, Row, RowWrite,
+    Condition, Error, Etag, Key, Listing, Memory, Object, Platform, Row, RowWrite, Rows,
 };
 use futures::future::BoxFuture;
 
@@ -54,7 +54,9 @@
     async fn write(&self, key: &str, content: Bytes, condition: Condition) -> Result<Etag, Error> {
         self.memory.write(key, content, condition).await
     }
+}
 
+impl Rows for Hooked {
     async fn row(&self, key: &Key) -> Result<Option<Row>, Error> {
         self.memory.row(key).await
     }
--- a/crates/crank-node/tests/requests_that_run_once.rs
+++ b/crates/crank-node/tests/requests_that_run_once.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use common::{FakeServer, head, side, text, until};
 use crank_platform_client::{
-    Condition, Error, Etag, Key, Listing, Memory, Object, Platform, Row, RowWrite,
+    Condition, Error, Etag, Key, Listing, Memory, Object, Platform, Row, RowWrite, Rows,
 };
 use crank_protocol::Millis;
 use crank_protocol::call::{Outcome, Refusal};
@@ -128,7 +128,9 @@
     async fn write(&self, key: &str, content: Bytes, condition: Condition) -> Result<Etag, Error> {
         self.0.write(key, content, condition).await
     }
+}
 
+impl Rows for Freezing {
     async fn row(&self, key: &Key) -> Result<Option<Row>, Error> {
         self.0.row(key).await
     }
--- a/crates/crank-operator/tests/racing_operators_lose_nothing.rs
+++ b/crates/crank-operator/tests/racing_operators_lose_nothing.rs
@@ -9,7 +9,7 @@
 use crank_operator::{Error, Local, Pull, Push, Store};
 use crank_platform_client::{
     Condition, Error as StoreError, Etag, Key, Listing, Memory, Object, Platform, Row, RowWrite,
-    folder,
+    Rows, folder,
 };
 use crank_protocol::Name;
 use tempfile::TempDir;
@@ -108,7 +108,9 @@
         .await?;
         self.0.write(key, content, when).await
     }
+}
 
+impl Rows for Interrupted {
     async fn row(&self, key: &Key) -> Result<Option<Row>, StoreError> {
         self.0.row(key).await
     }
--- a/crates/crank-platform-client/src/claims.rs
+++ b/crates/crank-platform-client/src/claims.rs
@@ -10,7 +10,7 @@
 use crank_protocol::{Millis, Name};
 
 use crate::table::{self, Guard};
-use crate::{Error, Key, Platform};
+use crate::{Error, Key, Rows};
 
 const CLAIMS: &str = "claims";
 const TRIES: u32 = 5;
@@ -41,7 +41,7 @@
 /// # });
 /// ```
 pub async fn claim(
-    platform: &impl Platform,
+    platform: &impl Rows,
     account: &Name,
     key: &str,
     nonce: Nonce,
@@ -57,7 +57,7 @@
     in_time(time_left, settle(platform, &key, &mine)).await
 }
 
-async fn settle(platform: &impl Platform, key: &Key, mine: &Claim) -> Result<Verdict, Error> {
+async fn settle(platform: &impl Rows, key: &Key, mine: &Claim) -> Result<Verdict, Error> {
     let mut step = claim::first();
     let mut failure = unavailable("the claim was not tried");
     loop {
@@ -113,7 +113,7 @@
 /// # });
 /// ```
 pub async fn record(
-    platform: &impl Platform,
+    platform: &impl Rows,
     account: &Name,
     key: &str,
     nonce: Nonce,
@@ -151,7 +151,7 @@
 /// # });
 /// ```
 pub async fn release(
-    platform: &impl Platform,
+    platform: &impl Rows,
     account: &Name,
     key: &str,
     nonce: Nonce,
@@ -167,7 +167,7 @@
     in_time(time_left, end(platform, &key, &ended)).await
 }
 
-async fn end(platform: &impl Platform, key: &Key, ended: &Claim) -> Result<(), Error> {
+async fn end(platform: &impl Rows, key: &Key, ended: &Claim) -> Result<(), Error> {
     let mut last = unavailable("nothing was tried");
     for _ in 0..TRIES {
         let claimed = mark(ended.nonce, &Stage::Claimed);
@@ -191,7 +191,7 @@
 }
 
 async fn put(
-    platform: &impl Platform,
+    platform: &impl Rows,
     key: &Key,
     mine: &Claim,
     over: Option<&Nonce>,
@@ -202,7 +202,7 @@
     platform.transact(vec![row]).await
 }
 
-async fn found(platform: &impl Platform, key: &Key) -> Result<Option<Claim>, Error> {
+async fn found(platform: &impl Rows, key: &Key) -> Result<Option<Claim>, Error> {
     let found = platform.row(key).await?;
     found.map(|found| row::read(&found)).transpose()
 }
--- a/crates/crank-platform-client/src/contacts.rs
+++ b/crates/crank-platform-client/src/contacts.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::table::{self, Guard};
-use crate::{Error, Platform};
+use crate::{Error, Rows};
 
 const CONTACTS: &str = "contacts";
 /// The rows of one data centre; nodes share them.
@@ -40,7 +40,7 @@
 /// assert_eq!(contacts::read(&Memory::new(), &account).await, Ok(Vec::new()));
 /// # });
 /// ```
-pub async fn read(platform: &impl Platform, account: &Name) -> Result<Vec<Contact>, Error> {
+pub async fn read(platform: &impl Rows, account: &Name) -> Result<Vec<Contact>, Error> {
     let partition = table::partition(account, CONTACTS);
     let rows = platform.rows(&partition, MOST_READ).await?;
     rows.iter().map(table::content).collect()
@@ -64,11 +64,7 @@
 /// assert_eq!(contacts::read(&platform, &account).await, Ok(vec![contact]));
 /// # });
 /// ```
-pub async fn write(
-    platform: &impl Platform,
-    account: &Name,
-    contact: &Contact,
-) -> Result<(), Error> {
+pub async fn write(platform: &impl Rows, account: &Name, contact: &Contact) -> Result<(), Error> {
     let sort = format!("{}/{}", contact.place.data_centre, row_number(&contact.id));
     let key = table::key(account, CONTACTS, &sort);
     let row = table::put(key, contact.id.as_str(), contact, &Guard::Always)?;
--- a/crates/crank-platform-client/src/lib.rs
+++ b/crates/crank-platform-client/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use error::Error;
 pub use memory::{Counts, Memory};
-pub use platform::Platform;
+pub use platform::{Platform, Rows};
 pub use remote::{Access, Remote};
 pub use settings::Settings;
 pub use value::{Condition, Etag, Key, Listing, Object, Row, RowCondition, RowWrite, Value};
--- a/crates/crank-platform-client/src/memory.rs
+++ b/crates/crank-platform-client/src/memory.rs
@@ -8,7 +8,8 @@
 use parking_lot::Mutex;
 
 use crate::{
-    Condition, Error, Etag, Key, Listing, Object, Platform, Row, RowCondition, RowWrite, Value,
+    Condition, Error, Etag, Key, Listing, Object, Platform, Row, RowCondition, RowWrite, Rows,
+    Value,
 };
 
 /// How many requests the fake has taken.
@@ -217,7 +218,9 @@
         self.write_with(|store| store.write(key, content, &condition))
             .await
     }
+}
 
+impl Rows for Memory {
     async fn row(&self, key: &Key) -> Result<Option<Row>, Error> {
         self.read_with(|store| {
             let attributes = store.rows.get(key)?.clone();
--- a/crates/crank-platform-client/src/platform.rs
+++ b/crates/crank-platform-client/src/platform.rs
@@ -6,10 +6,37 @@
 
 use crate::{Condition, Error, Etag, Key, Listing, Object, Row, RowWrite};
 
-/// The platform's object store and table service.
+/// The platform's table service.
 ///
 /// Every read is strongly consistent. Every call has a time limit of its own.
-pub trait Platform: Clone + Send + Sync + 'static {
+pub trait Rows: Clone + Send + Sync + 'static {
+    /// Reads a row, if there is one.
+    ///
+    /// # Errors
+    /// [`Error::Unavailable`] or [`Error::Malformed`].
+    fn row(&self, key: &Key) -> impl Future<Output = Result<Option<Row>, Error>> + Send;
+
+    /// Reads the last rows of a partition, highest sort key first.
+    ///
+    /// # Errors
+    /// [`Error::Unavailable`] or [`Error::Malformed`].
+    fn rows(
+        &self,
+        partition: &str,
+        limit: u32,
+    ) -> impl Future<Output = Result<Vec<Row>, Error>> + Send;
+
+    /// Writes all rows or none.
+    ///
+    /// # Errors
+    /// [`Error::ConditionFailed`], [`Error::Unavailable`] or [`Error::AnswerLost`].
+    fn transact(&self, writes: Vec<RowWrite>) -> impl Future<Output = Result<(), Error>> + Send;
+}
+
+/// The platform's object store beside its table service.
+///
+/// Every read is strongly consistent. Every call has a time limit of its own.
+pub trait Platform: Rows {
     /// Lists the objects whose keys start with a prefix, in byte order.
     ///
     /// # Errors
@@ -32,26 +59,4 @@
         content: Bytes,
         condition: Condition,
     ) -> impl Future<Output = Result<Etag, Error>> + Send;
-
-    /// Reads a row, if there is one.
-    ///
-    /// # Errors
-    /// [`Error::Unavailable`] or [`Error::Malformed`].
-    fn row(&self, key: &Key) -> impl Future<Output = Result<Option<Row>, Error>> + Send;
-
-    /// Reads the last rows of a partition, highest sort key first.
-    ///
-    /// # Errors
-    /// [`Error::Unavailable`] or [`Error::Malformed`].
-    fn rows(
-        &self,
-        partition: &str,
-        limit: u32,
-    ) -> impl Future<Output = Result<Vec<Row>, Error>> + Send;
-
-    /// Writes all rows or none.
-    ///
-    /// # Errors
-    /// [`Error::ConditionFailed`], [`Error::Unavailable`] or [`Error::AnswerLost`].
-    fn transact(&self, writes: Vec<RowWrite>) -> impl Future<Output = Result<(), Error>> + Send;
 }
--- a/crates/crank-platform-client/src/remote.rs
+++ b/crates/crank-platform-client/src/remote.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use crank_protocol::Millis;
 
-use crate::{Condition, Error, Etag, Key, Listing, Object, Platform, Row, RowWrite};
+use crate::{Condition, Error, Etag, Key, Listing, Object, Platform, Row, RowWrite, Rows};
 
 /// Where the platform's services are, and how long a request to them may take.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -82,7 +82,9 @@
     async fn write(&self, key: &str, content: Bytes, condition: Condition) -> Result<Etag, Error> {
         self.objects.write(key, content, condition).await
     }
+}
 
+impl Rows for Remote {
     async fn row(&self, key: &Key) -> Result<Option<Row>, Error> {
         self.rows.row(key).await
     }
--- a/crates/crank-platform-client/tests/claims_survive_faults.rs
+++ b/crates/crank-platform-client/tests/claims_survive_faults.rs
@@ -4,7 +4,7 @@
 
 use crank_engine::Nonce;
 use crank_engine::claim::{Fingerprint, Recorded, Verdict};
-use crank_platform_client::{Error, Key, Memory, Platform, Value, claims};
+use crank_platform_client::{Error, Key, Memory, Rows, Value, claims};
 use crank_protocol::call::{AnswerHead, Load};
 use crank_protocol::{Millis, Name};
 use serde_bytes::ByteBuf;
--- a/crates/crank-platform-client/tests/remote_speaks_to_the_standin.rs
+++ b/crates/crank-platform-client/tests/remote_speaks_to_the_standin.rs
@@ -12,8 +12,8 @@
 use crank_engine::claim::{Fingerprint, Verdict};
 use crank_engine::publish::{Fate, advance, settle};
 use crank_platform_client::{
-    Condition, Error, Key, Memory, Platform, Row, RowCondition, RowWrite, Value, claims, folder,
-    head,
+    Condition, Error, Key, Memory, Platform, Row, RowCondition, RowWrite, Rows, Value, claims,
+    folder, head,
 };
 use crank_protocol::Millis;
 use crank_protocol::config::Digest;
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -149,6 +149,8 @@
 pub struct Request {
     /// Its method.
     pub method: Method,
+    /// The host that it is for, in lower case and without a port.
+    pub host: Arc<str>,
     /// Its path and query.
     pub path: Arc<str>,
     /// Its headers, without those of one hop only.
@@ -177,4 +179,6 @@
     pub outcome: Outcome,
     /// How busy the target is, where one was asked.
     pub load: Option<Load>,
+    /// Whether it may have come to a backend server, which may have turned it away itself.
+    pub reached: bool,
 }
--- a/crates/crank-protocol/src/config.rs
+++ b/crates/crank-protocol/src/config.rs
@@ -194,6 +194,32 @@
     pub idempotent: bool,
     /// Whether an Idempotency-Key is claimed in the platform's table before it runs.
     pub once: bool,
+    /// The only host whose requests it claims; those of all hosts where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<Arc<str>>,
+    /// The services among which its requests are dealt out by weight; empty where all go to
+    /// `service`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<Share>,
+    /// The most backend servers that one request may reach.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub attempts: Option<u32>,
+    /// What is kept for longer when there is not room for all; the service's where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub importance: Option<Importance>,
+    /// The time within which an answer is wanted; the service's objective where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub latency: Option<Millis>,
+}
+
+/// A service's part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    /// The service.
+    pub service: Name,
+    /// Its weight among the weights of all parts.
+    pub weight: u32,
 }
 
 /// A whole merged and checked configuration.
--- a/crates/crank-protocol/src/lib.rs
+++ b/crates/crank-protocol/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod wire;
 
 mod compact;
+mod dialect;
 mod error;
 mod name;
 mod unit;
 
+pub use dialect::Dialect;
 pub use error::Error;
 pub use name::Name;
 pub use unit::{Bytes, Millis, Permille};
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -184,6 +184,8 @@
         outcome: Outcome,
         /// How busy the target is, where it said so.
         load: Option<Load>,
+        /// Whether it may have come to the backend server.
+        reached: bool,
     },
     /// The caller left.
     Cancel {
--- a/crates/crank-server/src/error.rs
+++ b/crates/crank-server/src/error.rs
@@ -24,10 +24,4 @@
         /// The address.
         address: SocketAddr,
     },
-    /// The HTTP client could not be made.
-    #[error("cannot make an HTTP client ({detail}): check the system's limits")]
-    Client {
-        /// What the library said.
-        detail: Arc<str>,
-    },
 }
--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -6,24 +6,29 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use crank_protocol::Millis;
 use crank_protocol::call::{
     Answer, AnswerHead, Body, DEPTH_HEADER, Head, Header, Load, OUTCOME_HEADER, REFUSAL_HEADER,
-    REQUEST_HEADER, Refusal, TIMEOUT_HEADER, VERSION_HEADER,
+    Refusal, VERSION_HEADER,
 };
 use crank_protocol::config::Method;
+use crank_protocol::{Dialect, Millis};
 use futures::{Stream, StreamExt};
-use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use http::header::{
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
+    RETRY_AFTER,
+};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyDataStream, Full};
+use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use crate::Error;
+use crate::connection::{Connection, Connections};
 use crate::whole::End;
 
-const MOST_IDLE_CONNECTIONS: usize = 64;
-const IDLE_LIMIT: Duration = Duration::from_secs(20);
-const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 const SHED_WAIT: Millis = Millis(100);
 const MILLIS_PER_SECOND: u64 = 1_000;
+/// How much sooner than the backend server says a kept connection is given up.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Headers of an answer that are for one hop, or that only nodes may set.
 const KEPT_BACK: [&str; 10] = [
@@ -40,52 +45,50 @@
 ];
 
 /// Sends requests to a backend server, each once.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Forwarder {
-    client: reqwest::Client,
+    dialect: Arc<Dialect>,
+    connections: Connections,
 }
 
 impl Forwarder {
     /// A forwarder without connections.
     ///
-    /// # Errors
-    /// [`Error::Client`].
+    /// ```
+    /// let forwarder = crank_server::Forwarder::new();
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The same with other header names and customs.
     ///
     /// ```
-    /// let forwarder = crank_server::Forwarder::new()?;
-    /// # Ok::<(), crank_server::Error>(())
+    /// use crank_protocol::Dialect;
+    /// let forwarder = crank_server::Forwarder::new().with_dialect(Dialect::default().into());
     /// ```
-    pub fn new() -> Result<Self, Error> {
-        let client = reqwest::Client::builder()
-            .no_proxy()
-            .redirect(reqwest::redirect::Policy::none())
-            .retry(reqwest::retry::never())
-            .http1_only()
-            .tcp_nodelay(true)
-            .pool_max_idle_per_host(MOST_IDLE_CONNECTIONS)
-            .pool_idle_timeout(IDLE_LIMIT)
-            .connect_timeout(CONNECT_LIMIT)
-            .build();
-        let client = client.map_err(|error| Error::Client {
-            detail: Arc::from(error.to_string()),
-        })?;
-        Ok(Self { client })
+    #[must_use]
+    pub fn with_dialect(self, dialect: Arc<Dialect>) -> Self {
+        Self { dialect, ..self }
     }
 
     /// Sends a request to the backend server at an address and waits for the start of its answer.
     ///
     /// Dropping the future or the answer's body closes the connection, which tells the backend
-    /// server to stop. The load in the answer is left at zero for the caller of this function.
+    /// server to stop. The load in the answer is what the backend server said of itself; without
+    /// slots where it says nothing.
     ///
     /// # Errors
-    /// [`Refusal::NotSent`], [`Refusal::BadRequest`] and [`Refusal::Overloaded`] (the backend
-    /// server answered 503 with `crank-outcome: not-run`) are certainly not run;
-    /// [`Refusal::TimedOut`] and [`Refusal::Lost`] are unknown; [`Refusal::Cut`] ran.
+    /// [`Refusal::NotSent`], [`Refusal::BadRequest`], [`Refusal::Leaving`] (another server has the
+    /// address) and [`Refusal::Overloaded`] (the backend server says that it has not run it) are
+    /// certainly not run; [`Refusal::TimedOut`] and [`Refusal::Lost`] are unknown;
+    /// [`Refusal::Cut`] ran.
     ///
     /// ```
     /// # use crank_protocol::{Millis, call::{Answer, Head, Refusal}};
     /// # async fn example(head: Head) -> Result<Answer, Refusal> {
-    /// let forwarder = crank_server::Forwarder::new().unwrap();
+    /// let forwarder = crank_server::Forwarder::new();
     /// let address = ([127, 0, 0, 1], 8_080).into();
     /// forwarder.run(address, &head, bytes::Bytes::new(), Millis(500)).await
     /// # }
@@ -99,17 +102,46 @@
     ) -> Result<Answer, Refusal> {
         let deadline = Instant::now() + Duration::from(time_left);
         let request = self.request(address, head, body, time_left)?;
-        let sent = timeout_at(deadline, self.client.execute(request));
-        let response = match sent.await {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) if error.is_connect() => return Err(Refusal::NotSent),
-            Ok(Err(error)) => {
-                log::debug!(error:% = error; "backend server lost");
-                return Err(Refusal::Lost);
-            }
-            Err(_) => return Err(Refusal::TimedOut),
+        let echo = request.headers().get(&*self.dialect.request).cloned();
+        let sent = timeout_at(deadline, self.send(address, request));
+        let (response, connection) = sent.await.unwrap_or(Err(Refusal::TimedOut))?;
+        let headers = response.headers();
+        let is_echoed = headers.get(&*self.dialect.request) == echo.as_ref();
+        if self.dialect.echoes && !is_echoed {
+            log::warn!(address:% = address; "an answer to another request: connection dropped");
+            return Err(Refusal::Lost);
+        }
+        let home = Home {
+            connections: self.connections.clone(),
+            limit: keep_alive(headers),
+            address,
+            connection,
         };
-        answer(response, head.method, deadline)
+        self.answer(response, head.method, deadline, home)
+    }
+
+    /// Sends on a kept connection, or on a new one where the kept one took nothing of it.
+    async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), Refusal> {
+        while let Some(mut connection) = self.connections.take(address) {
+            match connection.try_send_request(request).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(lost(address, &error.into_error())),
+                },
+            }
+        }
+        let opened = self.connections.open(address).await;
+        let mut connection = opened.ok_or(Refusal::NotSent)?;
+        match connection.try_send_request(request).await {
+            Ok(response) => Ok((response, connection)),
+            Err(error) if error.message().is_some() => Err(Refusal::NotSent),
+            Err(error) => Err(lost(address, &error.into_error())),
+        }
     }
 
     fn request(
@@ -118,39 +150,138 @@
         head: &Head,
         body: Bytes,
         time_left: Millis,
-    ) -> Result<reqwest::Request, Refusal> {
-        let url = format!("http://{address}{}", head.path);
-        let mut headers = HeaderMap::with_capacity(head.headers.len() + 4);
+    ) -> Result<Request<Full<Bytes>>, Refusal> {
+        if has_dots(&head.path) {
+            return Err(bad_request(
+                "the path is not in its normal form: leave out dot segments and encode the rest",
+            ));
+        }
+        let mut headers = HeaderMap::with_capacity(head.headers.len() + 5);
         for header in &head.headers {
             let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(bad_request)?;
             let value = HeaderValue::from_bytes(&header.value).map_err(bad_request)?;
             headers.append(name, value);
         }
-        let id = HeaderValue::try_from(format!("{:032x}", head.request)).map_err(bad_request)?;
-        headers.insert(REQUEST_HEADER, id);
-        headers.insert(TIMEOUT_HEADER, HeaderValue::from(time_left.0));
-        headers.insert(
-            DEPTH_HEADER,
-            HeaderValue::from(head.depth.saturating_add(1)),
-        );
-        let request = self.client.request(method(head.method), url);
-        let request = request.headers(headers).body(body);
-        let request = request.build().map_err(bad_request)?;
-        if is_rewritten(request.url(), &head.path) {
-            return Err(bad_request(
-                "the path is not in its normal form: leave out dot segments and encode the rest",
-            ));
+        if !headers.contains_key(HOST) {
+            let host = HeaderValue::try_from(address.to_string()).map_err(bad_request)?;
+            headers.insert(HOST, host);
+        }
+        let names = &self.dialect;
+        if !names.echoes {
+            let id = HeaderValue::try_from(format!("{:032x}", head.request));
+            headers.insert(header_name(&names.request)?, id.map_err(bad_request)?);
+            let depth = HeaderValue::from(head.depth.saturating_add(1));
+            headers.insert(DEPTH_HEADER, depth);
         }
+        headers.insert(header_name(&names.timeout)?, HeaderValue::from(time_left.0));
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method(head.method);
+        *request.uri_mut() = head.path.parse().map_err(bad_request)?;
+        *request.headers_mut() = headers;
         Ok(request)
     }
+
+    fn answer(
+        &self,
+        response: Response<Incoming>,
+        method: Method,
+        deadline: Instant,
+        home: Home,
+    ) -> Result<Answer, Refusal> {
+        let status = response.status();
+        let told = self.load(response.headers());
+        if let Some(refusal) = self.turned_away(status, response.headers()) {
+            return Err(refusal);
+        }
+        if status.is_success() && !self.is_signed(response.headers()) {
+            log::warn!(address:% = home.address; "an answer without its signature");
+            return Err(Refusal::Lost);
+        }
+        let end = End::of(method, status.as_u16(), response.headers());
+        if end == End::Unknown && !self.dialect.ends_by_closing {
+            return Err(Refusal::Cut);
+        }
+        let head = AnswerHead {
+            status: status.as_u16(),
+            headers: end_to_end(response.headers()),
+            length: end.length(),
+            load: told.unwrap_or_default(),
+        };
+        let body = Box::pin(BodyDataStream::new(response.into_body()));
+        Ok(Answer {
+            head,
+            body: Piece::stream(body, end, deadline, home),
+        })
+    }
+
+    /// The refusal, where the backend server says that it has not run the request.
+    fn turned_away(&self, status: StatusCode, headers: &HeaderMap) -> Option<Refusal> {
+        let own_mark = headers.get(OUTCOME_HEADER);
+        let own = status == StatusCode::SERVICE_UNAVAILABLE
+            && own_mark.is_some_and(|outcome| outcome == "not-run");
+        let mark = self.dialect.not_run.as_deref();
+        let marked = mark.is_some_and(|mark| headers.contains_key(mark));
+        if mark.is_some() && status == StatusCode::MISDIRECTED_REQUEST {
+            return Some(Refusal::Leaving);
+        }
+        (own || marked).then(|| Refusal::Overloaded {
+            retry_after: retry_after(headers),
+        })
+    }
+
+    fn is_signed(&self, headers: &HeaderMap) -> bool {
+        let Some(signature) = self.dialect.signature.as_deref() else {
+            return true;
+        };
+        headers.contains_key(signature) && !headers.contains_key(CONTENT_ENCODING)
+    }
+
+    fn load(&self, headers: &HeaderMap) -> Option<Load> {
+        let text = headers.get(self.dialect.load.as_deref()?)?.to_str().ok()?;
+        let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+        let mut next = || numbers.next().flatten();
+        Some(Load {
+            running: next()?,
+            waiting: next()?,
+            slots: next()?,
+        })
+    }
+}
+
+fn lost(address: SocketAddr, error: &hyper::Error) -> Refusal {
+    log::debug!(address:% = address, error:% = error; "backend server lost");
+    Refusal::Lost
 }
 
-/// Whether the URL library changed a path; the route was chosen by what the caller wrote.
-fn is_rewritten(url: &reqwest::Url, path: &str) -> bool {
-    let written = path
-        .split_once('?')
-        .map_or((path, None), |(path, query)| (path, Some(query)));
-    (url.path(), url.query()) != written
+/// How long the backend server keeps the connection; `None` where it does not say.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let closes = headers.get(CONNECTION).is_some_and(|value| {
+        value
+            .to_str()
+            .is_ok_and(|text| text.eq_ignore_ascii_case("close"))
+    });
+    if closes {
+        return Some(Duration::ZERO);
+    }
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let stated = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds = stated.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN))
+}
+
+fn header_name(name: &str) -> Result<HeaderName, Refusal> {
+    HeaderName::from_bytes(name.as_bytes()).map_err(bad_request)
+}
+
+/// A backend server could read such a path as another one than was routed.
+fn has_dots(path: &str) -> bool {
+    let path = path.split('?').next().unwrap_or_default();
+    path.split('/').any(|segment| {
+        let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+        plain == "." || plain == ".."
+    })
 }
 
 fn bad_request(error: impl std::fmt::Display) -> Refusal {
@@ -169,44 +300,12 @@
         Method::Delete => http::Method::DELETE,
     }
 }
-
-fn answer(
-    response: reqwest::Response,
-    method: Method,
-    deadline: Instant,
-) -> Result<Answer, Refusal> {
-    let status = response.status().as_u16();
-    if let Some(retry_after) = shed(&response) {
-        return Err(Refusal::Overloaded { retry_after });
-    }
-    let end = End::of(method, status, response.headers());
-    if end == End::Unknown {
-        return Err(Refusal::Cut);
-    }
-    let head = AnswerHead {
-        status,
-        headers: end_to_end(response.headers()),
-        length: end.length(),
-        load: Load::default(),
-    };
-    let body = Box::pin(response.bytes_stream());
-    Ok(Answer {
-        head,
-        body: Piece::stream(body, end, deadline),
-    })
-}
-
-/// When to try again, if the backend server says that it did not run the request.
-fn shed(response: &reqwest::Response) -> Option<Millis> {
-    let is_unavailable = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
-    let outcome = response.headers().get(OUTCOME_HEADER)?;
-    if !is_unavailable || outcome != "not-run" {
-        return None;
-    }
-    let seconds = response.headers().get(RETRY_AFTER);
+fn retry_after(headers: &HeaderMap) -> Millis {
+    let seconds = headers.get(RETRY_AFTER);
     let seconds = seconds.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-    let wait = seconds.map(|seconds| Millis(seconds.saturating_mul(MILLIS_PER_SECOND)));
-    Some(wait.unwrap_or(SHED_WAIT))
+    seconds.map_or(SHED_WAIT, |seconds| {
+        Millis(seconds.saturating_mul(MILLIS_PER_SECOND))
+    })
 }
 
 fn end_to_end(headers: &HeaderMap) -> Vec<Header> {
@@ -226,13 +325,46 @@
     left: Option<u64>,
     deadline: Instant,
     is_ended: bool,
+    home: Option<Home>,
+}
+
+/// Where a connection goes back to once its answer was whole.
+struct Home {
+    connections: Connections,
+    limit: Option<Duration>,
+    address: SocketAddr,
+    connection: Connection,
+}
+
+impl Home {
+    /// The connection may carry the next request only once the library is done with this one.
+    fn bring_back(self) {
+        let Self {
+            connections,
+            limit,
+            address,
+            mut connection,
+        } = self;
+        if limit == Some(Duration::ZERO) {
+            return;
+        }
+        if connection.is_ready() {
+            connections.keep(address, connection, limit);
+            return;
+        }
+        tokio::spawn(async move {
+            if connection.ready().await.is_ok() {
+                connections.keep(address, connection, limit);
+            }
+        });
+    }
 }
 
 impl<S> Piece<S>
 where
-    S: Stream<Item = Result<Bytes, reqwest::Error>> + Send + 'static,
+    S: Stream<Item = Result<Bytes, hyper::Error>> + Send + 'static,
 {
-    fn stream(body: Pin<Box<S>>, end: End, deadline: Instant) -> Body {
+    fn stream(body: Pin<Box<S>>, end: End, deadline: Instant, home: Home) -> Body {
         let left = match end {
             End::None { .. } => Some(0),
             End::Length(length) => Some(length),
@@ -243,6 +375,7 @@
             left,
             deadline,
             is_ended: false,
+            home: Some(home),
         };
         Box::pin(futures::stream::unfold(piece, |mut piece| async move {
             let next = piece.next().await?;
@@ -259,12 +392,17 @@
             Err(_) => Some(Err(Refusal::TimedOut)),
         };
         self.is_ended = !matches!(next, Some(Ok(_)));
+        if next.is_none()
+            && let Some(home) = self.home.take()
+        {
+            home.bring_back();
+        }
         next
     }
 
     fn check(
         &mut self,
-        next: Option<Result<Bytes, reqwest::Error>>,
+        next: Option<Result<Bytes, hyper::Error>>,
     ) -> Option<Result<Bytes, Refusal>> {
         match (next, &mut self.left) {
             (Some(Ok(data)), Some(left)) => {
--- a/crates/crank-server/src/lib.rs
+++ b/crates/crank-server/src/lib.rs
@@ -1,10 +1,13 @@
 //! Backend servers: announcements, forwarding and health.
 
 mod announcements;
+mod connection;
 mod error;
 mod forwarder;
+mod roster;
 mod whole;
 
-pub use announcements::{Announcement, Announcements, Report};
+pub use announcements::Announcements;
 pub use error::Error;
 pub use forwarder::Forwarder;
+pub use roster::{Announcement, Heard, Report, Roster, Start};
--- /dev/null
+++ b/crates/crank-server/src/roster.rs
@@ -0,0 +1,255 @@
+//! What a node believes of the backend server beside it, from its heartbeats.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crank_engine::Moment;
+use crank_engine::announce::{self, Heartbeat};
+use crank_protocol::member::{Endpoint, Stage};
+use crank_protocol::{Millis, Name};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// A backend server's heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Report {
+    /// The service it serves.
+    pub service: Name,
+    /// Its stage of life.
+    pub stage: Stage,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Where it takes requests: an IP number of its instance and a port.
+    pub address: SocketAddr,
+    /// Which start of which server this is; empty where servers do not tell.
+    #[serde(default)]
+    pub start: Start,
+}
+
+/// One start of a backend server, and a heartbeat's place in it.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Start {
+    /// The server's id.
+    pub server: Option<Arc<str>>,
+    /// When it was started: Unix time in milliseconds, by its own clock.
+    pub born: Option<u64>,
+    /// Grows with each heartbeat of one start.
+    pub sequence: Option<u64>,
+}
+
+impl Start {
+    fn is_same(&self, other: &Self) -> bool {
+        self.server == other.server && self.born == other.born
+    }
+}
+
+/// What the node believes of the backend server beside it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Announcement {
+    /// Its service, slots and stage; a silent server is gone.
+    pub endpoint: Endpoint,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// The server's id, where it tells one.
+    pub server: Option<Arc<str>>,
+}
+
+/// What became of a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// It is the newest word of the server.
+    New,
+    /// A newer one, or one of a later start, came before it: nothing has changed.
+    Late,
+}
+
+/// The heartbeats of the backend server beside a node; cloning shares it.
+#[derive(Debug, Clone)]
+pub struct Roster {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    started: Instant,
+    silence: Millis,
+    last: Mutex<Option<(Report, Heartbeat)>>,
+    believed: watch::Sender<Option<Announcement>>,
+}
+
+impl Roster {
+    /// A roster that takes a server for gone after this much silence.
+    ///
+    /// ```
+    /// let roster = crank_server::Roster::new(crank_protocol::Millis(3_000));
+    /// assert!(roster.watch().borrow().is_none());
+    /// ```
+    #[must_use]
+    pub fn new(silence: Millis) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                started: Instant::now(),
+                silence,
+                last: Mutex::new(None),
+                believed: watch::Sender::new(None),
+            }),
+        }
+    }
+
+    /// What is believed now, and each change of it; nothing before the first heartbeat.
+    ///
+    /// ```
+    /// # async fn example(roster: crank_server::Roster) {
+    /// let _ = roster.watch().changed().await;
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn watch(&self) -> watch::Receiver<Option<Announcement>> {
+        self.shared.believed.subscribe()
+    }
+
+    /// Takes a heartbeat, unless a newer one came before it.
+    ///
+    /// A server that has said that it leaves stays leaving for the rest of its start.
+    ///
+    /// ```
+    /// # use crank_protocol::{Millis, Name, member::Stage};
+    /// use crank_server::{Heard, Report, Roster, Start};
+    /// let report = |sequence| Report {
+    ///     service: Name::new("recipes").unwrap(),
+    ///     stage: Stage::Ready,
+    ///     slots: 6,
+    ///     address: ([127, 0, 0, 1], 8_080).into(),
+    ///     start: Start { server: Some("s1".into()), born: Some(7), sequence: Some(sequence) },
+    /// };
+    /// let roster = Roster::new(Millis(3_000));
+    /// assert_eq!(roster.hear(report(2)), Heard::New);
+    /// assert_eq!(roster.hear(report(1)), Heard::Late);
+    /// ```
+    pub fn hear(&self, mut report: Report) -> Heard {
+        let now = self.now();
+        {
+            let mut last = self.shared.last.lock();
+            if let Some((held, heartbeat)) = last.as_ref() {
+                if self.is_late(now, held, heartbeat, &report.start) {
+                    return Heard::Late;
+                }
+                if held.start.server.is_some() && held.start.is_same(&report.start) {
+                    report.stage = report.stage.max(leaving(heartbeat.stage));
+                }
+            }
+            let heartbeat = Heartbeat {
+                stage: report.stage,
+                heard_at: now,
+                refused_at: None,
+            };
+            *last = Some((report, heartbeat));
+        }
+        self.believe();
+        Heard::New
+    }
+
+    /// Takes a server's word that it leaves for good.
+    ///
+    /// ```
+    /// # use crank_server::{Heard, Roster, Start};
+    /// let roster = Roster::new(crank_protocol::Millis(3_000));
+    /// let start = Start { server: Some("s1".into()), ..Start::default() };
+    /// assert_eq!(roster.leave(&start), Heard::Late);
+    /// ```
+    pub fn leave(&self, start: &Start) -> Heard {
+        {
+            let mut last = self.shared.last.lock();
+            let Some((held, heartbeat)) = last.as_mut() else {
+                return Heard::Late;
+            };
+            let is_earlier = start.born.is_some() && start.born < held.start.born;
+            if held.start.server != start.server || is_earlier {
+                return Heard::Late;
+            }
+            held.stage = Stage::Gone;
+            heartbeat.stage = Stage::Gone;
+        }
+        self.believe();
+        Heard::New
+    }
+
+    fn is_late(&self, now: Moment, held: &Report, heartbeat: &Heartbeat, start: &Start) -> bool {
+        if held.start.is_same(start) {
+            return start.sequence.is_some() && start.sequence <= held.start.sequence;
+        }
+        // The clock of an instance may have been set back between two starts, so that a server
+        // born earlier is heard once the other has fallen silent.
+        let is_heard = announce::stage(heartbeat, now, self.shared.silence) != Stage::Gone;
+        let is_earlier = start.born < held.start.born;
+        is_earlier && (is_heard || held.start.server == start.server)
+    }
+
+    /// Nothing listens at the address: the server there is gone until its next heartbeat.
+    ///
+    /// ```
+    /// let roster = crank_server::Roster::new(crank_protocol::Millis(3_000));
+    /// roster.refuse(([127, 0, 0, 1], 8_080).into());
+    /// ```
+    pub fn refuse(&self, address: SocketAddr) {
+        let now = self.now();
+        if let Some((report, heartbeat)) = self.shared.last.lock().as_mut()
+            && report.address == address
+        {
+            heartbeat.refused_at = Some(now);
+        }
+        self.believe();
+    }
+
+    /// Looks again at how old the last heartbeat is.
+    ///
+    /// ```
+    /// crank_server::Roster::new(crank_protocol::Millis(3_000)).believe();
+    /// ```
+    pub fn believe(&self) {
+        let last = self.shared.last.lock();
+        let believed = last.as_ref().map(|(report, heartbeat)| Announcement {
+            endpoint: Endpoint {
+                service: report.service.clone(),
+                stage: announce::stage(heartbeat, self.now(), self.shared.silence),
+                slots: report.slots,
+            },
+            address: report.address,
+            server: report.start.server.clone(),
+        });
+        self.shared.believed.send_if_modified(|current| {
+            let is_new = *current != believed;
+            *current = believed;
+            is_new
+        });
+    }
+
+    /// Where the last heartbeat says that the server is.
+    ///
+    /// ```
+    /// let roster = crank_server::Roster::new(crank_protocol::Millis(3_000));
+    /// assert!(roster.address().is_none());
+    /// ```
+    #[must_use]
+    pub fn address(&self) -> Option<SocketAddr> {
+        let last = self.shared.last.lock();
+        last.as_ref().map(|(report, _)| report.address)
+    }
+
+    fn now(&self) -> Moment {
+        let micros = self.shared.started.elapsed().as_micros();
+        Moment(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
+
+/// The stage that a start does not go back behind.
+fn leaving(stage: Stage) -> Stage {
+    match stage {
+        Stage::Starting | Stage::Ready => Stage::Starting,
+        Stage::Draining | Stage::Gone => stage,
+    }
+}
--- a/crates/crank-server/tests/forwarding.rs
+++ b/crates/crank-server/tests/forwarding.rs
@@ -56,7 +56,7 @@
 }
 
 async fn send(address: SocketAddr, head: &Head, time_left: Millis) -> Result<Bytes, Refusal> {
-    let forwarder = Forwarder::new().unwrap();
+    let forwarder = Forwarder::new();
     let answer = forwarder.run(address, head, Bytes::new(), time_left).await;
     read(answer).await
 }
@@ -93,7 +93,7 @@
 #[tokio::test]
 async fn answers_without_a_body_are_whole() {
     let (address, _requests) = backend("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n").await;
-    let forwarder = Forwarder::new().unwrap();
+    let forwarder = Forwarder::new();
     let head = head(Method::Head, "/");
     let answer = forwarder.run(address, &head, Bytes::new(), TIME).await;
     let answer = answer.map_err(|refusal| panic!("{refusal:?}")).unwrap();
