Queue only what can still be answered within its objective; ask a quiet connection before calling it silent

Silence now counts from the first unanswered question. Test: a_slow_answer_on_a_connection_that_was_idle_for_long_is_waited_for. Queue: at the server's node a request waits only while it can still be good.

--- a/crates/crank-engine/src/admit.rs
+++ b/crates/crank-engine/src/admit.rs
@@ -164,4 +164,17 @@
             slots: self.limit.size().slots,
         }
     }
+
+    /// The refusal of what cannot wait, with when to come back.
+    ///
+    /// ```
+    /// # use crank_engine::{admit::Admission, limit::Size};
+    /// # use crank_protocol::call::Refusal;
+    /// let admission = Admission::new(Size { slots: 1, queue: 0 });
+    /// assert!(matches!(admission.overloaded(), Refusal::Overloaded { .. }));
+    /// ```
+    #[must_use]
+    pub fn overloaded(&self) -> Refusal {
+        self.limit.overloaded()
+    }
 }
--- a/crates/crank-engine/src/retry.rs
+++ b/crates/crank-engine/src/retry.rs
@@ -12,6 +12,7 @@
 pub const FULL_BUDGET_RETRIES: u64 = 10;
 
 const TOKENS_PER_RETRY: u64 = 1_000;
+const TOKENS_PER_REPEATED_RUN: u64 = 2 * TOKENS_PER_RETRY;
 
 /// What is certain about a request that got this refusal and no more.
 ///
@@ -94,6 +95,14 @@
     tokens: u64,
 }
 
+impl Repeats {
+    fn pay(&mut self, tokens: u64) -> bool {
+        let left = self.tokens.checked_sub(tokens);
+        self.tokens = left.unwrap_or(self.tokens);
+        left.is_some()
+    }
+}
+
 impl Budget {
     /// A full budget that allows this share of retries.
     ///
@@ -153,9 +162,22 @@
         let Some(repeats) = &mut self.repeats else {
             return true;
         };
-        let left = repeats.tokens.checked_sub(TOKENS_PER_RETRY);
-        repeats.tokens = left.unwrap_or(repeats.tokens);
-        left.is_some()
+        repeats.pay(TOKENS_PER_RETRY)
+    }
+
+    /// Pays for a request that has run and may run once more, with all the calls that it makes.
+    ///
+    /// ```
+    /// # use crank_engine::retry::Budget;
+    /// # use crank_protocol::Permille;
+    /// let mut budget = Budget::new(Permille(100));
+    /// budget.bound_repeats(Permille(200), 2_500);
+    /// assert!(!budget.repeat_run());
+    /// assert!(budget.repeat());
+    /// ```
+    pub fn repeat_run(&mut self) -> bool {
+        let repeats = self.repeats.as_mut();
+        repeats.is_none_or(|repeats| repeats.pay(TOKENS_PER_REPEATED_RUN))
     }
 
     /// Takes another share from now on.
@@ -265,6 +287,8 @@
 
 /// Whether a request that a backend server answered with a failure of its own is tried at another.
 ///
+/// It has run, so that its repeat makes its calls to other services again: it costs two repeats.
+///
 /// ```
 /// use crank_engine::{Moment, retry};
 /// use crank_protocol::Permille;
@@ -281,7 +305,7 @@
         && attempt.reached < attempt.most
         && now < attempt.deadline
         && budget.spend()
-        && budget.repeat()
+        && budget.repeat_run()
 }
 
 fn another_may_differ(refusal: &Refusal) -> bool {
--- a/crates/crank-engine/tests/retries.rs
+++ b/crates/crank-engine/tests/retries.rs
@@ -79,6 +79,29 @@
         prop_assert!(retries <= full + requests * u64::from(share) / 1_000);
     }
 
+    #[test]
+    fn all_nodes_together_stay_within_the_slack_and_the_share_of_what_reaches_servers(
+        nodes in 1..30_u64,
+        share in 0..=500_u32,
+        slack in 0..100_000_u64,
+        requests in 0..2_000_u64,
+        runs in any::<bool>(),
+    ) {
+        let mut repeats = 0;
+        for node in 0..nodes {
+            let mut budget = Budget::new(Permille(1_000));
+            budget.bound_repeats(Permille(share), slack / nodes);
+            let own = requests / nodes + u64::from(node < requests % nodes);
+            for _ in 0..own {
+                budget.earn();
+                while if runs { budget.repeat_run() } else { budget.repeat() } {
+                    repeats += if runs { 2 } else { 1 };
+                }
+            }
+        }
+        prop_assert!(repeats * 1_000 <= slack + requests * u64::from(share));
+    }
+
     #[test]
     fn what_may_have_run_is_tried_again_only_where_that_does_no_harm(
         refusal in refusal(),
--- a/crates/crank-mesh/src/call/link.rs
+++ b/crates/crank-mesh/src/call/link.rs
@@ -284,18 +284,18 @@
     pings: mpsc::WeakUnboundedSender<Outgoing>,
     attempts: &Mutex<Attempts>,
 ) -> Result<Ended, Error> {
-    let mut heard_at = Instant::now();
+    let mut silence = Silence::new(Instant::now());
     loop {
         match timeout(PING_AFTER, frame::read(&mut stream)).await {
             Ok(Ok(Heard::Frame(call))) => {
-                heard_at = Instant::now();
+                silence = Silence::new(Instant::now());
                 take(call, attempts)?;
             }
-            Ok(Ok(Heard::Sign)) => heard_at = Instant::now(),
+            Ok(Ok(Heard::Sign)) => silence = Silence::new(Instant::now()),
             Ok(Ok(Heard::Close(ended))) => return Ok(ended),
             Ok(Err(error)) => return Err(error),
             Err(_) => {
-                if is_finished(heard_at, attempts)? {
+                if is_finished(&mut silence, attempts)? {
                     return Ok(Ended::Closed);
                 }
                 ping(&pings, attempts);
@@ -304,18 +304,37 @@
     }
 }
 
-fn is_finished(heard_at: Instant, attempts: &Mutex<Attempts>) -> Result<bool, Error> {
+/// How long the other side has said nothing.
+struct Silence {
+    heard: Instant,
+    /// When it was first asked for a sign since; a connection without work asks for none.
+    asked: Option<Instant>,
+}
+
+impl Silence {
+    fn new(heard: Instant) -> Self {
+        Self { heard, asked: None }
+    }
+
+    /// Whether questions have stayed without an answer for too long.
+    fn is_too_long(&mut self, now: Instant) -> bool {
+        let asked = *self.asked.get_or_insert(now);
+        now - asked >= SILENCE_LIMIT - PING_AFTER
+    }
+}
+
+fn is_finished(silence: &mut Silence, attempts: &Mutex<Attempts>) -> Result<bool, Error> {
     let mut attempts = attempts.lock();
-    let silence = heard_at.elapsed();
+    let now = Instant::now();
     if attempts.len() > 0 {
-        let is_silent = silence >= SILENCE_LIMIT;
-        return if is_silent {
+        return if silence.is_too_long(now) {
             Err(Error::Silent)
         } else {
             Ok(false)
         };
     }
-    if silence >= CLIENT_IDLE_LIMIT {
+    silence.asked = None;
+    if now - silence.heard >= CLIENT_IDLE_LIMIT {
         attempts.close(Ended::Closed);
     }
     Ok(attempts.is_closed())
--- a/crates/crank-mesh/tests/call_connections.rs
+++ b/crates/crank-mesh/tests/call_connections.rs
@@ -219,3 +219,19 @@
     }
     assert_eq!(connections, 1);
 }
+
+#[tokio::test]
+async fn a_slow_answer_on_a_connection_that_was_idle_for_long_is_waited_for() {
+    const IDLE: Duration = Duration::from_millis(6_500);
+    const SLOW: Duration = Duration::from_millis(3_000);
+    let paths = Paths::new();
+    let link = link(node(paths.clone(), CancellationToken::new()).await).await;
+    let first = link.run(head("/echo"), Bytes::from("first")).await.unwrap();
+    assert_eq!(read(first).await, Ok(Bytes::from("first")));
+    tokio::time::sleep(IDLE).await;
+    let slow = tokio::spawn(async move { link.run(head("/wait"), Bytes::from("slow")).await });
+    tokio::time::sleep(SLOW).await;
+    paths.gate.add_permits(1);
+    let answer = slow.await.unwrap().map_err(|refused| refused.refusal);
+    assert_eq!(read(answer.unwrap()).await, Ok(Bytes::from("slow")));
+}
--- a/crates/crank-mesh/tests/common/mod.rs
+++ b/crates/crank-mesh/tests/common/mod.rs
@@ -46,6 +46,7 @@
         path: path.into(),
         headers: Vec::new(),
         time_left: Millis(15_000),
+        goal: None,
         importance: Importance::Normal,
         idempotent: false,
         once: None,
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -347,6 +347,8 @@
         let began = self.now();
         let mut head = routed.head.clone();
         head.time_left = routed.deadline.since(began);
+        let spent = began.since(routed.began);
+        head.goal = head.goal.map(|goal| Millis(goal.0.saturating_sub(spent.0)));
         let flight =
             bulkhead::Flight::new(&routed.bulkhead, self.shared.parts.clock, choice, began);
         let call = self
--- a/crates/crank-node/src/entry/asked.rs
+++ b/crates/crank-node/src/entry/asked.rs
@@ -50,6 +50,7 @@
             path: request.path.clone(),
             headers: headers(request, rule, customs),
             time_left: self.timeout,
+            goal: rule.objective().map(|objective| objective.latency),
             importance: rule.importance(),
             idempotent: rule.route.idempotent,
             once: self.once,
--- a/crates/crank-node/src/gate.rs
+++ b/crates/crank-node/src/gate.rs
@@ -214,6 +214,20 @@
         self.state.lock().admission.progress(self.clock.now())
     }
 
+    /// The refusal of what cannot wait here, with when to come back.
+    ///
+    /// ```
+    /// # use crank_engine::limit::Size;
+    /// # use crank_node::{clock::Clock, gate::Gate};
+    /// # use crank_protocol::call::Refusal;
+    /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
+    /// assert!(matches!(gate.overloaded(), Refusal::Overloaded { .. }));
+    /// ```
+    #[must_use]
+    pub fn overloaded(&self) -> Refusal {
+        self.state.lock().admission.overloaded()
+    }
+
     /// How many run and wait now.
     ///
     /// ```
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -227,8 +227,15 @@
             return Err(self.refused(Refusal::Leaving));
         }
         let gate = &self.shared.gate;
-        let pass = gate.enter(head.importance, deadline, head.depth).await;
-        pass.map_err(|refusal| self.refused(refusal))
+        let now = self.now();
+        let good_until = head.goal.map_or(deadline, |goal| now.after(goal));
+        let latest = deadline.min(good_until);
+        let pass = gate.enter(head.importance, latest, head.depth).await;
+        pass.map_err(|refusal| match refusal {
+            // Another target may have a slot sooner, or the caller comes back.
+            Refusal::TooLate if self.now() < deadline => self.refused(gate.overloaded()),
+            refusal => self.refused(refusal),
+        })
     }
 
     async fn forward(
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -317,6 +317,7 @@
         path: Arc::from(format!("/{service}")),
         headers: Vec::new(),
         time_left: LONG,
+        goal: None,
         importance: Importance::Normal,
         idempotent: false,
         once: once.map(Arc::from),
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -52,6 +52,8 @@
     pub headers: Vec<Header>,
     /// The time left for it when the frame was sent.
     pub time_left: Millis,
+    /// For how much longer an answer is good; it waits for a slot no longer than that allows.
+    pub goal: Option<Millis>,
     /// What is given up first under overload.
     pub importance: Importance,
     /// Whether running it twice does no harm.
--- a/crates/crank-server/tests/forwarding.rs
+++ b/crates/crank-server/tests/forwarding.rs
@@ -42,6 +42,7 @@
         path: path.into(),
         headers: Vec::new(),
         time_left: TIME,
+        goal: None,
         importance: Importance::Normal,
         idempotent: false,
         once: None,
