--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod asked;
 mod bulkhead;
+mod lines;
 
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -151,6 +152,8 @@
     deadline: Moment,
     /// When the caller gives it up.
     leaves_at: Moment,
+    /// Its id as the caller wrote it.
+    label: Arc<str>,
 }
 
 impl Routed {
@@ -246,10 +249,12 @@
     /// ```
     pub async fn call(&self, request: Request) -> Result<Answer, Refused> {
         let began = self.now();
-        let (routed, pass) = self
-            .prepare(request, began)
-            .await
-            .map_err(|refusal| retry::refused(refusal, None))?;
+        let label = lines::label(&request.headers, &self.shared.parts.customs.dialect);
+        let prepared = self.prepare(request, began).await;
+        let (routed, pass) = prepared.map_err(|refusal| {
+            lines::not_routed(&label, &refusal);
+            retry::refused(refusal, None)
+        })?;
         let result = self.try_targets(&routed).await;
         match result {
             Ok(answer) => Ok(self.finish(routed, pass, answer)),
@@ -277,6 +282,7 @@
         let pass = turn.inspect_err(|_| self.record(&rule, false, began))?;
         let routed = Routed {
             leaves_at: began.after(asked.patience),
+            label: lines::label(&request.headers, &customs.dialect),
             head: asked.head(&request, &rule, table.version(), customs),
             body: request.body,
             rule,
@@ -323,9 +329,14 @@
             let attempt = routed.attempt(&tried, reached);
             let now = self.now();
             match result {
-                Ok(answer) if answer.head.status < FIRST_SERVER_FAULT => return Ok(answer),
+                Ok(answer) if answer.head.status < FIRST_SERVER_FAULT => {
+                    lines::answered(routed, &tried, now);
+                    return Ok(answer);
+                }
                 Ok(answer) => {
-                    if !routed.bulkhead.failed_again(now, attempt) {
+                    let again = routed.bulkhead.failed_again(now, attempt);
+                    lines::failed(routed, &tried, answer.head.status, again);
+                    if !again {
                         return Ok(answer);
                     }
                     failure = Some(answer);
@@ -333,6 +344,7 @@
                 Err(refused) => {
                     certain = retry::combine(certain, refused.outcome);
                     let again = routed.bulkhead.again(now, attempt, &refused);
+                    lines::refused(routed, &tried, &refused, again);
                     last = refused.refusal;
                     if !again {
                         break;
@@ -340,7 +352,11 @@
                 }
             }
         }
-        failure.ok_or_else(|| routed.refused(last, certain, self.now(), reached > 0))
+        failure.ok_or_else(|| {
+            let refused = routed.refused(last, certain, self.now(), reached > 0);
+            lines::given_up(routed, &tried, &refused, self.now());
+            refused
+        })
     }
 
     async fn attempt(&self, routed: &Routed, choice: &Choice) -> Result<Answer, Refused> {
--- /dev/null
+++ b/crates/crank-node/src/entry/lines.rs
@@ -0,0 +1,78 @@
+//! What the log tells of a request at the entry: each decision with what decided it.
+
+use std::sync::Arc;
+
+use crank_engine::Moment;
+use crank_protocol::Dialect;
+use crank_protocol::Name;
+use crank_protocol::call::{Header, Refusal, Refused};
+
+use super::Routed;
+
+/// The request's id as its caller wrote it; empty where it has none.
+pub(super) fn label(headers: &[Header], dialect: &Dialect) -> Arc<str> {
+    let mut named = headers.iter();
+    let found = named.find(|header| header.name.eq_ignore_ascii_case(&dialect.request));
+    let text = found.map(|header| String::from_utf8_lossy(&header.value));
+    Arc::from(text.unwrap_or_default())
+}
+
+pub(super) fn not_routed(label: &str, refusal: &Refusal) {
+    log::info!(request = label, refusal:? = refusal; "request not routed");
+}
+
+/// Only an answer that took more than one attempt gets a line.
+pub(super) fn answered(routed: &Routed, tried: &[Name], now: Moment) {
+    if tried.len() > 1 {
+        log::info!(
+            request = *routed.label,
+            service:% = routed.head.service,
+            tried:? = tried,
+            took_ms = now.since(routed.began).0;
+            "request answered after more than one attempt"
+        );
+    }
+}
+
+pub(super) fn failed(routed: &Routed, tried: &[Name], status: u16, again: bool) {
+    log::info!(
+        request = *routed.label,
+        service:% = routed.head.service,
+        version = routed.head.version.0,
+        target:? = tried.last(),
+        status = status,
+        again = again;
+        "backend server answered with a failure"
+    );
+}
+
+pub(super) fn refused(routed: &Routed, tried: &[Name], refused: &Refused, again: bool) {
+    log::info!(
+        request = *routed.label,
+        service:% = routed.head.service,
+        version = routed.head.version.0,
+        target:? = tried.last(),
+        refusal:? = refused.refusal,
+        outcome:? = refused.outcome,
+        reached = refused.reached,
+        load:? = refused.load,
+        again = again;
+        "attempt refused"
+    );
+}
+
+pub(super) fn given_up(routed: &Routed, tried: &[Name], refused: &Refused, now: Moment) {
+    log::info!(
+        request = *routed.label,
+        service:% = routed.head.service,
+        route:% = routed.rule.name,
+        version = routed.head.version.0,
+        tried:? = tried,
+        refusal:? = refused.refusal,
+        outcome:? = refused.outcome,
+        reached = refused.reached,
+        took_ms = now.since(routed.began).0,
+        left_ms = routed.deadline.since(now).0;
+        "request given up"
+    );
+}
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -175,6 +175,16 @@
         }
         Some(announced)
     }
+    /// The request's id as its caller wrote it, or as the entry drew it.
+    fn label(&self, head: &Head) -> Arc<str> {
+        let name = &self.shared.parts.dialect.request;
+        let mut headers = head.headers.iter();
+        match headers.find(|header| header.name.eq_ignore_ascii_case(name)) {
+            Some(header) => Arc::from(String::from_utf8_lossy(&header.value)),
+            None => Arc::from(format!("{:032x}", head.request)),
+        }
+    }
+
     /// Marks a request with the server that it is for: another one at the address refuses it.
     fn name_server(&self, head: &mut Head, announced: &Announcement) {
         let name = &self.shared.parts.dialect.server;
@@ -252,6 +262,7 @@
             return Err(self.refused(Refusal::Leaving));
         };
         self.name_server(&mut head, &announced);
+        let label = self.label(&head);
         let forwarder = &self.shared.parts.forwarder;
         let forwarded = async {
             let answer = forwarder.forward(announced.address, head, body).await?;
@@ -272,6 +283,13 @@
             Err(refusal) => {
                 drop(pass);
                 let reached = !matches!(refusal, Refusal::NotSent | Refusal::BadRequest { .. });
+                log::info!(
+                    request = *label,
+                    server:? = announced.server,
+                    refusal:? = refusal,
+                    reached = reached;
+                    "backend server gave no answer"
+                );
                 let refused = self.refused(refusal);
                 Err(Refused { reached, ..refused })
             }
