--- a/crates/crank-engine/src/route.rs
+++ b/crates/crank-engine/src/route.rs
@@ -119,7 +119,7 @@
             .iter()
             .map(|(weight, _)| u64::from(*weight))
             .sum();
-        let mut left = u64::from(draw) * total >> u32::BITS;
+        let mut left = (u64::from(draw) * total) >> u32::BITS;
         for (weight, rule) in &self.parts {
             match left.checked_sub(u64::from(*weight)) {
                 Some(rest) => left = rest,
