--- a/crates/crank-engine/examples/requests/parts.rs
+++ b/crates/crank-engine/examples/requests/parts.rs
@@ -117,5 +117,6 @@
         warm_up: setup.warm_up,
         drain_grace: Millis(10_000),
         objective: None,
+        health: None,
     }
 }
--- a/crates/crank-engine/src/folder/route.rs
+++ b/crates/crank-engine/src/folder/route.rs
@@ -23,10 +23,12 @@
     let mut reader = Reader::new(section);
     let path = reader.required("path", "a path prefix such as /recipes", path);
     let methods = reader.required("methods", "such as GET HEAD", methods);
+    let is_split = section.entries.contains_key("split");
     let split = reader.optional("split", split).unwrap_or_default();
-    let service = match split.first() {
-        Some(first) => Some(first.service.clone()),
-        None => reader.required("service", "the service it leads to", value::name),
+    let service = if is_split {
+        split.first().map(|first| first.service.clone())
+    } else {
+        reader.required("service", "the service it leads to", value::name)
     };
     let timeout = reader.optional("timeout", |text| {
         value::duration(text, 1, LONGEST_TIMEOUT_MILLIS)
@@ -86,7 +88,7 @@
     has_weight.then_some(shares).ok_or_else(bad)
 }
 
-fn path(text: &str) -> Result<Arc<str>, ini::Problem> {
+pub(super) fn path(text: &str) -> Result<Arc<str>, ini::Problem> {
     let segments_fit = text.strip_prefix('/').is_some_and(|rest| {
         let segments = rest.strip_suffix('/').unwrap_or(rest);
         rest.is_empty() || segments.split('/').all(is_segment)
--- a/crates/crank-engine/src/folder/service.rs
+++ b/crates/crank-engine/src/folder/service.rs
@@ -4,6 +4,7 @@
 use crank_protocol::{Millis, Permille};
 
 use super::Problem;
+use super::route::path;
 use crate::ini::{self, Fault, Reader, Section, value};
 
 const MOST_SLOTS: u32 = 10_000;
@@ -46,6 +47,7 @@
     let drain_grace = reader.optional("drain_grace", |text| {
         value::duration(text, 0, LONGEST_GRACE_MILLIS)
     });
+    let health = reader.optional("health", path);
     let objective = objective(section, &mut reader);
     faults.extend(reader.finish());
     Some(Service {
@@ -58,6 +60,7 @@
         warm_up: warm_up.unwrap_or(DEFAULT_WARM_UP),
         drain_grace: drain_grace.unwrap_or(DEFAULT_DRAIN_GRACE),
         objective,
+        health,
     })
 }
 
--- a/crates/crank-engine/tests/balancing.rs
+++ b/crates/crank-engine/tests/balancing.rs
@@ -38,6 +38,7 @@
         warm_up: Millis(10_000),
         drain_grace: Millis(0),
         objective: None,
+        health: None,
     }
 }
 
--- a/crates/crank-engine/tests/routing.rs
+++ b/crates/crank-engine/tests/routing.rs
@@ -29,6 +29,7 @@
         warm_up: Millis(0),
         drain_grace: Millis(0),
         objective: None,
+        health: None,
     }
 }
 
--- a/crates/crank-engine/tests/spreading.rs
+++ b/crates/crank-engine/tests/spreading.rs
@@ -30,6 +30,7 @@
         warm_up: Millis(0),
         drain_grace: Millis(5_000),
         objective: None,
+        health: None,
     };
     let route = Route {
         path: format!("/recipes/{content}").into(),
--- a/crates/crank-mesh/examples/spreading/scene.rs
+++ b/crates/crank-mesh/examples/spreading/scene.rs
@@ -319,6 +319,7 @@
         warm_up: Millis(5_000),
         drain_grace: Millis(30_000),
         objective: None,
+        health: None,
     };
     let route = |index: usize| Route {
         path: format!("/service-{}/part-{index}", index % SERVICES).into(),
--- a/crates/crank-mesh/tests/support/mod.rs
+++ b/crates/crank-mesh/tests/support/mod.rs
@@ -93,6 +93,7 @@
         warm_up: Millis(0),
         drain_grace: Millis(5_000),
         objective: None,
+        health: None,
     };
     let route = |index: u64| Route {
         path: format!("/recipes/{index}").into(),
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod metrics;
 pub mod node;
 pub mod publisher;
+pub mod recall;
 pub mod source;
 pub mod target;
 pub mod wire;
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -43,6 +43,7 @@
         warm_up: Millis(0),
         drain_grace: LONG,
         objective: None,
+        health: None,
     }
 }
 
--- a/crates/crank-protocol/src/config.rs
+++ b/crates/crank-protocol/src/config.rs
@@ -158,6 +158,9 @@
     pub drain_grace: Millis,
     /// The service-level objective, where there is one.
     pub objective: Option<Objective>,
+    /// The path of its servers' health check, where they have one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health: Option<Arc<str>>,
 }
 
 /// An HTTP method that a route may claim.
--- a/crates/crank-protocol/src/dialect.rs
+++ b/crates/crank-protocol/src/dialect.rs
@@ -16,6 +16,8 @@
     pub timeout: Arc<str>,
     /// The id that a backend server must have to run the request.
     pub server: Option<Arc<str>>,
+    /// A backend server's own id in its answers to health checks.
+    pub instance: Option<Arc<str>>,
     /// The service beside which the request began.
     pub origin: Option<Arc<str>>,
     /// A backend server's word on how busy it is: running, waiting, slots.
@@ -38,6 +40,7 @@
             request: Arc::from(call::REQUEST_HEADER),
             timeout: Arc::from(call::TIMEOUT_HEADER),
             server: None,
+            instance: None,
             origin: None,
             load: None,
             not_run: None,
--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -51,6 +51,15 @@
     connections: Connections,
 }
 
+/// What a well backend server says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Health {
+    /// Its id.
+    pub server: Arc<str>,
+    /// Requests it runs at once.
+    pub slots: u32,
+}
+
 impl Forwarder {
     /// A forwarder without connections.
     ///
@@ -120,6 +129,33 @@
         self.answer(response, head.method, deadline, home)
     }
 
+    /// Asks the backend server at an address for its health, as a request of its own.
+    ///
+    /// `None` where it is not well, leaves, has no room, or does not tell its id and its slots.
+    ///
+    /// ```
+    /// # async fn example(forwarder: crank_server::Forwarder) -> bool {
+    /// let address = ([127, 0, 0, 1], 8_080).into();
+    /// forwarder.check(address, "/health", crank_protocol::Millis(500)).await.is_some()
+    /// # }
+    /// ```
+    pub async fn check(&self, address: SocketAddr, path: &str, limit: Millis) -> Option<Health> {
+        let name = self.dialect.instance.as_deref()?;
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = path.parse().ok()?;
+        let host = HeaderValue::try_from(address.to_string()).ok()?;
+        request.headers_mut().insert(HOST, host);
+        let deadline = Instant::now() + Duration::from(limit);
+        let sent = timeout_at(deadline, self.send(address, request)).await;
+        let (response, _connection) = sent.ok()?.ok()?;
+        let server = response.headers().get(name)?.to_str().ok()?;
+        let load = self.load(response.headers())?;
+        (response.status() == StatusCode::OK).then(|| Health {
+            server: Arc::from(server),
+            slots: load.slots,
+        })
+    }
+
     /// Sends on a kept connection, or on a new one where the kept one took nothing of it.
     async fn send(
         &self,
--- a/crates/crank-server/src/lib.rs
+++ b/crates/crank-server/src/lib.rs
@@ -9,5 +9,5 @@
 
 pub use announcements::Announcements;
 pub use error::Error;
-pub use forwarder::Forwarder;
+pub use forwarder::{Forwarder, Health};
 pub use roster::{Announcement, Heard, Report, Roster, Start};
