--- a/crates/crank-caller/src/reply.rs
+++ b/crates/crank-caller/src/reply.rs
@@ -49,7 +49,7 @@
 
 fn with_status(refused: &Refused, status: StatusCode, dialect: &Dialect) -> warp::reply::Response {
     let retry_after = retry_after(&refused.refusal).filter(|_| refused.outcome == Outcome::NotRun);
-    let refusal = name(&refused.refusal);
+    let refusal = refused.refusal.name();
     let note = Note {
         refusal,
         outcome: refused.outcome,
@@ -123,26 +123,6 @@
     }
 }
 
-fn name(refusal: &Refusal) -> &'static str {
-    match refusal {
-        Refusal::NotReady => "not_ready",
-        Refusal::NoRoute => "no_route",
-        Refusal::BadRequest { .. } => "bad_request",
-        Refusal::NoServer => "no_server",
-        Refusal::Leaving => "leaving",
-        Refusal::Overloaded { .. } => "overloaded",
-        Refusal::TooLate => "too_late",
-        Refusal::StoreDown => "store_down",
-        Refusal::KeyInUse => "key_in_use",
-        Refusal::KeyMismatch => "key_mismatch",
-        Refusal::NotSent => "not_sent",
-        Refusal::Lost => "lost",
-        Refusal::TimedOut => "timed_out",
-        Refusal::Cut => "cut",
-        Refusal::Cancelled => "cancelled",
-    }
-}
-
 fn detail(refusal: &Refusal) -> &str {
     match refusal {
         Refusal::NotReady => "this node has no configuration yet: try again, or another node",
--- a/crates/crank-engine/tests/routing.rs
+++ b/crates/crank-engine/tests/routing.rs
@@ -9,7 +9,7 @@
 use crank_engine::route::Table;
 use crank_protocol::call::Refusal;
 use crank_protocol::config::{
-    Account, Config, Importance, Method, Route, Service, Snapshot, Stamp, Version,
+    Account, Config, Importance, Method, Route, Service, Share, Snapshot, Stamp, Version,
 };
 use crank_protocol::{Millis, Name, Permille};
 use proptest::prelude::*;
@@ -127,3 +127,90 @@
         prop_assert!(is_refused, "{whole}");
     }
 }
+
+fn route(path: &str, host: Option<&str>, split: &[(&str, u32)]) -> Route {
+    let shares = split.iter().map(|(service, weight)| Share {
+        service: name(service),
+        weight: *weight,
+    });
+    Route {
+        path: Arc::from(path),
+        methods: [Method::Get].into(),
+        service: name("recipes"),
+        timeout: None,
+        idempotent: true,
+        once: false,
+        host: host.map(Arc::from),
+        split: shares.collect(),
+        attempts: None,
+        importance: None,
+        latency: None,
+    }
+}
+
+fn table_of(routes: &[(&str, Route)]) -> Table {
+    let routes = routes.iter().map(|(id, route)| (name(id), route.clone()));
+    let services = ["recipes", "panels"];
+    let config = Config {
+        account: Account {
+            name: name("sutkent"),
+            notice_ends: None,
+        },
+        services: services.map(|id| (name(id), service())).into(),
+        routes: routes.collect(),
+    };
+    let stamp = Stamp {
+        version: Version(1),
+        digest: digest(&config),
+    };
+    Table::new(&Snapshot { stamp, config })
+}
+
+#[test]
+fn a_path_with_a_last_slash_claims_only_what_stands_behind_it() {
+    let table = table_of(&[("a", route("/a/", None, &[]))]);
+    assert!(table.find(Method::Get, "/a/").is_ok());
+    assert!(table.find(Method::Get, "/a/b/c?d").is_ok());
+    for path in ["/a", "/ab/c", "/"] {
+        assert_eq!(
+            table.find(Method::Get, path),
+            Err(Refusal::NoRoute),
+            "{path}"
+        );
+    }
+}
+
+#[test]
+fn routes_of_a_host_go_before_those_of_all_hosts_and_claim_no_others() {
+    let table = table_of(&[
+        ("all", route("/a/b", None, &[])),
+        ("one", route("/a", Some("one.example"), &[])),
+    ]);
+    let found = |host: &str, path: &str| {
+        let rule = table.find_at(host, Method::Get, path, 0)?;
+        Ok(rule.name.clone())
+    };
+    assert_eq!(found("one.example", "/a/b"), Ok(name("one")));
+    assert_eq!(found("two.example", "/a/b"), Ok(name("all")));
+    assert_eq!(found("two.example", "/a"), Err(Refusal::NoRoute));
+}
+
+proptest! {
+    #[test]
+    fn a_split_route_deals_by_weight(weights in prop::collection::vec(0..100_u32, 2)) {
+        prop_assume!(weights.iter().sum::<u32>() > 0);
+        let split = [("recipes", weights[0]), ("panels", weights[1])];
+        let table = table_of(&[("a", route("/a", None, &split))]);
+        let draws = 10_000_u32;
+        let step = u32::MAX / draws;
+        let to_recipes = (0..draws)
+            .filter(|draw| {
+                let rule = table.find_at("", Method::Get, "/a", draw * step).unwrap();
+                rule.route.service == name("recipes")
+            })
+            .count();
+        let share = f64::from(weights[0]) / f64::from(weights[0] + weights[1]);
+        let dealt = to_recipes as f64 / f64::from(draws);
+        prop_assert!((dealt - share).abs() < 0.001, "{dealt} instead of {share}");
+    }
+}
--- a/crates/crank-node/src/front.rs
+++ b/crates/crank-node/src/front.rs
@@ -1,6 +1,7 @@
 //! What callers meet: the entry, with every answer counted.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use crank_caller::Gateway;
 use crank_protocol::call::{Answer, Outcome, Refused, Request};
@@ -41,6 +42,7 @@
 
 impl<L: Links> Gateway for Front<L> {
     async fn call(&self, request: Request) -> Result<Answer, Refused> {
+        let began = Instant::now();
         let result = self.entry.call(request).await;
         let answered = match &result {
             Ok(_) => Answered::Whole,
@@ -51,6 +53,10 @@
             },
         };
         self.metrics.count(answered);
+        self.metrics.took(answered, began.elapsed());
+        if let Err(refused) = &result {
+            self.metrics.refuse(&refused.refusal);
+        }
         result
     }
 }
--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -1,8 +1,10 @@
 //! What a node tells Prometheus.
 
 use std::fmt;
+use std::time::Duration;
 
 use crank_mesh::{Direction, Handle, Kind, Reach};
+use crank_protocol::call::Refusal;
 use crank_protocol::member::State;
 use parking_lot::Mutex;
 use prometheus_client::collector::Collector;
@@ -13,6 +15,7 @@
 use prometheus_client::metrics::counter::{ConstCounter, Counter};
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
 /// What a caller was told about a request.
@@ -45,11 +48,26 @@
     outcome: Answered,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Refused {
+    refusal: &'static str,
+}
+
+/// The first bound of the latency histogram; each of the others is twice the one before.
+const SHORTEST_BUCKET_SECONDS: f64 = 0.005;
+const BUCKETS: u16 = 11;
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(SHORTEST_BUCKET_SECONDS, 2.0, BUCKETS))
+}
+
 /// The metrics of one node.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Mutex<Registry>,
     requests: Family<Request, Counter>,
+    refusals: Family<Refused, Counter>,
+    seconds: Family<Request, Histogram>,
 }
 
 impl Default for Metrics {
@@ -76,9 +94,17 @@
             "Callers' requests by what they were told",
             requests.clone(),
         );
+        let refusals = Family::<Refused, Counter>::default();
+        let help = "Callers' requests that got no answer of a backend server, by why";
+        registry.register("refusals", help, refusals.clone());
+        let seconds = Family::<Request, Histogram>::new_with_constructor(histogram);
+        let help = "From a request's arrival to the start of its answer";
+        registry.register_with_unit("request", help, Unit::Seconds, seconds.clone());
         Self {
             registry: Mutex::new(registry),
             requests,
+            refusals,
+            seconds,
         }
     }
 
@@ -94,6 +120,31 @@
             .inc();
     }
 
+    /// Counts why a request got no answer.
+    ///
+    /// ```
+    /// # use crank_node::metrics::Metrics;
+    /// # use crank_protocol::call::Refusal;
+    /// Metrics::new().refuse(&Refusal::NoServer);
+    /// ```
+    pub fn refuse(&self, refusal: &Refusal) {
+        let refusal = refusal.name();
+        self.refusals.get_or_create(&Refused { refusal }).inc();
+    }
+
+    /// Notes how long a request took to the start of its answer.
+    ///
+    /// ```
+    /// # use crank_node::metrics::{Answered, Metrics};
+    /// Metrics::new().took(Answered::Whole, std::time::Duration::from_millis(12));
+    /// ```
+    pub fn took(&self, answered: Answered, time: Duration) {
+        let labels = Request { outcome: answered };
+        self.seconds
+            .get_or_create(&labels)
+            .observe(time.as_secs_f64());
+    }
+
     /// Adds what the mesh counts.
     ///
     /// ```
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -14,8 +14,10 @@
 use crank_protocol::{Millis, Name};
 use crank_server::Announcement;
 use parking_lot::Mutex;
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
+use warp::Filter;
 
 use crate::clock::Clock;
 use crate::entry::{self, Customs, Entry};
@@ -220,6 +222,21 @@
         (self.clock, self.burn.clone(), self.metrics.clone())
     }
 
+    /// Serves the metrics as text, at any path, until the node has left.
+    ///
+    /// ```no_run
+    /// # use crank_node::node::Node;
+    /// # use crank_platform_client::Rows;
+    /// async fn example<P: Rows>(node: &Node<P>, listener: tokio::net::TcpListener) {
+    ///     node.serve_metrics(listener);
+    /// }
+    /// ```
+    pub fn serve_metrics(&self, listener: TcpListener) {
+        let metrics = self.metrics.clone();
+        let text = warp::any().map(move || metrics.text());
+        tokio::spawn(warp::serve(text).incoming(listener).run());
+    }
+
     /// Takes nothing new once its linger is over, finishes what is in flight, and goes.
     ///
     /// ```no_run
--- a/crates/crank-node/src/source.rs
+++ b/crates/crank-node/src/source.rs
@@ -14,6 +14,9 @@
 
 /// How long one question for changes waits for one.
 const WAIT: Millis = Millis(20_000);
+/// How long changes are gathered before the store is asked on: it holds only the newest of those that
+/// follow each other quickly, and each question has its price.
+const GATHER: Duration = Duration::from_millis(500);
 /// The longest pause before a store that does not answer is asked again: a node must hold the newest
 /// configuration soon after the store is back.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
@@ -99,8 +102,12 @@
         match told {
             Ok(news) => {
                 outage.end();
+                let has_changed = news.accepted.is_some();
                 let is_first = cursor.replace(news.cursor).is_none();
                 take(news, is_first, &mesh).await;
+                if has_changed {
+                    tokio::time::sleep(GATHER).await;
+                }
             }
             Err(Silence::Forgotten) => {
                 log::info!("the store has dropped its history: reading it anew");
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -120,6 +120,34 @@
     Cancelled,
 }
 
+impl Refusal {
+    /// Its name in answers, logs and metrics.
+    ///
+    /// ```
+    /// assert_eq!(crank_protocol::call::Refusal::NoServer.name(), "no_server");
+    /// ```
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::NotReady => "not_ready",
+            Self::NoRoute => "no_route",
+            Self::BadRequest { .. } => "bad_request",
+            Self::NoServer => "no_server",
+            Self::Leaving => "leaving",
+            Self::Overloaded { .. } => "overloaded",
+            Self::TooLate => "too_late",
+            Self::StoreDown => "store_down",
+            Self::KeyInUse => "key_in_use",
+            Self::KeyMismatch => "key_mismatch",
+            Self::NotSent => "not_sent",
+            Self::Lost => "lost",
+            Self::TimedOut => "timed_out",
+            Self::Cut => "cut",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// How busy a target is; it rides on each answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/crank-server/tests/forwarding.rs
+++ b/crates/crank-server/tests/forwarding.rs
@@ -3,11 +3,12 @@
 #![allow(clippy::unwrap_used, clippy::panic)]
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
-use crank_protocol::call::{Answer, Head, Refusal};
+use crank_protocol::call::{Answer, Head, Header, Refusal};
 use crank_protocol::config::{Importance, Method, Version};
-use crank_protocol::{Millis, Name};
+use crank_protocol::{Dialect, Millis, Name};
 use crank_server::Forwarder;
 use futures::TryStreamExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -134,3 +135,80 @@
     assert!(matches!(sent, Err(Refusal::BadRequest { .. })));
     assert!(requests.try_recv().is_err());
 }
+
+fn dialect() -> Dialect {
+    let header = |text: &str| Some(Arc::from(text));
+    Dialect {
+        request: Arc::from("x-id"),
+        timeout: Arc::from("x-left"),
+        server: header("x-server"),
+        instance: header("x-instance"),
+        origin: None,
+        load: header("x-load"),
+        not_run: header("x-not-run"),
+        signature: header("x-signature"),
+        echoes: true,
+        ends_by_closing: true,
+        fractions: true,
+    }
+}
+
+async fn send_with_id(address: SocketAddr) -> Result<Bytes, Refusal> {
+    let forwarder = Forwarder::new().with_dialect(Arc::new(dialect()));
+    let mut head = head(Method::Get, "/a");
+    head.headers.push(Header {
+        name: Arc::from("x-id"),
+        value: b"7f3a".to_vec(),
+    });
+    read(forwarder.run(address, &head, Bytes::new(), TIME).await).await
+}
+
+#[tokio::test]
+async fn only_a_signed_answer_to_the_same_request_is_passed_on() {
+    let whole = "HTTP/1.1 200 OK\r\nx-id: 7f3a\r\nx-signature: s\r\ncontent-length: 2\r\n\r\nok";
+    let (address, mut requests) = backend(whole).await;
+    assert_eq!(send_with_id(address).await, Ok(Bytes::from("ok")));
+    let request = requests.recv().await.unwrap();
+    assert!(request.contains("x-id: 7f3a\r\n"), "{request}");
+    for doubtful in [
+        "HTTP/1.1 200 OK\r\nx-id: 0000\r\nx-signature: s\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-signature: s\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-id: 7f3a\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-id: 7f3a\r\nx-signature: s\r\ncontent-encoding: gzip\r\ncontent-length: 2\r\n\r\nok",
+        "no answer at all\r\n\r\n",
+    ] {
+        let (address, _requests) = backend(doubtful).await;
+        assert_eq!(
+            send_with_id(address).await,
+            Err(Refusal::Lost),
+            "{doubtful}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn what_a_server_says_it_has_not_run_is_called_so() {
+    for (answer, refusal) in [
+        (
+            "HTTP/1.1 429 Busy\r\nx-id: 7f3a\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+            Refusal::Overloaded {
+                retry_after: Millis(100),
+            },
+        ),
+        (
+            "HTTP/1.1 421 Misdirected\r\nx-id: 7f3a\r\ncontent-length: 0\r\n\r\n",
+            Refusal::Leaving,
+        ),
+    ] {
+        let (address, _requests) = backend(answer).await;
+        assert_eq!(send_with_id(address).await, Err(refusal));
+    }
+}
+
+#[tokio::test]
+async fn an_answer_may_end_with_its_connection_where_that_is_the_custom() {
+    let answer =
+        "HTTP/1.1 200 OK\r\nx-id: 7f3a\r\nx-signature: s\r\nconnection: close\r\n\r\nspoons";
+    let (address, _requests) = backend(answer).await;
+    assert_eq!(send_with_id(address).await, Ok(Bytes::from("spoons")));
+}
