--- a/crates/crank-engine/src/ini.rs
+++ b/crates/crank-engine/src/ini.rs
@@ -4,9 +4,11 @@
 mod fault;
 mod quote;
 mod reader;
+mod sections;
 pub mod value;
 
 pub use document::{Document, Entry, Section};
 pub use fault::{Fault, Problem};
 pub use quote::Quote;
 pub use reader::Reader;
+pub use sections::Sections;
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -23,4 +23,4 @@
 
 pub use error::Error;
 pub use run::run;
-pub use settings::{Listen, Settings};
+pub use settings::{Listen, Settings, level};
--- a/crates/crank-node/src/settings.rs
+++ b/crates/crank-node/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use crank_engine::ini::{Document, Fault, Problem, Reader, Section, value};
+use crank_engine::ini::{Document, Fault, Problem, Reader, Sections, value};
 use crank_protocol::member::Place;
 use crank_protocol::{Millis, Name};
 
@@ -13,6 +13,9 @@
 const DEFAULT_GRACE: Millis = Millis(10_000);
 const LEVELS: &str = "error, warn, info, debug or trace";
 const SEEDS: &str = "IP numbers with ports, with commas between them";
+const KNOWN: [&str; 7] = [
+    "account", "node", "listen", "mesh", "platform", "log", "drain",
+];
 const SECTIONS: &str = "[account], [node], [listen], [mesh], [platform], [log] or [drain]";
 const ADDRESS: &str = "an IP number and a port";
 const NAME: &str = "a name";
@@ -80,20 +83,15 @@
     /// ```
     pub fn read(file: &str, content: &[u8]) -> Result<Self, Vec<Fault>> {
         let document = Document::read(file.into(), content)?;
-        let mut faults = unknown_sections(&document);
+        let mut sections = Sections::new(file, &document, &KNOWN, SECTIONS);
         let platform = crank_platform_client::Settings::read(file, &document);
-        let platform = platform.map_err(|found| faults.extend(found)).ok();
-        let mut sections = Sections {
-            file,
-            document: &document,
-            faults,
-        };
         let node = sections.required("node", read_node);
         let listen = sections.required("listen", read_listen);
         let seeds = sections.optional("mesh", |reader| reader.optional("seeds", seeds));
         let level = sections.optional("log", |reader| reader.optional("level", level));
         let grace = sections.optional("drain", |reader| reader.optional("grace", grace));
-        let faults = sections.faults;
+        let mut faults = sections.finish();
+        let platform = platform.map_err(|found| faults.extend(found)).ok();
         match (node, listen, platform) {
             (Some((name, place)), Some(listen), Some(platform)) if faults.is_empty() => Ok(Self {
                 name,
@@ -109,51 +107,6 @@
     }
 }
 
-fn unknown_sections(document: &Document) -> Vec<Fault> {
-    let known = [
-        "account", "node", "listen", "mesh", "platform", "log", "drain",
-    ];
-    let unknown = |section: &&Section| !known.contains(&&*section.heading);
-    let fault = |section: &Section| section.fault(Problem::UnknownSection { known: SECTIONS });
-    document
-        .sections
-        .values()
-        .filter(unknown)
-        .map(fault)
-        .collect()
-}
-
-struct Sections<'a> {
-    file: &'a str,
-    document: &'a Document,
-    faults: Vec<Fault>,
-}
-
-impl Sections<'_> {
-    fn required<T>(
-        &mut self,
-        heading: &'static str,
-        read: impl FnOnce(&mut Reader<'_>) -> Option<T>,
-    ) -> Option<T> {
-        if !self.document.sections.contains_key(heading) {
-            let problem = Problem::MissingSection { section: heading };
-            self.faults.push(Fault::new(self.file.into(), problem));
-        }
-        self.optional(heading, read)
-    }
-
-    fn optional<T>(
-        &mut self,
-        heading: &str,
-        read: impl FnOnce(&mut Reader<'_>) -> Option<T>,
-    ) -> Option<T> {
-        let mut reader = Reader::new(self.document.sections.get(heading)?);
-        let read = read(&mut reader);
-        self.faults.extend(reader.finish());
-        read
-    }
-}
-
 fn read_node(reader: &mut Reader<'_>) -> Option<(Name, Place)> {
     let name = reader.required("name", NAME, value::name);
     let region = reader.required("region", NAME, value::name);
@@ -190,7 +143,15 @@
         .collect()
 }
 
-fn level(text: &str) -> Result<log::LevelFilter, Problem> {
+/// Reads how much is logged.
+///
+/// # Errors
+/// [`Problem::BadValue`].
+///
+/// ```
+/// assert_eq!(crank_node::level("warn").unwrap(), log::LevelFilter::Warn);
+/// ```
+pub fn level(text: &str) -> Result<log::LevelFilter, Problem> {
     match text {
         "error" => Ok(log::LevelFilter::Error),
         "warn" => Ok(log::LevelFilter::Warn),
