--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -2,7 +2,9 @@
 
 mod asked;
 mod bulkhead;
+mod customs;
 mod lines;
+mod routed;
 
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -19,7 +21,7 @@
 use crank_protocol::call::{Answer, Body, Head, Load, Outcome, Refusal, Refused, Request};
 use crank_protocol::config::{Snapshot, Version};
 use crank_protocol::member::{Place, Stage};
-use crank_protocol::{Dialect, Millis, Name, Permille};
+use crank_protocol::{Millis, Name};
 use futures::StreamExt;
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -28,6 +30,9 @@
 use crate::gate::{Gate, Pass};
 use asked::Asked;
 use bulkhead::Bulkhead;
+use routed::Routed;
+
+pub use customs::{Customs, Repeats};
 
 /// The places for the requests of all services together.
 pub const PLACES: Size = Size {
@@ -35,9 +40,6 @@
     queue: 256,
 };
 
-/// When to ask again for what was too late within the route's time.
-const LATE_WAIT: Millis = Millis(100);
-
 /// The edge to the targets' nodes, this one included.
 pub trait Links: Send + Sync + 'static {
     /// Sends one attempt to a target's node; dropping the future cancels it.
@@ -76,41 +78,6 @@
     pub customs: Customs,
 }
 
-/// What differs from one platform to another at the entry; the default is the project's own.
-#[derive(Debug, Clone, Default)]
-pub struct Customs {
-    /// The header names of callers and backend servers.
-    pub dialect: Arc<Dialect>,
-    /// The service beside this node, as its requests are marked.
-    pub origin: Option<Name>,
-    /// What bounds the requests that reach backend servers more than once.
-    pub repeats: Option<Repeats>,
-}
-
-/// What all nodes together may let come to a service's backend servers more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Repeats {
-    /// The share of the service's requests.
-    pub share: Permille,
-    /// What is allowed beyond it, in thousandths of a repeat, over all nodes.
-    pub slack: u64,
-}
-
-impl Repeats {
-    /// The part of one of so many nodes, which need not ask each other.
-    ///
-    /// ```
-    /// use crank_node::entry::Repeats;
-    /// use crank_protocol::Permille;
-    /// let repeats = Repeats { share: Permille(200), slack: 56_000 };
-    /// assert_eq!(repeats.slack_of_one(28), 2_000);
-    /// ```
-    #[must_use]
-    pub fn slack_of_one(self, nodes: u64) -> u64 {
-        self.slack / nodes.max(1)
-    }
-}
-
 /// Takes callers' requests; cloning shares it.
 ///
 /// A request keeps the configuration that it began with. Its deadline covers everything, waiting
@@ -141,52 +108,6 @@
     _service: Pass,
 }
 
-/// A request on its way.
-struct Routed {
-    rule: Arc<Rule>,
-    bulkhead: Arc<Bulkhead>,
-    head: Head,
-    body: Bytes,
-    began: Moment,
-    /// When its time is over.
-    deadline: Moment,
-    /// When the caller gives it up.
-    leaves_at: Moment,
-    /// Its id as the caller wrote it.
-    label: Arc<str>,
-}
-
-impl Routed {
-    fn attempt(&self, tried: &[Name], reached: u32) -> retry::Attempt {
-        retry::Attempt {
-            idempotent: self.head.idempotent,
-            depth: self.head.depth,
-            made: u32::try_from(tried.len()).unwrap_or(u32::MAX),
-            reached,
-            most: self.rule.route.attempts.unwrap_or(retry::MOST_ATTEMPTS),
-            deadline: self.deadline,
-        }
-    }
-
-    /// What was not run within the route's time may be asked again by a caller who still waits.
-    fn refused(&self, refusal: Refusal, outcome: Outcome, now: Moment, reached: bool) -> Refused {
-        let refusal = match refusal {
-            Refusal::TooLate if outcome == Outcome::NotRun && now < self.leaves_at => {
-                Refusal::Overloaded {
-                    retry_after: LATE_WAIT,
-                }
-            }
-            refusal => refusal,
-        };
-        Refused {
-            refusal,
-            outcome,
-            load: None,
-            reached,
-        }
-    }
-}
-
 impl<L: Links> crank_caller::Gateway for Entry<L> {
     async fn call(&self, request: Request) -> Result<Answer, Refused> {
         Self::call(self, request).await
--- a/crates/crank-node/src/entry/lines.rs
+++ b/crates/crank-node/src/entry/lines.rs
@@ -7,7 +7,7 @@
 use crank_protocol::Name;
 use crank_protocol::call::{Header, Refusal, Refused};
 
-use super::Routed;
+use super::routed::Routed;
 
 /// The request's id as its caller wrote it; empty where it has none.
 pub(super) fn label(headers: &[Header], dialect: &Dialect) -> Arc<str> {
