--- a/crates/crank-engine/src/admit.rs
+++ b/crates/crank-engine/src/admit.rs
@@ -62,10 +62,24 @@
     pub fn enter(&mut self, now: Moment, ticket: Ticket) -> Vec<Step> {
         match self.drain.admit(now, ticket.depth) {
             Ok(()) => self.limit.enter(now, ticket),
-            Err(refusal) => vec![Step::Refuse {
-                id: ticket.id,
-                refusal,
-            }],
+            Err(refusal) => turn_away(ticket, refusal),
+        }
+    }
+
+    /// A request asks to run now, or not at all here.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::admit::Admission;
+    /// # use crank_engine::limit::{Size, Ticket};
+    /// let mut admission = Admission::new(Size { slots: 1, queue: 1 });
+    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
+    /// assert_eq!(admission.enter_free(Moment(0), ticket).len(), 1);
+    /// ```
+    pub fn enter_free(&mut self, now: Moment, ticket: Ticket) -> Vec<Step> {
+        match self.drain.admit(now, ticket.depth) {
+            Ok(()) => self.limit.enter_free(now, ticket),
+            Err(refusal) => turn_away(ticket, refusal),
         }
     }
 
@@ -178,3 +192,8 @@
         self.limit.overloaded()
     }
 }
+
+fn turn_away(ticket: Ticket, refusal: Refusal) -> Vec<Step> {
+    let id = ticket.id;
+    vec![Step::Refuse { id, refusal }]
+}
--- a/crates/crank-engine/src/balance.rs
+++ b/crates/crank-engine/src/balance.rs
@@ -199,16 +199,43 @@
     /// }
     /// ```
     pub fn choose(&mut self, now: Moment, tried: &[Name], rng: &mut impl Rng) -> Option<Choice> {
-        let id = self
-            .weigh(now, tried, rng)
-            .or_else(|| self.last_resort(now, tried))?;
+        let id = match self.weigh(now, tried, rng) {
+            Some(found) => found.id,
+            None => self.last_resort(now, tried)?,
+        };
+        self.begin(id)
+    }
+
+    /// The same, but only a target that seems to have a slot free.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, balance::Pool};
+    /// # use crank_protocol::Name;
+    /// fn may_run_at_once(pool: &mut Pool, now: Moment, asked: &[Name], rng: &mut impl rand::Rng) -> bool {
+    ///     pool.choose_free(now, asked, rng).is_some()
+    /// }
+    /// ```
+    pub fn choose_free(
+        &mut self,
+        now: Moment,
+        asked: &[Name],
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
+        let found = self.weigh(now, asked, rng)?;
+        if found.used > FULL {
+            return None;
+        }
+        self.begin(found.id)
+    }
+
+    fn begin(&mut self, id: Name) -> Option<Choice> {
         let target = self.known.get_mut(&id)?;
         target.begin();
         let address = target.address;
         Some(Choice { id, address })
     }
 
-    fn weigh(&self, now: Moment, tried: &[Name], rng: &mut impl Rng) -> Option<Name> {
+    fn weigh(&self, now: Moment, tried: &[Name], rng: &mut impl Rng) -> Option<Scored> {
         let mut best: Option<Scored> = None;
         for distance in DISTANCES {
             let Some(found) = self.better_of_two(now, distance, tried, rng) else {
@@ -222,7 +249,7 @@
                 break;
             }
         }
-        best.map(|best| best.id)
+        best
     }
 
     fn better_of_two(
--- a/crates/crank-engine/src/limit.rs
+++ b/crates/crank-engine/src/limit.rs
@@ -145,6 +145,23 @@
         self.wait(ticket)
     }
 
+    /// A request asks for a place that is free now: it runs or is refused, and never waits.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::limit::{Limit, Size, Step, Ticket};
+    /// let mut limit = Limit::new(Size { slots: 1, queue: 9 });
+    /// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
+    /// assert_eq!(limit.enter_free(Moment(0), ticket(1)), [Step::Run { id: 1 }]);
+    /// assert!(matches!(limit.enter_free(Moment(0), ticket(2))[..], [Step::Refuse { id: 2, .. }]));
+    /// ```
+    pub fn enter_free(&mut self, now: Moment, ticket: Ticket) -> Vec<Step> {
+        if ticket.deadline > now && !(self.has_free_slot() && self.waiting.is_empty()) {
+            return vec![refuse(ticket.id, self.overloaded())];
+        }
+        self.enter(now, ticket)
+    }
+
     fn wait(&mut self, ticket: Ticket) -> Vec<Step> {
         let mut steps = Vec::new();
         if self.waiting.len() >= self.size.queue as usize {
--- a/crates/crank-mesh/tests/common/mod.rs
+++ b/crates/crank-mesh/tests/common/mod.rs
@@ -47,6 +47,7 @@
         headers: Vec::new(),
         time_left: Millis(15_000),
         goal: None,
+        waits: true,
         importance: Importance::Normal,
         idempotent: false,
         once: None,
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -5,6 +5,7 @@
 mod customs;
 mod lines;
 mod routed;
+mod search;
 
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -31,6 +32,7 @@
 use asked::Asked;
 use bulkhead::Bulkhead;
 use routed::Routed;
+use search::{Next, Search};
 
 pub use customs::{Customs, Repeats};
 
@@ -233,7 +235,7 @@
 
     /// Tries one target after another, as long as that is safe and worth it.
     async fn try_targets(&self, routed: &Routed) -> Result<Answer, Refused> {
-        let mut tried: Vec<Name> = Vec::new();
+        let mut search = Search::default();
         let mut reached = 0;
         let mut certain = Outcome::NotRun;
         let mut last = Refusal::NoServer;
@@ -241,22 +243,25 @@
         routed.bulkhead.earn();
         loop {
             self.refresh(&routed.bulkhead, routed.head.version, &routed.rule);
-            let Some(choice) = routed.bulkhead.choose(self.now(), &tried) else {
+            let Some(next) = search.next(&routed.bulkhead, self.now(), routed.head.depth) else {
                 break;
             };
-            let result = self.attempt(routed, &choice).await;
-            tried.push(choice.id);
+            let result = self.attempt(routed, &next).await;
+            if search.note(&next, result.as_ref().err()) {
+                continue;
+            }
+            let tried = search.tried();
             reached += u32::from(result.as_ref().err().is_none_or(|refused| refused.reached));
-            let attempt = routed.attempt(&tried, reached);
+            let attempt = routed.attempt(tried, reached);
             let now = self.now();
             match result {
                 Ok(answer) if answer.head.status < FIRST_SERVER_FAULT => {
-                    lines::answered(routed, &tried, now);
+                    lines::answered(routed, tried, now);
                     return Ok(answer);
                 }
                 Ok(answer) => {
                     let again = routed.bulkhead.failed_again(now, attempt);
-                    lines::failed(routed, &tried, answer.head.status, again);
+                    lines::failed(routed, tried, answer.head.status, again);
                     if !again {
                         return Ok(answer);
                     }
@@ -265,7 +270,7 @@
                 Err(refused) => {
                     certain = retry::combine(certain, refused.outcome);
                     let again = routed.bulkhead.again(now, attempt, &refused);
-                    lines::refused(routed, &tried, &refused, again);
+                    lines::refused(routed, tried, &refused, again);
                     last = refused.refusal;
                     if !again {
                         break;
@@ -275,14 +280,16 @@
         }
         failure.ok_or_else(|| {
             let refused = routed.refused(last, certain, self.now(), reached > 0);
-            lines::given_up(routed, &tried, &refused, self.now());
+            lines::given_up(routed, &search, &refused, self.now());
             refused
         })
     }
 
-    async fn attempt(&self, routed: &Routed, choice: &Choice) -> Result<Answer, Refused> {
+    async fn attempt(&self, routed: &Routed, next: &Next) -> Result<Answer, Refused> {
+        let choice = &next.choice;
         let began = self.now();
         let mut head = routed.head.clone();
+        head.waits = next.waits;
         head.time_left = routed.deadline.since(began);
         let spent = began.since(routed.began);
         head.goal = head.goal.map(|goal| Millis(goal.0.saturating_sub(spent.0)));
--- a/crates/crank-node/src/entry/asked.rs
+++ b/crates/crank-node/src/entry/asked.rs
@@ -51,6 +51,7 @@
             headers: headers(request, rule, customs),
             time_left: self.timeout,
             goal: rule.objective().map(|objective| objective.latency),
+            waits: true,
             importance: rule.importance(),
             idempotent: rule.route.idempotent,
             once: self.once,
--- a/crates/crank-node/src/entry/bulkhead.rs
+++ b/crates/crank-node/src/entry/bulkhead.rs
@@ -89,6 +89,12 @@
         state.pool.choose(now, tried, &mut rand::rng())
     }
 
+    /// A target that seems to have a slot free.
+    pub(super) fn choose_free(&self, now: Moment, asked: &[Name]) -> Option<Choice> {
+        let mut state = self.state.lock();
+        state.pool.choose_free(now, asked, &mut rand::rng())
+    }
+
     /// Whether a request that its server answered with a failure is tried at another.
     pub(super) fn failed_again(&self, now: Moment, attempt: retry::Attempt) -> bool {
         let mut state = self.state.lock();
--- a/crates/crank-node/src/entry/lines.rs
+++ b/crates/crank-node/src/entry/lines.rs
@@ -8,6 +8,7 @@
 use crank_protocol::call::{Header, Refusal, Refused};
 
 use super::routed::Routed;
+use super::search::Search;
 
 /// The request's id as its caller wrote it; empty where it has none.
 pub(super) fn label(headers: &[Header], dialect: &Dialect) -> Arc<str> {
@@ -61,13 +62,14 @@
     );
 }
 
-pub(super) fn given_up(routed: &Routed, tried: &[Name], refused: &Refused, now: Moment) {
+pub(super) fn given_up(routed: &Routed, search: &Search, refused: &Refused, now: Moment) {
     log::info!(
         request = *routed.label,
         service:% = routed.head.service,
         route:% = routed.rule.name,
         version = routed.head.version.0,
-        tried:? = tried,
+        tried:? = search.tried(),
+        full:? = search.full(),
         refusal:? = refused.refusal,
         outcome:? = refused.outcome,
         reached = refused.reached,
--- a/crates/crank-node/src/gate.rs
+++ b/crates/crank-node/src/gate.rs
@@ -122,8 +122,15 @@
         deadline: Moment,
         depth: u32,
     ) -> Result<Pass, Refusal> {
-        let (sender, receiver) = oneshot::channel();
-        let pass = self.ask(importance, deadline, depth, sender);
+        let (pass, receiver) = self.ask(
+            |id| Ticket {
+                id,
+                importance,
+                deadline,
+                depth,
+            },
+            Admission::enter,
+        );
         let turn = tokio::time::timeout_at(self.clock.instant(deadline), receiver);
         match turn.await {
             Ok(Ok(Ok(()))) => Ok(pass),
@@ -132,31 +139,56 @@
         }
     }
 
-    fn ask(
+    /// Takes a place that is free now.
+    ///
+    /// # Errors
+    /// As [`Gate::enter`]; [`Refusal::Overloaded`] where none is free.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, limit::Size};
+    /// # use crank_node::{clock::Clock, gate::Gate};
+    /// # use crank_protocol::{call::Refusal, config::Importance};
+    /// # let _runtime = tokio::runtime::Runtime::new().unwrap();
+    /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
+    /// let refused = gate.enter_free(Importance::Normal, Moment(u64::MAX), 0);
+    /// assert_eq!(refused.err(), Some(Refusal::Leaving));
+    /// ```
+    pub fn enter_free(
         &self,
         importance: Importance,
         deadline: Moment,
         depth: u32,
-        sender: oneshot::Sender<Result<(), Refusal>>,
-    ) -> Pass {
-        let mut state = self.state.lock();
-        let id = state.next;
-        state.next += 1;
-        state.waiters.insert(id, sender);
-        let ticket = Ticket {
+    ) -> Result<Pass, Refusal> {
+        let ticket = |id| Ticket {
             id,
             importance,
             deadline,
             depth,
         };
-        let steps = state.admission.enter(self.clock.now(), ticket);
-        state.carry_out(steps);
-        Pass {
-            gate: self.clone(),
-            id,
+        let (pass, mut receiver) = self.ask(ticket, Admission::enter_free);
+        match receiver.try_recv() {
+            Ok(turn) => turn.map(|()| pass),
+            Err(_) => Err(Refusal::TooLate),
         }
     }
 
+    /// Puts a request's question to the admission; the answer comes on the receiver.
+    fn ask(
+        &self,
+        ticket: impl FnOnce(u64) -> Ticket,
+        enter: fn(&mut Admission, Moment, Ticket) -> Vec<Step>,
+    ) -> (Pass, oneshot::Receiver<Result<(), Refusal>>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut state = self.state.lock();
+        let id = state.next;
+        state.next += 1;
+        state.waiters.insert(id, sender);
+        let steps = enter(&mut state.admission, self.clock.now(), ticket(id));
+        state.carry_out(steps);
+        let gate = self.clone();
+        (Pass { gate, id }, receiver)
+    }
+
     /// Takes another size.
     ///
     /// ```
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -240,7 +240,11 @@
         let now = self.now();
         let good_until = head.goal.map_or(deadline, |goal| now.after(goal));
         let latest = deadline.min(good_until);
-        let pass = gate.enter(head.importance, latest, head.depth).await;
+        let pass = if head.waits {
+            gate.enter(head.importance, latest, head.depth).await
+        } else {
+            gate.enter_free(head.importance, latest, head.depth)
+        };
         pass.map_err(|refusal| match refusal {
             // Another target may have a slot sooner, or the caller comes back.
             Refusal::TooLate if self.now() < deadline => self.refused(gate.overloaded()),
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -319,6 +319,7 @@
         headers: Vec::new(),
         time_left: LONG,
         goal: None,
+        waits: true,
         importance: Importance::Normal,
         idempotent: false,
         once: once.map(Arc::from),
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -54,6 +54,8 @@
     pub time_left: Millis,
     /// For how much longer an answer is good; it waits for a slot no longer than that allows.
     pub goal: Option<Millis>,
+    /// Whether it may wait for a slot; where none is free, one that may not is refused at once.
+    pub waits: bool,
     /// What is given up first under overload.
     pub importance: Importance,
     /// Whether running it twice does no harm.
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -11,7 +11,7 @@
 use crate::{Millis, Name, compact};
 
 /// The version of the protocol between nodes.
-pub const PROTOCOL: u16 = 1;
+pub const PROTOCOL: u16 = 2;
 /// The largest datagram, in bytes.
 pub const LARGEST_DATAGRAM_BYTES: usize = 1_200;
 /// The largest frame on a control connection, in bytes.
--- a/crates/crank-server/tests/forwarding.rs
+++ b/crates/crank-server/tests/forwarding.rs
@@ -44,6 +44,7 @@
         headers: Vec::new(),
         time_left: TIME,
         goal: None,
+        waits: true,
         importance: Importance::Normal,
         idempotent: false,
         once: None,
