--- a/crates/crank-node/src/entry/asked.rs
+++ b/crates/crank-node/src/entry/asked.rs
@@ -36,14 +36,6 @@
         })
     }
 
-    /// For how long an answer is good. A caller whose time ends with the route's cannot come back, and
-    /// a server that calls loses its own work without the answer: a late one is better than none.
-    fn goal(&self, rule: &Rule) -> Option<Millis> {
-        let comes_back = self.patience > rule.timeout();
-        let objective = rule.objective().filter(|_| comes_back);
-        objective.map(|objective| objective.latency)
-    }
-
     pub(super) fn head(
         self,
         request: &Request,
@@ -58,7 +50,7 @@
             path: request.path.clone(),
             headers: headers(request, rule, customs),
             time_left: self.timeout,
-            goal: self.goal(rule),
+            goal: rule.objective().map(|objective| objective.latency),
             waits: true,
             importance: rule.importance(),
             idempotent: rule.route.idempotent,
