--- a/crates/crank-engine/examples/requests/shared.rs
+++ b/crates/crank-engine/examples/requests/shared.rs
@@ -70,6 +70,7 @@
                     importance: Importance::Normal,
                     deadline: Moment(now).after(TIMEOUT),
                     depth: 0,
+                    run: None,
                 };
                 limits[index(places, hangs)].enter(Moment(now), ticket)
             }
--- a/crates/crank-engine/examples/requests/world.rs
+++ b/crates/crank-engine/examples/requests/world.rs
@@ -269,6 +269,7 @@
                     importance: Importance::Normal,
                     deadline,
                     depth: 0,
+                    run: None,
                 };
                 let admission = &mut self.servers[server].admission;
                 let steps = admission.enter(Moment(self.now), ticket);
--- a/crates/crank-engine/src/admit.rs
+++ b/crates/crank-engine/src/admit.rs
@@ -20,7 +20,7 @@
 /// use crank_engine::limit::{Size, Step, Ticket};
 /// use crank_protocol::{Millis, call::Refusal, member::Stage};
 /// let mut admission = Admission::new(Size { slots: 1, queue: 1 });
-/// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
+/// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000), depth: 0, run: None };
 /// let refused = Step::Refuse { id: 1, refusal: Refusal::Leaving };
 /// assert_eq!(admission.enter(Moment(0), ticket(1)), [refused]);
 /// admission.announce(Moment(0), Stage::Ready, Millis(100));
@@ -56,7 +56,7 @@
     /// # use crank_engine::admit::Admission;
     /// # use crank_engine::limit::{Size, Ticket};
     /// let mut admission = Admission::new(Size { slots: 1, queue: 1 });
-    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
+    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0, run: None };
     /// assert_eq!(admission.enter(Moment(0), ticket).len(), 1);
     /// ```
     pub fn enter(&mut self, now: Moment, ticket: Ticket) -> Vec<Step> {
@@ -73,7 +73,7 @@
     /// # use crank_engine::admit::Admission;
     /// # use crank_engine::limit::{Size, Ticket};
     /// let mut admission = Admission::new(Size { slots: 1, queue: 1 });
-    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
+    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0, run: None };
     /// assert_eq!(admission.enter_free(Moment(0), ticket).len(), 1);
     /// ```
     pub fn enter_free(&mut self, now: Moment, ticket: Ticket) -> Vec<Step> {
--- a/crates/crank-engine/src/balance/eject.rs
+++ b/crates/crank-engine/src/balance/eject.rs
@@ -5,6 +5,7 @@
 
 use super::target::Target;
 use crate::Moment;
+use crate::mean::Mean;
 
 /// Failures without an answer between them that eject a target.
 pub const CONSECUTIVE_FAILURES: u32 = 5;
@@ -100,23 +101,24 @@
     }
     if let Some(target) = known.get_mut(id) {
         target.record.eject(now);
-        target.latency = super::target::Latency::default();
+        target.latency = Mean::default();
     }
 }
 
 fn is_slow(known: &BTreeMap<Name, Target>, id: &Name, target: &Target) -> bool {
-    if target.latency.samples < target.record.fewest_samples() {
+    if target.latency.samples() < target.record.fewest_samples() {
         return false;
     }
+    let mean = |target: &Target| target.latency.micros().map(|micros| micros as f64);
     let mut others: Vec<f64> = known
         .iter()
-        .filter(|(other, target)| *other != id && target.latency.samples >= FEWEST_SAMPLES)
-        .map(|(_, target)| target.latency.mean_micros)
+        .filter(|(other, target)| *other != id && target.latency.samples() >= FEWEST_SAMPLES)
+        .filter_map(|(_, target)| mean(target))
         .collect();
     if others.len() < FEWEST_OTHERS {
         return false;
     }
     others.sort_by(f64::total_cmp);
     let median = others[(others.len() - 1) / 2];
-    target.latency.mean_micros > median * SLOW_TIMES + SLOW_BY_MICROS
+    mean(target).is_some_and(|mean| mean > median * SLOW_TIMES + SLOW_BY_MICROS)
 }
--- a/crates/crank-engine/src/balance/target.rs
+++ b/crates/crank-engine/src/balance/target.rs
@@ -7,6 +7,7 @@
 
 use super::{Distance, End, eject::Record};
 use crate::Moment;
+use crate::mean::Mean;
 
 /// What an answer told of a target's load counts for less and less until this age.
 const LOAD_AGE: Millis = Millis(1_000);
@@ -14,8 +15,6 @@
 const LEAVING_FOR: Millis = Millis(3_000);
 /// The share of work that a cold target begins with.
 const COLDEST: f64 = 0.1;
-/// The weight of a new latency in the running mean.
-const LATENCY_WEIGHT: f64 = 0.2;
 /// What a suspected target is given on top of its load, as a share of its slots.
 const SUSPECT_HANDICAP: f64 = 1.0;
 
@@ -26,7 +25,7 @@
     pub(super) distance: Distance,
     pub(super) slots: u32,
     pub(super) record: Record,
-    pub(super) latency: Latency,
+    pub(super) latency: Mean,
     suspect: bool,
     began: Option<Moment>,
     leaving_until: Moment,
@@ -43,26 +42,6 @@
     others: u32,
 }
 
-/// A running mean of latencies.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(super) struct Latency {
-    pub(super) samples: u32,
-    pub(super) mean_micros: f64,
-}
-
-impl Latency {
-    fn add(&mut self, micros: u64) {
-        let micros = micros as f64;
-        if self.samples == 0 {
-            self.mean_micros = micros;
-        } else {
-            self.mean_micros += (micros - self.mean_micros) * LATENCY_WEIGHT;
-        }
-        self.samples = self.samples.saturating_add(1);
-    }
-}
-
 impl Target {
     pub(super) fn new(address: SocketAddr, distance: Distance, began: Option<Moment>) -> Self {
         Self {
@@ -70,7 +49,7 @@
             distance,
             slots: 0,
             record: Record::default(),
-            latency: Latency::default(),
+            latency: Mean::default(),
             suspect: false,
             began,
             leaving_until: Moment(0),
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod folder;
 pub mod ini;
 pub mod limit;
+pub mod mean;
 pub mod member;
 pub mod notice;
 pub mod overlay;
--- a/crates/crank-engine/src/limit.rs
+++ b/crates/crank-engine/src/limit.rs
@@ -32,6 +32,8 @@
     pub deadline: Moment,
     /// The layer of the call chain; zero for a caller outside the mesh.
     pub depth: u32,
+    /// How long it is expected to run, where that is known.
+    pub run: Option<Millis>,
 }
 
 /// What becomes of a ticket.
@@ -69,6 +71,14 @@
     id: u64,
 }
 
+/// What is known of a request that waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Wait {
+    deadline: Moment,
+    run: Option<Millis>,
+}
+
 /// Requests that run and requests that wait, both bounded.
 ///
 /// A request waits only while it can still meet its deadline, and gives up its place to a more
@@ -78,7 +88,7 @@
 pub struct Limit {
     size: Size,
     running: BTreeMap<u64, Moment>,
-    waiting: BTreeMap<Rank, Moment>,
+    waiting: BTreeMap<Rank, Wait>,
     mean_micros: u64,
 }
 
@@ -89,7 +99,7 @@
     /// use crank_engine::Moment;
     /// use crank_engine::limit::{Limit, Size, Step, Ticket};
     /// let mut limit = Limit::new(Size { slots: 1, queue: 1 });
-    /// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
+    /// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000), depth: 0, run: None };
     /// assert_eq!(limit.enter(Moment(0), ticket(1)), [Step::Run { id: 1 }]);
     /// assert_eq!(limit.enter(Moment(0), ticket(2)), []);
     /// assert!(matches!(limit.enter(Moment(0), ticket(3))[..], [Step::Refuse { id: 3, .. }]));
@@ -111,7 +121,7 @@
     /// # use crank_engine::Moment;
     /// # use crank_engine::limit::{Limit, Size, Step, Ticket};
     /// # let mut limit = Limit::new(Size { slots: 0, queue: 1 });
-    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
+    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0, run: None };
     /// assert_eq!(limit.enter(Moment(0), ticket), []);
     /// assert_eq!(limit.resize(Moment(0), Size { slots: 1, queue: 1 }), [Step::Run { id: 1 }]);
     /// ```
@@ -127,7 +137,7 @@
     /// # use crank_engine::limit::{Limit, Size, Step, Ticket};
     /// # use crank_protocol::call::Refusal;
     /// let mut limit = Limit::new(Size { slots: 1, queue: 1 });
-    /// let late = Ticket { id: 1, importance: Default::default(), deadline: Moment(5), depth: 0 };
+    /// let late = Ticket { id: 1, importance: Default::default(), deadline: Moment(5), depth: 0, run: None };
     /// let refused = Step::Refuse { id: 1, refusal: Refusal::TooLate };
     /// assert_eq!(limit.enter(Moment(5), late), [refused]);
     /// ```
@@ -151,7 +161,7 @@
     /// # use crank_engine::Moment;
     /// # use crank_engine::limit::{Limit, Size, Step, Ticket};
     /// let mut limit = Limit::new(Size { slots: 1, queue: 9 });
-    /// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
+    /// let ticket = |id| Ticket { id, importance: Default::default(), deadline: Moment(9_000), depth: 0, run: None };
     /// assert_eq!(limit.enter_free(Moment(0), ticket(1)), [Step::Run { id: 1 }]);
     /// assert!(matches!(limit.enter_free(Moment(0), ticket(2))[..], [Step::Refuse { id: 2, .. }]));
     /// ```
@@ -173,7 +183,8 @@
                 Some(_) | None => return vec![refuse(ticket.id, self.overloaded())],
             }
         }
-        self.waiting.insert(rank(&ticket), ticket.deadline);
+        let Ticket { deadline, run, .. } = ticket;
+        self.waiting.insert(rank(&ticket), Wait { deadline, run });
         steps
     }
 
@@ -200,7 +211,7 @@
     /// # use crank_engine::limit::{Limit, Size, Ticket};
     /// # use crank_protocol::call::Refusal;
     /// let mut limit = Limit::new(Size { slots: 0, queue: 1 });
-    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0 };
+    /// let ticket = Ticket { id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0, run: None };
     /// limit.enter(Moment(0), ticket);
     /// assert_eq!(limit.clear(&Refusal::Leaving).len(), 1);
     /// ```
@@ -265,10 +276,11 @@
     fn fill(&mut self, now: Moment) -> Vec<Step> {
         let mut steps = Vec::new();
         while self.has_free_slot() {
-            let Some((rank, deadline)) = self.waiting.pop_first() else {
+            let Some((rank, Wait { deadline, run })) = self.waiting.pop_first() else {
                 break;
             };
-            if now.0.saturating_add(self.mean_micros) > deadline.0 || deadline <= now {
+            let end = now.0.saturating_add(self.run_micros(run));
+            if end > deadline.0 || deadline <= now {
                 steps.push(refuse(rank.id, Refusal::TooLate));
             } else {
                 self.running.insert(rank.id, now);
@@ -289,7 +301,15 @@
     fn expected_end(&self, now: Moment, ticket: &Ticket) -> Moment {
         let ahead = self.waiting.range(..rank(ticket)).count();
         let wait = self.turn_micros(ahead + 1);
-        Moment(now.0.saturating_add(wait).saturating_add(self.mean_micros))
+        let run = self.run_micros(ticket.run);
+        Moment(now.0.saturating_add(wait).saturating_add(run))
+    }
+
+    /// How long a request runs: as its entry expects, or as the others did here.
+    fn run_micros(&self, expected: Option<Millis>) -> u64 {
+        expected.map_or(self.mean_micros, |run| {
+            run.0.saturating_mul(MICROS_PER_MILLI)
+        })
     }
 
     fn turn_micros(&self, turns: usize) -> u64 {
--- a/crates/crank-engine/tests/admission.rs
+++ b/crates/crank-engine/tests/admission.rs
@@ -145,6 +145,7 @@
             importance,
             deadline: Moment(self.now.0 + time),
             depth,
+            run: None,
         };
         self.next += 1;
         self.waiting.insert(ticket.id, ticket);
--- a/crates/crank-mesh/tests/common/mod.rs
+++ b/crates/crank-mesh/tests/common/mod.rs
@@ -49,6 +49,7 @@
         time_left: Millis(15_000),
         goal: None,
         waits: true,
+        run: None,
         importance: Importance::Normal,
         idempotent: false,
         once: None,
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -28,7 +28,7 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
-use crate::gate::{Gate, Pass};
+use crate::gate::{Bid, Gate, Pass};
 use asked::Asked;
 use bulkhead::Bulkhead;
 use routed::Routed;
@@ -224,11 +224,16 @@
         deadline: Moment,
         depth: u32,
     ) -> Result<Passes, Refusal> {
-        let importance = rule.importance();
-        let service = bulkhead.gate().enter(importance, deadline, depth).await?;
+        let bid = Bid {
+            importance: rule.importance(),
+            deadline,
+            depth,
+            run: None,
+        };
+        let service = bulkhead.gate().enter(bid).await?;
         let places = &self.shared.places;
         Ok(Passes {
-            _node: places.enter(importance, deadline, depth).await?,
+            _node: places.enter(bid).await?,
             _service: service,
         })
     }
@@ -290,6 +295,7 @@
         let began = self.now();
         let mut head = routed.head.clone();
         head.waits = next.waits;
+        head.run = routed.bulkhead.run_of(&routed.rule.name);
         head.time_left = routed.deadline.since(began);
         let spent = began.since(routed.began);
         head.goal = head.goal.map(|goal| Millis(goal.0.saturating_sub(spent.0)));
@@ -304,7 +310,11 @@
         let result = tokio::time::timeout_at(end, call)
             .await
             .unwrap_or_else(|_| Err(retry::refused(Refusal::TimedOut, None)));
-        flight.land(&result);
+        let took = flight.land(&result);
+        // Without a wait, nearly all of the time is the run.
+        if let (Some(took), false) = (took, next.waits) {
+            routed.bulkhead.note_run(&routed.rule.name, took);
+        }
         result
     }
 
--- a/crates/crank-node/src/entry/asked.rs
+++ b/crates/crank-node/src/entry/asked.rs
@@ -52,6 +52,7 @@
             time_left: self.timeout,
             goal: rule.objective().map(|objective| objective.latency),
             waits: true,
+            run: None,
             importance: rule.importance(),
             idempotent: rule.route.idempotent,
             once: self.once,
--- a/crates/crank-node/src/entry/bulkhead.rs
+++ b/crates/crank-node/src/entry/bulkhead.rs
@@ -1,8 +1,10 @@
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crank_engine::Moment;
 use crank_engine::balance::{Choice, End, Pool};
 use crank_engine::limit::Size;
+use crank_engine::mean::Mean;
 use crank_engine::retry::{self, Budget};
 use crank_engine::route::Rule;
 use crank_mesh::View;
@@ -18,6 +20,7 @@
 
 /// Requests of one service that a node has under way at most.
 const MOST_UNDER_WAY: u32 = 1_024;
+const MICROS_PER_MILLI: u64 = 1_000;
 
 /// What the entry holds for one service, apart from all others: places, targets, retry budget.
 #[derive(Debug)]
@@ -33,6 +36,8 @@
     version: Version,
     view: Option<Arc<View>>,
     repeats: Option<Repeats>,
+    /// How long the requests of each route run.
+    runs: BTreeMap<Name, Mean>,
 }
 
 impl Bulkhead {
@@ -46,6 +51,7 @@
             version: Version::default(),
             view: None,
             repeats: parts.customs.repeats,
+            runs: BTreeMap::new(),
         };
         Self {
             gate,
@@ -95,6 +101,18 @@
         state.pool.choose_free(now, asked, &mut rand::rng())
     }
 
+    /// How long a request of a route is expected to run.
+    pub(super) fn run_of(&self, route: &Name) -> Option<Millis> {
+        let state = self.state.lock();
+        let micros = state.runs.get(route)?.micros()?;
+        Some(Millis(micros / MICROS_PER_MILLI))
+    }
+
+    pub(super) fn note_run(&self, route: &Name, micros: u64) {
+        let mut state = self.state.lock();
+        state.runs.entry(route.clone()).or_default().add(micros);
+    }
+
     /// Whether a request that its server answered with a failure is tried at another.
     pub(super) fn failed_again(&self, now: Moment, attempt: retry::Attempt) -> bool {
         let mut state = self.state.lock();
@@ -148,7 +166,8 @@
         }
     }
 
-    pub(super) fn land(mut self, result: &Result<Answer, Refused>) {
+    /// Notes how the attempt ended; how long it took in microseconds, where it was answered.
+    pub(super) fn land(mut self, result: &Result<Answer, Refused>) -> Option<u64> {
         self.landed = true;
         let now = self.clock.now();
         let micros = now.0.saturating_sub(self.began.0);
@@ -161,6 +180,10 @@
         };
         let mut state = self.bulkhead.state.lock();
         state.pool.finish(now, self.target, end, load);
+        match end {
+            End::Answered { micros } => Some(micros),
+            End::Full | End::Leaving | End::Slow { .. } | End::Failed | End::Unrelated => None,
+        }
     }
 }
 
--- a/crates/crank-node/src/gate.rs
+++ b/crates/crank-node/src/gate.rs
@@ -16,20 +16,68 @@
 
 use crate::clock::Clock;
 
+/// What a request asks of a gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bid {
+    /// What is given up first when there is not room for all.
+    pub importance: Importance,
+    /// When its time is over.
+    pub deadline: Moment,
+    /// The layer of the call chain; zero for a caller outside the mesh.
+    pub depth: u32,
+    /// How long it is expected to run, where that is known.
+    pub run: Option<Millis>,
+}
+
+impl Bid {
+    /// The bid of a caller's request of ordinary importance.
+    ///
+    /// ```
+    /// use crank_engine::Moment;
+    /// use crank_node::gate::Bid;
+    /// assert_eq!(Bid::new(Moment(9)).depth, 0);
+    /// ```
+    #[must_use]
+    pub fn new(deadline: Moment) -> Self {
+        Self {
+            importance: Importance::default(),
+            deadline,
+            depth: 0,
+            run: None,
+        }
+    }
+
+    fn ticket(self, id: u64) -> Ticket {
+        let Self {
+            importance,
+            deadline,
+            depth,
+            run,
+        } = self;
+        Ticket {
+            id,
+            importance,
+            deadline,
+            depth,
+            run,
+        }
+    }
+}
+
 /// Lets requests through as an [`Admission`] decides.
 ///
 /// ```
 /// # #[tokio::main(flavor = "current_thread")] async fn main() {
 /// use crank_engine::limit::Size;
-/// use crank_node::{clock::Clock, gate::Gate};
-/// use crank_protocol::{Millis, config::Importance, member::Stage};
+/// use crank_node::{clock::Clock, gate::{Bid, Gate}};
+/// use crank_protocol::{Millis, member::Stage};
 /// let clock = Clock::new();
 /// let gate = Gate::new(clock, Size { slots: 1, queue: 0 });
 /// gate.announce(Stage::Ready, Millis(100));
 /// let deadline = clock.now().after(Millis(60_000));
-/// let pass = gate.enter(Importance::Normal, deadline, 0).await;
+/// let pass = gate.enter(Bid::new(deadline)).await;
 /// assert!(pass.is_ok());
-/// assert!(gate.enter(Importance::Normal, deadline, 0).await.is_err());
+/// assert!(gate.enter(Bid::new(deadline)).await.is_err());
 /// # }
 /// ```
 #[derive(Debug, Clone)]
@@ -109,29 +157,16 @@
     /// ```
     /// # #[tokio::main(flavor = "current_thread")] async fn main() {
     /// # use crank_engine::{Moment, limit::Size};
-    /// # use crank_node::{clock::Clock, gate::Gate};
-    /// # use crank_protocol::{call::Refusal, config::Importance};
+    /// # use crank_node::{clock::Clock, gate::{Bid, Gate}};
+    /// # use crank_protocol::call::Refusal;
     /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
-    /// let refused = gate.enter(Importance::Normal, Moment(u64::MAX), 0).await;
+    /// let refused = gate.enter(Bid::new(Moment(u64::MAX))).await;
     /// assert_eq!(refused.err(), Some(Refusal::Leaving));
     /// # }
     /// ```
-    pub async fn enter(
-        &self,
-        importance: Importance,
-        deadline: Moment,
-        depth: u32,
-    ) -> Result<Pass, Refusal> {
-        let (pass, receiver) = self.ask(
-            |id| Ticket {
-                id,
-                importance,
-                deadline,
-                depth,
-            },
-            Admission::enter,
-        );
-        let turn = tokio::time::timeout_at(self.clock.instant(deadline), receiver);
+    pub async fn enter(&self, bid: Bid) -> Result<Pass, Refusal> {
+        let (pass, receiver) = self.ask(bid, Admission::enter);
+        let turn = tokio::time::timeout_at(self.clock.instant(bid.deadline), receiver);
         match turn.await {
             Ok(Ok(Ok(()))) => Ok(pass),
             Ok(Ok(Err(refusal))) => Err(refusal),
@@ -146,26 +181,15 @@
     ///
     /// ```
     /// # use crank_engine::{Moment, limit::Size};
-    /// # use crank_node::{clock::Clock, gate::Gate};
-    /// # use crank_protocol::{call::Refusal, config::Importance};
+    /// # use crank_node::{clock::Clock, gate::{Bid, Gate}};
+    /// # use crank_protocol::call::Refusal;
     /// # let _runtime = tokio::runtime::Runtime::new().unwrap();
     /// let gate = Gate::new(Clock::new(), Size { slots: 1, queue: 0 });
-    /// let refused = gate.enter_free(Importance::Normal, Moment(u64::MAX), 0);
+    /// let refused = gate.enter_free(Bid::new(Moment(u64::MAX)));
     /// assert_eq!(refused.err(), Some(Refusal::Leaving));
     /// ```
-    pub fn enter_free(
-        &self,
-        importance: Importance,
-        deadline: Moment,
-        depth: u32,
-    ) -> Result<Pass, Refusal> {
-        let ticket = |id| Ticket {
-            id,
-            importance,
-            deadline,
-            depth,
-        };
-        let (pass, mut receiver) = self.ask(ticket, Admission::enter_free);
+    pub fn enter_free(&self, bid: Bid) -> Result<Pass, Refusal> {
+        let (pass, mut receiver) = self.ask(bid, Admission::enter_free);
         match receiver.try_recv() {
             Ok(turn) => turn.map(|()| pass),
             Err(_) => Err(Refusal::TooLate),
@@ -175,7 +199,7 @@
     /// Puts a request's question to the admission; the answer comes on the receiver.
     fn ask(
         &self,
-        ticket: impl FnOnce(u64) -> Ticket,
+        bid: Bid,
         enter: fn(&mut Admission, Moment, Ticket) -> Vec<Step>,
     ) -> (Pass, oneshot::Receiver<Result<(), Refusal>>) {
         let (sender, receiver) = oneshot::channel();
@@ -183,7 +207,7 @@
         let id = state.next;
         state.next += 1;
         state.waiters.insert(id, sender);
-        let steps = enter(&mut state.admission, self.clock.now(), ticket(id));
+        let steps = enter(&mut state.admission, self.clock.now(), bid.ticket(id));
         state.carry_out(steps);
         let gate = self.clone();
         (Pass { gate, id }, receiver)
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -20,7 +20,7 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
-use crate::gate::{Gate, Pass};
+use crate::gate::{Bid, Gate, Pass};
 
 pub use once::RECORDED_BODY_BYTES;
 
@@ -240,10 +240,16 @@
         let now = self.now();
         let good_until = head.goal.map_or(deadline, |goal| now.after(goal));
         let latest = deadline.min(good_until);
+        let bid = Bid {
+            importance: head.importance,
+            deadline: latest,
+            depth: head.depth,
+            run: head.run,
+        };
         let pass = if head.waits {
-            gate.enter(head.importance, latest, head.depth).await
+            gate.enter(bid).await
         } else {
-            gate.enter_free(head.importance, latest, head.depth)
+            gate.enter_free(bid)
         };
         pass.map_err(|refusal| match refusal {
             // Another target may have a slot sooner, or the caller comes back.
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -321,6 +321,7 @@
         time_left: LONG,
         goal: None,
         waits: true,
+        run: None,
         importance: Importance::Normal,
         idempotent: false,
         once: once.map(Arc::from),
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -56,6 +56,8 @@
     pub goal: Option<Millis>,
     /// Whether it may wait for a slot; where none is free, one that may not is refused at once.
     pub waits: bool,
+    /// How long it is expected to run, where the entry has seen others of its route.
+    pub run: Option<Millis>,
     /// What is given up first under overload.
     pub importance: Importance,
     /// Whether running it twice does no harm.
--- a/crates/crank-server/tests/forwarding.rs
+++ b/crates/crank-server/tests/forwarding.rs
@@ -45,6 +45,7 @@
         time_left: TIME,
         goal: None,
         waits: true,
+        run: None,
         importance: Importance::Normal,
         idempotent: false,
         once: None,
