Take a request from its writer in the same step in which it is told to be too late

Cause: at its deadline a request was first looked up and then forgotten. In between the writer could write it, or its answer could end it; both times its caller was told that it had not run, though it had or would. Ruled out: the target's gate and refusals (they are judged under one lock).

--- a/crates/crank-mesh/src/call/attempt.rs
+++ b/crates/crank-mesh/src/call/attempt.rs
@@ -28,6 +28,17 @@
     Answered { length: Option<u64>, received: u64 },
 }
 
+/// How far an attempt had come when it was forgotten.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Forgotten {
+    /// Its request was not written, and will not be.
+    Unwritten,
+    /// Its request was written.
+    Written,
+    /// It had ended, and its events tell how.
+    Ended,
+}
+
 struct Attempt {
     stage: Stage,
     is_head: bool,
@@ -82,15 +93,14 @@
         true
     }
 
-    /// Forgets an attempt; true if its request was written.
-    pub(super) fn forget(&mut self, id: u64) -> bool {
+    /// Forgets an attempt, and says how far it had come.
+    pub(super) fn forget(&mut self, id: u64) -> Forgotten {
         let attempt = self.waiting.remove(&id);
-        attempt.is_some_and(|attempt| !matches!(attempt.stage, Stage::Queued))
-    }
-
-    pub(super) fn is_written(&self, id: u64) -> bool {
-        let attempt = self.waiting.get(&id);
-        attempt.is_some_and(|attempt| !matches!(attempt.stage, Stage::Queued))
+        match attempt.map(|attempt| attempt.stage) {
+            None => Forgotten::Ended,
+            Some(Stage::Queued) => Forgotten::Unwritten,
+            Some(Stage::Written | Stage::Answered { .. }) => Forgotten::Written,
+        }
     }
 
     /// Gives credit for what the reader took; false if the attempt has ended.
--- a/crates/crank-mesh/src/call/link.rs
+++ b/crates/crank-mesh/src/call/link.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use crank_protocol::Name;
-use crank_protocol::call::{Answer, Body, Head, Outcome, Refusal, Refused};
+use crank_protocol::call::{Answer, AnswerHead, Body, Head, Outcome, Refusal, Refused};
 use crank_protocol::config::Method;
 use crank_protocol::wire::{Call, Hello};
 use futures::stream::{SplitSink, SplitStream};
@@ -20,7 +20,7 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
-use super::attempt::{Attempts, Event, lost, not_sent, refused};
+use super::attempt::{Attempts, Event, Forgotten, lost, not_sent, refused};
 use super::frame::{self, Ended, Heard};
 use super::{CLIENT_IDLE_LIMIT, CREDIT_BYTES, LAST_WORDS_LIMIT, PING_AFTER, SILENCE_LIMIT};
 use crate::Error;
@@ -406,23 +406,34 @@
         }
     }
 
-    async fn head(&mut self) -> Result<crank_protocol::call::AnswerHead, Refused> {
+    async fn head(&mut self) -> Result<AnswerHead, Refused> {
         match timeout_at(self.deadline, self.events.recv()).await {
-            Ok(Some(Event::Head(head))) => Ok(head),
-            Ok(Some(Event::Refused(refused))) => {
+            Ok(event) => self.begin(event),
+            Err(_) => self.give_up(),
+        }
+    }
+
+    fn begin(&mut self, event: Option<Event>) -> Result<AnswerHead, Refused> {
+        match event {
+            Some(Event::Head(head)) => Ok(head),
+            Some(Event::Refused(refused)) => {
                 self.is_ended = true;
                 Err(refused)
             }
-            Ok(_) => Err(lost()),
-            Err(_) => Err(self.too_late()),
+            Some(Event::Data(_) | Event::End) | None => Err(lost()),
         }
     }
 
-    fn too_late(&self) -> Refused {
-        if self.shared.attempts.lock().is_written(self.attempt) {
-            refused(Refusal::TimedOut, Outcome::Unknown)
-        } else {
-            refused(Refusal::TooLate, Outcome::NotRun)
+    /// Ends the attempt at its deadline. In the same step it is taken from the writer, so that what
+    /// is told not to have been sent is not written a moment later; what has just been answered is.
+    fn give_up(&mut self) -> Result<AnswerHead, Refused> {
+        match self.cancel() {
+            Forgotten::Unwritten => Err(refused(Refusal::TooLate, Outcome::NotRun)),
+            Forgotten::Written => Err(refused(Refusal::TimedOut, Outcome::Unknown)),
+            Forgotten::Ended => {
+                let event = self.events.try_recv().ok();
+                self.begin(event)
+            }
         }
     }
 
@@ -476,12 +487,15 @@
         }
     }
 
-    fn cancel(&self) {
+    /// Forgets the attempt; the target is told if it got the request.
+    fn cancel(&self) -> Forgotten {
         let attempt = self.attempt;
-        if self.shared.attempts.lock().forget(attempt) {
+        let forgotten = self.shared.attempts.lock().forget(attempt);
+        if forgotten == Forgotten::Written {
             let cancel = Outgoing::Frame(Call::Cancel { attempt });
             let _ = self.shared.outgoing.send(cancel);
         }
+        forgotten
     }
 }
 
--- a/crates/crank-node/src/entry/search.rs
+++ b/crates/crank-node/src/entry/search.rs
@@ -3,7 +3,7 @@
 use crank_engine::Moment;
 use crank_engine::balance::Choice;
 use crank_protocol::Name;
-use crank_protocol::call::{Refusal, Refused};
+use crank_protocol::call::{Outcome, Refusal, Refused};
 
 use super::bulkhead::Bulkhead;
 
@@ -47,7 +47,9 @@
     pub(super) fn note(&mut self, next: &Next, refused: Option<&Refused>) -> bool {
         let id = next.choice.id.clone();
         let is_full = refused.is_some_and(|refused| {
-            !refused.reached && matches!(refused.refusal, Refusal::Overloaded { .. })
+            refused.outcome == Outcome::NotRun
+                && !refused.reached
+                && matches!(refused.refusal, Refusal::Overloaded { .. })
         });
         if is_full && !next.waits {
             self.full.push(id);
