--- a/crates/crank-engine/tests/overlay.rs
+++ b/crates/crank-engine/tests/overlay.rs
@@ -4,7 +4,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crank_engine::Moment;
-use crank_engine::overlay::{BRIDGES, FINGERS, bridges, candidates, neighbours};
+use crank_engine::overlay::{
+    ALL_READ, BRIDGES, FINGERS, READERS, bridges, candidates, neighbours, reads,
+};
 use crank_engine::spread::Gate;
 use crank_protocol::member::{Member, Place, State};
 use crank_protocol::{Millis, Name};
@@ -187,3 +189,43 @@
         "the store's region is empty"
     );
 }
+
+#[test]
+fn in_a_large_region_a_few_nodes_read_the_store_those_with_wide_links_first() {
+    let mut members = fleet(90, 3);
+    for wide in members.iter_mut().step_by(9) {
+        wide.link = 140;
+    }
+    let readers: Vec<&Member> = members
+        .iter()
+        .filter(|member| reads(member, &members))
+        .collect();
+    assert_eq!(readers.len(), 3 * READERS);
+    let region = |wanted: &str| {
+        let there = |member: &&&Member| member.place.region.as_str() == wanted;
+        readers.iter().filter(there).count()
+    };
+    assert_eq!(region("region-0"), READERS);
+    let wide = members.iter().filter(|member| member.link > 0).count();
+    let chosen = readers.iter().filter(|member| member.link > 0).count();
+    assert_eq!(
+        chosen,
+        wide.min(READERS),
+        "all wide links stand in one region"
+    );
+}
+
+#[test]
+fn in_a_small_region_every_node_reads_the_store_and_a_dead_reader_is_replaced() {
+    let small = fleet(3 * ALL_READ, 3);
+    assert!(small.iter().all(|member| reads(member, &small)));
+    let mut large = fleet(30, 1);
+    let is_reader = |member: &&Member| reads(member, &large);
+    let first = large.iter().find(is_reader).unwrap().id.clone();
+    for member in large.iter_mut().filter(|member| member.id == first) {
+        member.state = State::Dead;
+    }
+    let living = large.iter().filter(|member| member.state == State::Alive);
+    let readers = living.filter(|member| reads(member, &large)).count();
+    assert_eq!(readers, READERS);
+}
--- a/crates/crank-load/src/command/mod.rs
+++ b/crates/crank-load/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod converge;
 mod demo;
 mod fleet;
+mod soak;
 
 use std::io::Write;
 
@@ -38,6 +39,8 @@
     Demo(demo::Arguments),
     #[options(help = "start a fleet of processes and keep it running until SIGINT or SIGTERM")]
     Fleet(fleet::Arguments),
+    #[options(help = "play seeded faults on a fleet and check the promises meanwhile")]
+    Soak(soak::Arguments),
 }
 
 /// Runs the command that the arguments name; its figures go to standard output as JSON.
@@ -58,6 +61,7 @@
         Some(Command::Converge(arguments)) => converge::run(arguments).await,
         Some(Command::Demo(arguments)) => demo::run(arguments).await,
         Some(Command::Fleet(arguments)) => fleet::run(arguments).await,
+        Some(Command::Soak(arguments)) => soak::run(arguments).await,
         None => Ok(()),
     }
 }
--- a/crates/crank-load/src/converge.rs
+++ b/crates/crank-load/src/converge.rs
@@ -129,7 +129,7 @@
 }
 
 /// The version that a node holds; zero where it does not say.
-async fn version(client: &reqwest::Client, operators: &str) -> u64 {
+pub(crate) async fn version(client: &reqwest::Client, operators: &str) -> u64 {
     let Ok(response) = client.get(format!("{operators}/metrics")).send().await else {
         return 0;
     };
--- a/crates/crank-load/src/fleet/layout.rs
+++ b/crates/crank-load/src/fleet/layout.rs
@@ -28,6 +28,8 @@
     pub slots: u32,
     /// How long one request runs, in milliseconds.
     pub work_ms: u64,
+    /// By which URL each seat's node reaches the store; none where by the store's own.
+    pub stores: Vec<Arc<str>>,
 }
 
 const SLOTS: u32 = 6;
@@ -59,9 +61,23 @@
             seats,
             slots: SLOTS,
             work_ms: WORK_MS,
+            stores: Vec::new(),
         }
     }
 
+    /// The same with a way of its own to the store for each seat.
+    ///
+    /// ```
+    /// # use crank_load::fleet::Layout;
+    /// let layout = Layout::new("sutkent", 1, 1, 1, &["recipes"]);
+    /// assert_eq!(layout.with_stores(vec!["http://127.0.0.1:9".into()]).stores.len(), 1);
+    /// ```
+    #[must_use]
+    pub fn with_stores(mut self, stores: Vec<Arc<str>>) -> Self {
+        self.stores = stores;
+        self
+    }
+
     /// The same with other slots and another run time in milliseconds.
     ///
     /// ```
--- a/crates/crank-load/src/fleet/start.rs
+++ b/crates/crank-load/src/fleet/start.rs
@@ -133,7 +133,7 @@
     /// # Errors
     /// [`Error::File`].
     pub fn store_settings(&self) -> Result<PathBuf, Error> {
-        self.write("store.ini", &self.store_section())
+        self.write("store.ini", &self.store_section(&self.platform_url()))
     }
 
     /// Starts a node and its backend server anew, without memory.
@@ -212,8 +212,17 @@
         Ok(path)
     }
 
-    fn store_section(&self) -> String {
-        let url = self.platform_url();
+    /// The store's URL as a seat's node reaches it.
+    fn store_url(&self, seat: &Seat) -> String {
+        let seats = self.layout.seats.iter();
+        let mut ways = seats.zip(&self.layout.stores);
+        match ways.find(|(other, _)| *other == seat) {
+            Some((_, url)) => url.to_string(),
+            None => self.platform_url(),
+        }
+    }
+
+    fn store_section(&self, url: &str) -> String {
         let region = &self.layout.store_region;
         let account = &self.layout.account;
         format!(
@@ -230,7 +239,7 @@
             seat.name,
             seat.region,
             seat.data_centre,
-            self.store_section(),
+            self.store_section(&self.store_url(seat)),
             // By its key the stand-in tells from which region a node asks.
             seat.region,
         )
--- a/crates/crank-load/src/lib.rs
+++ b/crates/crank-load/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fleet;
 pub mod folder;
 pub mod roster;
+pub mod soak;
 pub mod usage;
 
 mod error;
--- /dev/null
+++ b/crates/crank-load/src/soak/watch.rs
@@ -0,0 +1,65 @@
+//! Asks every node again and again which configuration it holds.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+
+use crate::converge;
+
+const PERIOD: Duration = Duration::from_millis(100);
+const ANSWER_LIMIT: Duration = Duration::from_millis(400);
+
+/// What a node of the fleet is asked by.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Seen {
+    pub(super) process: u32,
+    pub(super) operators: Arc<str>,
+}
+
+/// The versions that nodes told, and the processes that went back.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Watch {
+    pub(super) nodes: Arc<Mutex<BTreeMap<usize, Seen>>>,
+    went_back: Arc<Mutex<Vec<String>>>,
+    held: Arc<Mutex<BTreeMap<u32, u64>>>,
+}
+
+impl Watch {
+    /// Watches until it is dropped.
+    pub(super) async fn run(self, client: reqwest::Client) {
+        loop {
+            let nodes: Vec<(usize, Seen)> = {
+                let nodes = self.nodes.lock();
+                nodes.iter().map(|(at, seen)| (*at, seen.clone())).collect()
+            };
+            for (node, seen) in nodes {
+                let version = converge::version(&client, &seen.operators);
+                if let Ok(version @ 1..) = tokio::time::timeout(ANSWER_LIMIT, version).await {
+                    self.note(node, seen.process, version);
+                }
+            }
+            tokio::time::sleep(PERIOD).await;
+        }
+    }
+
+    fn note(&self, node: usize, process: u32, version: u64) {
+        let mut held = self.held.lock();
+        let before = held.entry(process).or_default();
+        if version < *before {
+            let line = format!("node {node} (process {process}) went from {before} to {version}");
+            self.went_back.lock().push(line);
+        }
+        *before = version;
+    }
+
+    pub(super) fn went_back(&self) -> Vec<String> {
+        self.went_back.lock().clone()
+    }
+
+    /// The highest version that any node has told of.
+    pub(super) fn highest(&self) -> u64 {
+        self.held.lock().values().copied().max().unwrap_or(0)
+    }
+}
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -183,6 +183,8 @@
     pub refusals: Arc<Mutex<Vec<Refusal>>>,
     pub hanging: Option<Name>,
     pub sent: Arc<Mutex<Vec<Name>>>,
+    /// Whether each attempt could wait for a slot.
+    pub waits: Arc<Mutex<Vec<bool>>>,
 }
 
 impl FakeLinks {
@@ -202,6 +204,7 @@
 impl Links for FakeLinks {
     async fn call(&self, target: &Choice, head: Head, _body: Bytes) -> Result<Answer, Refused> {
         self.sent.lock().push(target.id.clone());
+        self.waits.lock().push(head.waits);
         if self.hanging.as_ref() == Some(&head.service) {
             std::future::pending::<()>().await;
         }
--- a/crates/crank-node/tests/goal_at_the_target.rs
+++ b/crates/crank-node/tests/goal_at_the_target.rs
@@ -34,3 +34,66 @@
     }
     assert_eq!(server.runs(), 2);
 }
+
+#[tokio::test]
+async fn a_request_that_may_not_wait_is_refused_at_once_where_no_slot_is_free() {
+    let server = FakeServer::held();
+    let side = side("lookups", Memory::new(), server.clone());
+    let mut running = Vec::new();
+    for request in 1..=2 {
+        let target = side.target.clone();
+        let mut head = head("lookups", request, None);
+        head.waits = false;
+        running.push(tokio::spawn(
+            async move { target.run(head, Bytes::new()).await },
+        ));
+    }
+    until(|| server.runs() == 2).await;
+    let mut third = head("lookups", 3, None);
+    third.waits = false;
+    let refused = side.target.run(third, Bytes::new()).await.err().unwrap();
+    assert!(matches!(refused.refusal, Refusal::Overloaded { .. }));
+    assert_eq!((refused.outcome, refused.reached), (Outcome::NotRun, false));
+    let load = refused.load.unwrap();
+    assert_eq!((load.running, load.waiting), (2, 0));
+    server.answers.add_permits(2);
+    for run in running {
+        assert!(run.await.unwrap().is_ok());
+    }
+}
+
+#[tokio::test]
+async fn a_short_call_waits_behind_long_ones_where_its_own_run_leaves_the_time() {
+    let server = FakeServer::held();
+    let side = side("lookups", Memory::new(), server.clone());
+    let run = |request| {
+        let target = side.target.clone();
+        let head = head("lookups", request, None);
+        tokio::spawn(async move { target.run(head, Bytes::new()).await })
+    };
+    let long = [run(1), run(2)];
+    until(|| server.runs() == 2).await;
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    server.answers.add_permits(2);
+    for run in long {
+        assert!(run.await.unwrap().is_ok());
+    }
+    let others = [run(3), run(4)];
+    until(|| server.runs() == 4).await;
+    // The others ran for 300 ms: by their mean alone nothing is good within 200 ms after a wait.
+    let mut short = head("lookups", 5, None);
+    short.goal = Some(Millis(2_000));
+    short.run = Some(Millis(10));
+    let target = side.target.clone();
+    let waits = tokio::spawn(async move { target.run(short, Bytes::new()).await });
+    until(|| side.target.load().waiting == 1).await;
+    let mut unknown = head("lookups", 6, None);
+    unknown.goal = Some(Millis(200));
+    let refused = side.target.run(unknown, Bytes::new()).await.err().unwrap();
+    assert!(matches!(refused.refusal, Refusal::Overloaded { .. }));
+    server.answers.add_permits(4);
+    assert!(waits.await.unwrap().is_ok());
+    for run in others {
+        assert!(run.await.unwrap().is_ok());
+    }
+}
--- a/crates/crank-node/tests/retries_at_the_entry.rs
+++ b/crates/crank-node/tests/retries_at_the_entry.rs
@@ -4,6 +4,7 @@
 
 use common::{FakeLinks, entry, request, text, with_header};
 use crank_engine::retry::MOST_ATTEMPTS;
+use crank_protocol::Millis;
 use crank_protocol::call::{DEPTH_HEADER, Outcome, Refusal};
 
 #[tokio::test]
@@ -61,3 +62,18 @@
     let budget = calls / 5 + 10;
     assert!(links.sent() <= calls + budget, "sent {}", links.sent());
 }
+
+#[tokio::test]
+async fn targets_are_asked_for_a_free_slot_before_a_request_waits_at_one() {
+    let full = Refusal::Overloaded {
+        retry_after: Millis(100),
+    };
+    let links = FakeLinks::refusing(&[full.clone(), full.clone(), full]);
+    let answer = entry(links.clone()).call(request("/orders")).await;
+    assert_eq!(text(answer.ok().unwrap()).await.unwrap(), "whole");
+    let sent = links.sent.lock().clone();
+    assert_eq!(sent.len(), 4, "three were full, one let it wait");
+    assert!(sent[0] != sent[1] && sent[1] != sent[2] && sent[0] != sent[2]);
+    let waits = links.waits.lock().clone();
+    assert_eq!(waits, [false, false, false, true]);
+}
