--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -203,14 +203,10 @@
         self.refresh(&bulkhead, table.version(), &rule);
         let turn = self.enter(&bulkhead, &rule, deadline, asked.depth).await;
         let pass = turn.inspect_err(|_| self.record(&rule, false, began))?;
-        let longest = bulkhead.note_patience(&rule.name, asked.patience);
-        let leaves_at = began.after(asked.patience);
-        let mut head = asked.head(&request, &rule, table.version(), customs);
-        head.goal = goal(&rule, longest);
         let routed = Routed {
-            leaves_at,
+            leaves_at: began.after(asked.patience),
             label: lines::label(&request.headers, &customs.dialect),
-            head,
+            head: asked.head(&request, &rule, table.version(), customs),
             body: request.body,
             rule,
             bulkhead,
@@ -463,14 +459,6 @@
     }
 }
 
-/// For how long an answer is good. Where no caller waits longer than the route allows, as servers
-/// that need the answer for work of their own, a refusal is final and a late answer is better.
-fn goal(rule: &Rule, patience: Millis) -> Option<Millis> {
-    let comes_back = patience > rule.timeout();
-    let objective = rule.objective().filter(|_| comes_back);
-    objective.map(|objective| objective.latency)
-}
-
 fn under_way(load: &Load) -> u32 {
     load.running.saturating_add(load.waiting)
 }
--- a/crates/crank-node/src/entry/asked.rs
+++ b/crates/crank-node/src/entry/asked.rs
@@ -50,7 +50,7 @@
             path: request.path.clone(),
             headers: headers(request, rule, customs),
             time_left: self.timeout,
-            goal: None,
+            goal: rule.objective().map(|objective| objective.latency),
             waits: true,
             run: None,
             importance: rule.importance(),
--- a/crates/crank-node/src/entry/bulkhead.rs
+++ b/crates/crank-node/src/entry/bulkhead.rs
@@ -36,17 +36,8 @@
     version: Version,
     view: Option<Arc<View>>,
     repeats: Option<Repeats>,
-    /// What the requests of each route were like.
-    habits: BTreeMap<Name, Habit>,
-}
-
-/// What the requests of a route were like.
-#[derive(Debug, Clone, Copy, Default)]
-struct Habit {
-    /// How long they ran.
-    run: Mean,
-    /// The longest that one of their callers waited.
-    patience: Millis,
+    /// How long the requests of each route run.
+    runs: BTreeMap<Name, Mean>,
 }
 
 impl Bulkhead {
@@ -60,7 +51,7 @@
             version: Version::default(),
             view: None,
             repeats: parts.customs.repeats,
-            habits: BTreeMap::new(),
+            runs: BTreeMap::new(),
         };
         Self {
             gate,
@@ -113,22 +104,13 @@
     /// How long a request of a route is expected to run.
     pub(super) fn run_of(&self, route: &Name) -> Option<Millis> {
         let state = self.state.lock();
-        let micros = state.habits.get(route)?.run.micros()?;
+        let micros = state.runs.get(route)?.micros()?;
         Some(Millis(micros / MICROS_PER_MILLI))
     }
 
     pub(super) fn note_run(&self, route: &Name, micros: u64) {
         let mut state = self.state.lock();
-        let habit = state.habits.entry(route.clone()).or_default();
-        habit.run.add(micros);
-    }
-
-    /// Takes in how long a caller waits; the longest that one of its route did.
-    pub(super) fn note_patience(&self, route: &Name, patience: Millis) -> Millis {
-        let mut state = self.state.lock();
-        let habit = state.habits.entry(route.clone()).or_default();
-        habit.patience = habit.patience.max(patience);
-        habit.patience
+        state.runs.entry(route.clone()).or_default().add(micros);
     }
 
     /// Whether a request that its server answered with a failure is tried at another.
