Join through several seeds at once

Cause: after all nodes were killed each was ready 60 ms after its start, and knew no other for over a second: it joined through one seed a second, which itself knew few. Now it dials four as soon as the contact rows are read. Ruled out: reading the configuration (20 ms) and finding the server (2 ms).

--- a/crates/crank-mesh/src/actor/links.rs
+++ b/crates/crank-mesh/src/actor/links.rs
@@ -25,6 +25,8 @@
 const FAR_SILENCE: Millis = Millis(20_000);
 /// The region that is later in the alphabet waits this long to be connected to.
 const FAR_TURN: Millis = Millis(3_000);
+/// Seeds through which a node joins at once when it first learns of them.
+const FIRST_SEEDS: usize = 4;
 /// The time between two attempts to join through a seed.
 const JOIN_PERIOD: Millis = Millis(1_000);
 /// The time between two connections to a seed that no known node explains.
@@ -279,6 +281,17 @@
         }
     }
 
+    /// Joins through several seeds at once: where all nodes have just started, each knows few others.
+    pub(crate) fn dial_seeds(&mut self, now: Moment) {
+        let mine = self.table.me().address;
+        let seeds = self.settings.seeds.iter().copied();
+        let others: Vec<_> = seeds.filter(|seed| *seed != mine).collect();
+        let chosen: Vec<_> = others.sample(&mut self.rng, FIRST_SEEDS).copied().collect();
+        for seed in chosen {
+            self.dial(Dial::Seed(seed), now);
+        }
+    }
+
     /// Asks a connected node for its table, where those asked so far were busy.
     fn ask_again(&mut self) {
         let greeted = self.links.iter().filter(|(_, link)| link.peer.is_some());
--- a/crates/crank-mesh/src/actor/requests.rs
+++ b/crates/crank-mesh/src/actor/requests.rs
@@ -48,6 +48,10 @@
 
     async fn handle(&mut self, seeds: Seeds, _: &mut xtra::Context<Self>) {
         self.settings.seeds = seeds.seeds;
+        let now = self.now();
+        if self.others().next().is_none() {
+            self.dial_seeds(now);
+        }
     }
 }
 
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -322,7 +322,7 @@
         let (hello, target, leaving) = (hello.clone(), target.clone(), leaving.clone());
         tokio::spawn(async move {
             if let Err(error) = call::serve(socket, &hello, target, leaving).await {
-                log::warn!(error:% = error; "call connection closed");
+                log::debug!(error:% = error; "call connection closed");
             }
         });
     }
