Take a server for ready only once its health or a second heartbeat shows it to a new node

The health check at start is now asked until the server is proved; a heartbeat alone proves nothing until a later one agrees.

--- a/crates/crank-node/src/recall.rs
+++ b/crates/crank-node/src/recall.rs
@@ -24,7 +24,7 @@
     pub address: SocketAddr,
 }
 
-/// Asks the backend server for its health until it is known, a few times at most.
+/// Asks the backend server for its health until it is known to be ready, a few times at most.
 ///
 /// A server that leaves says so by failing the check, so that it is not taken for ready.
 ///
@@ -42,35 +42,75 @@
     forwarder: Forwarder,
     mut config: watch::Receiver<Option<Arc<Snapshot>>>,
 ) {
-    let Neighbour { service, address } = neighbour;
-    let Some(path) = health_path(&mut config, &service).await else {
+    let Some(path) = health_path(&mut config, &neighbour.service).await else {
         return;
     };
-    for _ in 0..MOST_CHECKS {
-        if roster.watch().borrow().is_some() {
-            return;
-        }
-        let health = forwarder.check(address, &path, CHECK_LIMIT).await;
-        // A heartbeat that came meanwhile knows more.
-        if roster.watch().borrow().is_some() {
-            return;
-        }
-        if let Some(health) = health {
-            log::info!(server = *health.server, slots = health.slots; "backend server found well");
-            let start = Start {
-                server: Some(health.server),
-                ..Start::default()
-            };
-            roster.hear(Report {
-                service,
-                stage: Stage::Ready,
-                slots: health.slots,
-                address,
-                start,
-            });
-            return;
+    let question = Question {
+        neighbour,
+        path,
+        roster,
+        forwarder,
+    };
+    if question.ask().await {
+        return;
+    }
+    // A server that starts later than its node is asked once it has announced itself.
+    let mut announced = question.roster.watch();
+    if announced.wait_for(Option::is_some).await.is_ok() {
+        question.ask().await;
+    }
+}
+
+struct Question {
+    neighbour: Neighbour,
+    path: Arc<str>,
+    roster: Roster,
+    forwarder: Forwarder,
+}
+
+impl Question {
+    /// Asks until the server has said that it is well, or nobody needs to know any more.
+    async fn ask(&self) -> bool {
+        let Neighbour { service, address } = &self.neighbour;
+        for _ in 0..MOST_CHECKS {
+            if !self.is_open() {
+                return true;
+            }
+            let health = self
+                .forwarder
+                .check(*address, &self.path, CHECK_LIMIT)
+                .await;
+            // A heartbeat that came meanwhile may know more.
+            if let Some(health) = health.filter(|_| self.is_open()) {
+                log::info!(server = *health.server, slots = health.slots; "backend server found well");
+                let server = health.server.clone();
+                if self.roster.watch().borrow().is_none() {
+                    let start = Start {
+                        server: Some(health.server),
+                        ..Start::default()
+                    };
+                    self.roster.hear(Report {
+                        service: service.clone(),
+                        stage: Stage::Ready,
+                        slots: health.slots,
+                        address: *address,
+                        start,
+                    });
+                }
+                self.roster.confirm(&server);
+                return true;
+            }
+            tokio::time::sleep(PAUSE).await;
         }
-        tokio::time::sleep(PAUSE).await;
+        false
+    }
+
+    /// Whether it is not known yet that the server is ready, or that it leaves.
+    fn is_open(&self) -> bool {
+        let watch = self.roster.watch();
+        let believed = watch.borrow();
+        let stage = believed.as_ref().map(|believed| believed.endpoint.stage);
+        matches!(stage, None | Some(Stage::Starting))
     }
 }
 
--- a/crates/crank-server/src/roster.rs
+++ b/crates/crank-server/src/roster.rs
@@ -77,10 +77,29 @@
 struct Shared {
     started: Instant,
     silence: Millis,
-    last: Mutex<Option<(Report, Heartbeat)>>,
+    last: Mutex<Option<Last>>,
     believed: watch::Sender<Option<Announcement>>,
 }
 
+/// The newest word of the server.
+#[derive(Debug)]
+struct Last {
+    report: Report,
+    heartbeat: Heartbeat,
+    /// Whether it is certain that the server has not said meanwhile that it leaves: a node that has
+    /// just started cannot know what was said to the process before it.
+    is_proved: bool,
+}
+
+impl Last {
+    fn stage(&self, now: Moment, silence: Millis) -> Stage {
+        match announce::stage(&self.heartbeat, now, silence) {
+            Stage::Ready if !self.is_proved => Stage::Starting,
+            stage => stage,
+        }
+    }
+}
+
 impl Roster {
     /// A roster that takes a server for gone after this much silence.
     ///
@@ -114,7 +133,10 @@
 
     /// Takes a heartbeat, unless a newer one came before it.
     ///
-    /// A server that has said that it leaves stays leaving for the rest of its start.
+    /// A server that has said that it leaves stays leaving for the rest of its start. The first
+    /// heartbeat that a node gets may be one from before that, come late: a server with an id is taken
+    /// for starting until a later heartbeat or its health, see [`Roster::confirm`], says that it is
+    /// ready.
     ///
     /// ```
     /// # use crank_protocol::{Millis, Name, member::Stage};
@@ -134,7 +156,13 @@
         let now = self.now();
         {
             let mut last = self.shared.last.lock();
-            if let Some((held, heartbeat)) = last.as_ref() {
+            let is_proved = last.is_some() || report.start.sequence.is_none();
+            if let Some(Last {
+                report: held,
+                heartbeat,
+                ..
+            }) = last.as_ref()
+            {
                 if self.is_late(now, held, heartbeat, &report.start) {
                     return Heard::Late;
                 }
@@ -147,12 +175,43 @@
                 heard_at: now,
                 refused_at: None,
             };
-            *last = Some((report, heartbeat));
+            *last = Some(Last {
+                report,
+                heartbeat,
+                is_proved,
+            });
         }
         self.believe();
         Heard::New
     }
 
+    /// The server of this id has just said that it is well and does not leave.
+    ///
+    /// ```
+    /// # use crank_protocol::{Millis, Name, member::Stage};
+    /// # use crank_server::{Report, Roster, Start};
+    /// let roster = Roster::new(Millis(3_000));
+    /// roster.hear(Report {
+    ///     service: Name::new("recipes").unwrap(),
+    ///     stage: Stage::Ready,
+    ///     slots: 6,
+    ///     address: ([127, 0, 0, 1], 8_080).into(),
+    ///     start: Start { server: Some("s1".into()), born: Some(7), sequence: Some(2) },
+    /// });
+    /// let stage = || roster.watch().borrow().as_ref().map(|believed| believed.endpoint.stage);
+    /// assert_eq!(stage(), Some(Stage::Starting));
+    /// roster.confirm("s1");
+    /// assert_eq!(stage(), Some(Stage::Ready));
+    /// ```
+    pub fn confirm(&self, server: &str) {
+        if let Some(last) = self.shared.last.lock().as_mut()
+            && last.report.start.server.as_deref() == Some(server)
+        {
+            last.is_proved = true;
+        }
+        self.believe();
+    }
+
     /// Takes a server's word that it leaves for good.
     ///
     /// ```
@@ -164,14 +223,17 @@
     pub fn leave(&self, start: &Start) -> Heard {
         {
             let mut last = self.shared.last.lock();
-            let Some((held, heartbeat)) = last.as_mut() else {
+            let Some(Last {
+                report, heartbeat, ..
+            }) = last.as_mut()
+            else {
                 return Heard::Late;
             };
-            let is_earlier = start.born.is_some() && start.born < held.start.born;
-            if held.start.server != start.server || is_earlier {
+            let is_earlier = start.born.is_some() && start.born < report.start.born;
+            if report.start.server != start.server || is_earlier {
                 return Heard::Late;
             }
-            held.stage = Stage::Gone;
+            report.stage = Stage::Gone;
             heartbeat.stage = Stage::Gone;
         }
         self.believe();
@@ -197,10 +259,10 @@
     /// ```
     pub fn refuse(&self, address: SocketAddr) {
         let now = self.now();
-        if let Some((report, heartbeat)) = self.shared.last.lock().as_mut()
-            && report.address == address
+        if let Some(last) = self.shared.last.lock().as_mut()
+            && last.report.address == address
         {
-            heartbeat.refused_at = Some(now);
+            last.heartbeat.refused_at = Some(now);
         }
         self.believe();
     }
@@ -212,14 +274,14 @@
     /// ```
     pub fn believe(&self) {
         let last = self.shared.last.lock();
-        let believed = last.as_ref().map(|(report, heartbeat)| Announcement {
+        let believed = last.as_ref().map(|last| Announcement {
             endpoint: Endpoint {
-                service: report.service.clone(),
-                stage: announce::stage(heartbeat, self.now(), self.shared.silence),
-                slots: report.slots,
+                service: last.report.service.clone(),
+                stage: last.stage(self.now(), self.shared.silence),
+                slots: last.report.slots,
             },
-            address: report.address,
-            server: report.start.server.clone(),
+            address: last.report.address,
+            server: last.report.start.server.clone(),
         });
         self.shared.believed.send_if_modified(|current| {
             let is_new = *current != believed;
@@ -237,7 +299,7 @@
     #[must_use]
     pub fn address(&self) -> Option<SocketAddr> {
         let last = self.shared.last.lock();
-        last.as_ref().map(|(report, _)| report.address)
+        last.as_ref().map(|last| last.report.address)
     }
 
     fn now(&self) -> Moment {
