--- a/crates/crank-command/src/commands/mod.rs
+++ b/crates/crank-command/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one a file.
 
 mod check;
+mod explain;
 mod history;
 mod notice;
 mod pull;
@@ -30,6 +31,8 @@
     History(history::History),
     #[options(help = "show what the end of the notice period still waits for")]
     Notice(notice::Notice),
+    #[options(help = "explain a request from the nodes' logs")]
+    Explain(explain::Explain),
 }
 
 impl Command {
@@ -45,6 +48,7 @@
             Self::Status(status) => status.run().await,
             Self::History(history) => history.run().await,
             Self::Notice(notice) => notice.run().await,
+            Self::Explain(explain) => explain.run(),
         }
     }
 
@@ -52,6 +56,7 @@
         match self {
             Self::Check(_) | Self::Push(_) | Self::Pull(_) => "DIR",
             Self::Rm(_) => "NAME",
+            Self::Explain(_) => "ID FILE...",
             Self::Status(_) | Self::History(_) | Self::Notice(_) => "",
         }
     }
@@ -65,6 +70,7 @@
             Self::Status(_) => status::ABOUT,
             Self::History(_) => history::ABOUT,
             Self::Notice(_) => notice::ABOUT,
+            Self::Explain(_) => explain::ABOUT,
         }
     }
 }
--- a/crates/crank-command/src/error.rs
+++ b/crates/crank-command/src/error.rs
@@ -26,6 +26,14 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// A log cannot be read.
+    #[error("cannot read the log {}: {source}; name the files that hold the nodes' logs", .path.display())]
+    LogFile {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
     /// Settings or a folder have faults.
     #[error("{} is refused, and nothing was done:\n{}", .path.display(), lines(.faults))]
     Faulty {
--- a/crates/crank-command/tests/exit_codes.rs
+++ b/crates/crank-command/tests/exit_codes.rs
@@ -37,6 +37,7 @@
         "status",
         "history",
         "notice",
+        "explain",
         "history --node x --limit many",
     ];
     for line in lines {
@@ -53,7 +54,9 @@
 
 #[tokio::test]
 async fn help_and_version_are_0_on_the_standard_output() {
-    let commands = ["check", "push", "pull", "rm", "status", "history", "notice"];
+    let commands = [
+        "check", "push", "pull", "rm", "status", "history", "notice", "explain",
+    ];
     for command in commands {
         let ended = crankctl(&format!("{command} --help")).await;
         assert_eq!((ended.exit, &*ended.err), (Exit::Done, ""), "{command}");
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -175,6 +175,7 @@
         }
         Some(announced)
     }
+
     /// The request's id as its caller wrote it, or as the entry drew it.
     fn label(&self, head: &Head) -> Arc<str> {
         let name = &self.shared.parts.dialect.request;
@@ -360,7 +361,6 @@
     }
 }
 
-/// A body that holds its place until it has ended, and is cut at the deadline.
 /// An answer with as much of its body as is read before any of it is passed on.
 enum Gathered {
     Whole(Answer),
@@ -388,6 +388,7 @@
     Ok(Gathered::Large(answer))
 }
 
+/// A body that holds its place until it has ended, and is cut at the deadline.
 fn hold(body: Body, pass: Pass, clock: Clock, deadline: Moment) -> Body {
     let end = clock.instant(deadline);
     let held = futures::stream::unfold(Some((body, pass)), move |held| async move {
