--- a/crates/crank-load/src/soak/mod.rs
+++ b/crates/crank-load/src/soak/mod.rs
@@ -16,7 +16,7 @@
 use crate::calls::{self, Audit, Figures, Told};
 use world::World;
 
-pub use plan::{Due, Line, Plan, Step, taken};
+pub use plan::{Due, Line, Plan, Step};
 
 const READS_PER_SECOND: f64 = 120.0;
 const ORDERS_PER_SECOND: f64 = 20.0;
--- a/crates/crank-load/src/soak/plan.rs
+++ b/crates/crank-load/src/soak/plan.rs
@@ -1,6 +1,5 @@
 //! What a soak does and when, drawn from one seed.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -223,21 +222,3 @@
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// The nodes that a plan takes away, for its report.
-///
-/// ```
-/// # use std::time::Duration;
-/// # use crank_load::soak::{Plan, taken};
-/// assert!(taken(&Plan::new(1, 6, Duration::from_secs(10))).len() <= 6);
-/// ```
-#[must_use]
-pub fn taken(plan: &Plan) -> BTreeSet<usize> {
-    let steps = plan.due.iter().map(|due| due.step);
-    steps
-        .filter_map(|step| match step {
-            Step::Crash(node) | Step::Terminate(node) => Some(node),
-            _ => None,
-        })
-        .collect()
-}
--- a/crates/crank-mesh/src/call/link.rs
+++ b/crates/crank-mesh/src/call/link.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use crank_protocol::Name;
-use crank_protocol::call::{Answer, AnswerHead, Body, Head, Outcome, Refusal, Refused};
+use crank_protocol::call::{Answer, Head, Outcome, Refusal, Refused};
 use crank_protocol::config::Method;
 use crank_protocol::wire::{Call, Hello};
 use futures::stream::{SplitSink, SplitStream};
@@ -16,13 +16,14 @@
 use serde_bytes::ByteBuf;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
-use super::attempt::{Attempts, Event, Forgotten, lost, not_sent, refused};
+use super::attempt::{Attempts, not_sent, refused};
 use super::frame::{self, Ended, Heard};
-use super::{CLIENT_IDLE_LIMIT, CREDIT_BYTES, LAST_WORDS_LIMIT, PING_AFTER, SILENCE_LIMIT};
+use super::reader::Reader;
+use super::{CLIENT_IDLE_LIMIT, LAST_WORDS_LIMIT, PING_AFTER, SILENCE_LIMIT};
 use crate::Error;
 
 type Socket = WebSocketStream<TcpStream>;
@@ -35,18 +36,21 @@
     shared: Arc<Shared>,
 }
 
-struct Shared {
-    attempts: Arc<Mutex<Attempts>>,
-    outgoing: mpsc::UnboundedSender<Outgoing>,
+/// What the holders of a connection share with the tasks that carry it.
+pub(super) struct Shared {
+    pub(super) attempts: Arc<Mutex<Attempts>>,
+    pub(super) outgoing: mpsc::UnboundedSender<Outgoing>,
 }
 
-enum Outgoing {
+/// What is to be written.
+pub(super) enum Outgoing {
     Request(Box<Waiting>),
     Frame(Call),
     Ping,
 }
 
-struct Waiting {
+/// A request that is to be written.
+pub(super) struct Waiting {
     attempt: u64,
     head: Box<Head>,
     body: Bytes,
@@ -378,129 +382,3 @@
     }
     Ok(())
 }
-
-/// Reads the answer of one attempt; cancels it when dropped before its end.
-struct Reader {
-    attempt: u64,
-    shared: Arc<Shared>,
-    events: mpsc::UnboundedReceiver<Event>,
-    deadline: Instant,
-    taken: u64,
-    is_ended: bool,
-}
-
-impl Reader {
-    fn new(
-        attempt: u64,
-        shared: Arc<Shared>,
-        events: mpsc::UnboundedReceiver<Event>,
-        deadline: Instant,
-    ) -> Self {
-        Self {
-            attempt,
-            shared,
-            events,
-            deadline,
-            taken: 0,
-            is_ended: false,
-        }
-    }
-
-    async fn head(&mut self) -> Result<AnswerHead, Refused> {
-        match timeout_at(self.deadline, self.events.recv()).await {
-            Ok(event) => self.begin(event),
-            Err(_) => self.give_up(),
-        }
-    }
-
-    fn begin(&mut self, event: Option<Event>) -> Result<AnswerHead, Refused> {
-        match event {
-            Some(Event::Head(head)) => Ok(head),
-            Some(Event::Refused(refused)) => {
-                self.is_ended = true;
-                Err(refused)
-            }
-            Some(Event::Data(_) | Event::End) | None => Err(lost()),
-        }
-    }
-
-    /// Ends the attempt at its deadline. In the same step it is taken from the writer, so that what
-    /// is told not to have been sent is not written a moment later; what has just been answered is.
-    fn give_up(&mut self) -> Result<AnswerHead, Refused> {
-        match self.cancel() {
-            Forgotten::Unwritten => Err(refused(Refusal::TooLate, Outcome::NotRun)),
-            Forgotten::Written => Err(refused(Refusal::TimedOut, Outcome::Unknown)),
-            Forgotten::Ended => {
-                let event = self.events.try_recv().ok();
-                self.begin(event)
-            }
-        }
-    }
-
-    fn into_body(self) -> Body {
-        Box::pin(futures::stream::unfold(self, |mut reader| async move {
-            let piece = reader.piece().await?;
-            Some((piece, reader))
-        }))
-    }
-
-    async fn piece(&mut self) -> Option<Result<Bytes, Refusal>> {
-        if self.is_ended {
-            return None;
-        }
-        let event = timeout_at(self.deadline, self.events.recv()).await;
-        let Ok(event) = event else {
-            return Some(Err(self.fail(Refusal::TimedOut)));
-        };
-        match event {
-            Some(Event::Data(data)) => {
-                self.give_credit(data.len() as u64);
-                Some(Ok(data))
-            }
-            Some(Event::End) => {
-                self.is_ended = true;
-                None
-            }
-            Some(Event::Refused(refused)) => Some(Err(self.fail(refused.refusal))),
-            Some(Event::Head(_)) | None => Some(Err(self.fail(Refusal::Cut))),
-        }
-    }
-
-    fn fail(&mut self, refusal: Refusal) -> Refusal {
-        self.is_ended = true;
-        self.cancel();
-        refusal
-    }
-
-    fn give_credit(&mut self, bytes: u64) {
-        self.taken += bytes;
-        if self.taken < CREDIT_BYTES / 2 {
-            return;
-        }
-        let bytes = std::mem::take(&mut self.taken);
-        if self.shared.attempts.lock().credit(self.attempt, bytes) {
-            let credit = Call::Credit {
-                attempt: self.attempt,
-                bytes,
-            };
-            let _ = self.shared.outgoing.send(Outgoing::Frame(credit));
-        }
-    }
-
-    /// Forgets the attempt; the target is told if it got the request.
-    fn cancel(&self) -> Forgotten {
-        let attempt = self.attempt;
-        let forgotten = self.shared.attempts.lock().forget(attempt);
-        if forgotten == Forgotten::Written {
-            let cancel = Outgoing::Frame(Call::Cancel { attempt });
-            let _ = self.shared.outgoing.send(cancel);
-        }
-        forgotten
-    }
-}
-
-impl Drop for Reader {
-    fn drop(&mut self) {
-        self.cancel();
-    }
-}
--- a/crates/crank-mesh/src/call/mod.rs
+++ b/crates/crank-mesh/src/call/mod.rs
@@ -8,6 +8,7 @@
 mod frame;
 mod link;
 mod pool;
+mod reader;
 mod server;
 
 use std::time::Duration;
--- a/tests/soak_keeps_the_promises.rs
+++ b/tests/soak_keeps_the_promises.rs
@@ -48,12 +48,12 @@
         let frozen = count(|step| matches!(step, Step::Freeze(_)));
         assert_eq!(frozen, count(|step| matches!(step, Step::Wake(_))));
         let last = |node: usize, is_store: bool| {
-            let lines = plan.due.iter().filter_map(|due| match due.step {
+            let mut lines = plan.due.iter().filter_map(|due| match due.step {
                 Step::StoreLine(at, line) if is_store && at == node => Some(line),
                 Step::CallerLine(at, line) if !is_store && at == node => Some(line),
                 _ => None,
             });
-            lines.last()
+            lines.next_back()
         };
         for node in 0..NODES {
             for is_store in [true, false] {
