--- a/crates/crank-command/src/commands/explain.rs
+++ b/crates/crank-command/src/commands/explain.rs
@@ -20,6 +20,9 @@
     files: Vec<PathBuf>,
 }
 
+/// What stands for a value that a line lacks.
+const UNKNOWN: &str = "?";
+
 /// A log line that names the request.
 struct Line {
     origin: String,
@@ -27,8 +30,8 @@
 }
 
 impl Line {
-    /// The value of a key; quotes are taken off.
-    fn value(&self, key: &str) -> Option<&str> {
+    /// The value of a key; quotes and what they escape are taken off.
+    fn value(&self, key: &str) -> Option<String> {
         let found = self.text.split_once(&format!(" {key}="));
         let found = found.or_else(|| {
             let rest = self.text.strip_prefix(key)?;
@@ -36,19 +39,19 @@
         });
         let (_, rest) = found?;
         match rest.strip_prefix('"') {
-            Some(quoted) => quoted.split('"').next(),
-            None => rest.split(' ').next(),
+            Some(quoted) => Some(unquoted(quoted)),
+            None => rest.split(' ').next().map(str::to_owned),
         }
     }
 
-    fn time(&self) -> &str {
+    fn time(&self) -> String {
         self.value("time").unwrap_or_default()
     }
 
     /// What the line says of the request's end, where it tells one.
     fn verdict(&self) -> Option<String> {
-        let value = |key| self.value(key).unwrap_or("?");
-        let text = match value("event") {
+        let value = |key| self.value(key).unwrap_or_else(|| UNKNOWN.to_owned());
+        let text = match &*value("event") {
             "request not routed" => format!(
                 "It was not run: no target was chosen, because of {}.",
                 value("refusal")
@@ -70,8 +73,8 @@
     }
 
     fn given_up(&self) -> String {
-        let value = |key| self.value(key).unwrap_or("?");
-        let certain = match value("outcome") {
+        let value = |key| self.value(key).unwrap_or_else(|| UNKNOWN.to_owned());
+        let certain = match &*value("outcome") {
             "NotRun" => "It was not run and will not be",
             "Ran" => "It ran, and its answer was lost",
             _ => "It may have run",
@@ -85,13 +88,27 @@
     }
 }
 
+/// The text up to the closing quote.
+fn unquoted(quoted: &str) -> String {
+    let mut text = String::new();
+    let mut characters = quoted.chars();
+    while let Some(character) = characters.next() {
+        match character {
+            '"' => break,
+            '\\' => text.extend(characters.next()),
+            other => text.push(other),
+        }
+    }
+    text
+}
+
 impl Explain {
     pub(super) fn run(self) -> Result<Report, Error> {
         let mut lines = Vec::new();
         for file in &self.files {
             read(file, &self.id, &mut lines)?;
         }
-        lines.sort_by(|one, other| one.time().cmp(other.time()));
+        lines.sort_by_cached_key(Line::time);
         let Some(verdict) = lines.iter().rev().find_map(Line::verdict) else {
             return Ok(unknown(&lines));
         };
@@ -110,7 +127,7 @@
         origin: origin.clone().into_owned(),
         text: text.to_owned(),
     });
-    lines.extend(named.filter(|line| line.value("request") == Some(id)));
+    lines.extend(named.filter(|line| line.value("request").as_deref() == Some(id)));
     Ok(())
 }
 
--- a/crates/crank-command/tests/explaining_a_request.rs
+++ b/crates/crank-command/tests/explaining_a_request.rs
@@ -10,7 +10,7 @@
 time=10:00:00.201 level=INFO from=crank_node::entry event=\"attempt refused\" request=a337 service=recipes \
 target=n2 refusal=Lost outcome=Unknown again=false
 time=10:00:00.202 level=INFO from=crank_node::entry event=\"request given up\" request=a337 service=recipes \
-tried=\"[n2]\" refusal=Lost outcome=Unknown reached=true took_ms=55 left_ms=900
+tried=\"[\\\"n2\\\"]\" refusal=Lost outcome=Unknown reached=true took_ms=55 left_ms=900
 time=10:00:00.300 level=INFO from=crank_node::entry event=\"request given up\" request=b4a4 service=recipes \
 tried=\"[n2, n3]\" refusal=\"Overloaded { retry_after: Millis(280) }\" outcome=NotRun took_ms=12 left_ms=900
 time=10:00:00.400 level=INFO from=crank_node::entry event=\"request not routed\" request=c1 refusal=NotReady
@@ -49,7 +49,7 @@
     assert!(lines[1].contains("attempt refused") && lines[2].contains("request given up"));
     assert_eq!(
         lines[3],
-        "It may have run: it was given up after 55 ms, tried at [n2], the last time because of Lost."
+        "It may have run: it was given up after 55 ms, tried at [\"n2\"], the last time because of Lost."
     );
 }
 
