--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -405,9 +405,36 @@
         let is_outdated = lacks_config && now.since(since) >= OUTDATED_TIMEOUT;
         let is_isolated = now.since(self.last_received) >= ISOLATION_TIMEOUT;
         let should_follow = self.topology.is_store_reader || is_isolated || is_outdated;
-        self.outputs
+        let has_changed = self
+            .outputs
             .should_follow_store
             .send_if_modified(|held| std::mem::replace(held, should_follow) != should_follow);
+        if has_changed {
+            log::info!(
+                event = "store_following", follows = should_follow,
+                reader = self.topology.is_store_reader, isolated = is_isolated,
+                outdated = is_outdated;
+                "this node begins or ceases to follow the store"
+            );
+        }
+    }
+
+    /// Logs which version came into force, which node it came from (none: the store), and for how
+    /// long this node knew that it lacked a newer one.
+    fn log_applied(&self, snapshot: Option<&Snapshot>, from: Option<&Name>) {
+        let Some(snapshot) = snapshot else {
+            return;
+        };
+        let now = self.now();
+        let lacked_ms = self
+            .newer_config
+            .as_ref()
+            .map_or(0, |newer| now.since(newer.since).0);
+        log::info!(
+            event = "configuration_in_force", version = snapshot.stamp.version.0,
+            peer:? = from, lacked_ms = lacked_ms;
+            "a newer configuration is in force"
+        );
     }
 
     /// Publishes, counts or logs the result of applying a configuration.
@@ -415,6 +442,7 @@
         match step {
             Step::Applied => {
                 let held = self.replica.snapshot().cloned();
+                self.log_applied(held.as_deref(), from);
                 self.outputs.config.send_replace(held);
                 self.pull_backoff.reset();
             }
