Confirm the newest version: a node checks the store where no confirmation reaches it

Cause: in a region of more than eight nodes four follow the store. The others took any message of any node for a sign that a change would reach them. Where all nodes that follow the store are refused by it (or frozen, or gone and not yet declared dead), the others hear each other, know of no newer version, and never read the store that would answer them. A node whose own request for changes hangs had no second way either: the same task would have had to check.

Why it works: each answer of the store confirms a version as of the start of its call; nodes pass confirmations on behind the version itself. A node whose last confirmation is 0.8 to 1.4 s old asks the store for changes since the confirmed revision, mostly an empty answer, in a task of its own. An answer that was on its way for long or describes an earlier state confirms nothing. Following because of isolation or of a lacking version is replaced by this check. Ruled out: shorter waits of the nodes that follow (they do not help where these are refused), confirmations on probes (one a second and node: too old to tell silence from trouble), a check by every node (83 calls a second).

--- a/crates/crank-engine/src/member/regions.rs
+++ b/crates/crank-engine/src/member/regions.rs
@@ -36,8 +36,7 @@
     /// # Ok::<(), crank_protocol::Error>(())
     /// ```
     pub fn record_heard(&mut self, region: &Name, age: Millis, now: Moment) {
-        let micros = age.0.saturating_mul(1_000);
-        let at = Moment(now.0.saturating_sub(micros));
+        let at = now.before(age);
         match self.last_received.get_mut(region) {
             Some(received) => *received = at.max(*received),
             None => {
--- a/crates/crank-engine/src/moment.rs
+++ b/crates/crank-engine/src/moment.rs
@@ -30,6 +30,21 @@
         )
     }
 
+    /// Returns the point in time that is `age` earlier, saturating at the start of the process.
+    ///
+    /// ```
+    /// use crank_engine::Moment;
+    /// use crank_protocol::Millis;
+    /// assert_eq!(Moment(2_005).before(Millis(2)), Moment(5));
+    /// ```
+    #[must_use]
+    pub fn before(self, age: Millis) -> Self {
+        Self(
+            self.0
+                .saturating_sub(age.0.saturating_mul(MICROS_PER_MILLI)),
+        )
+    }
+
     /// Returns the time elapsed since `earlier`, rounded down to whole milliseconds.
     ///
     /// The result is zero if `earlier` is later than `self`.
--- a/crates/crank-mesh/src/actor.rs
+++ b/crates/crank-mesh/src/actor.rs
@@ -1,5 +1,6 @@
 //! The actor that holds the member table and the configuration in force.
 
+mod confirmations;
 mod datagrams;
 mod frames;
 mod links;
@@ -8,7 +9,7 @@
 mod state;
 
 pub(crate) use message::{
-    AnnounceEndpoint, ApplySnapshot, ConnectionClosed, ConnectionOpened, DatagramReceived,
+    AnnounceEndpoint, ApplySnapshot, Confirm, ConnectionClosed, ConnectionOpened, DatagramReceived,
     DatagramRejected, DialTarget, EndQuery, FrameReceived, Leave, ReportHead, SendQueries,
     SetSeeds, StartQuery, Stop, Tick,
 };
@@ -58,6 +59,8 @@
         config: receivers.config,
         ready: receivers.ready,
         should_follow_store: receivers.should_follow_store,
+        store_check: receivers.store_check,
+        confirmed_at: receivers.confirmed_at,
         local_status: local_status.into(),
         traffic,
         error_counters,
--- a/crates/crank-mesh/src/actor/datagrams.rs
+++ b/crates/crank-mesh/src/actor/datagrams.rs
@@ -170,7 +170,6 @@
 
     /// Records that a message of another node was received.
     pub(crate) fn record_receipt(&mut self, from: &Name, now: Moment) {
-        self.last_received = now;
         if let Some(member) = self.table.get(from) {
             let region = &member.place.region;
             if *region != self.settings.place.region {
--- a/crates/crank-mesh/src/actor/frames.rs
+++ b/crates/crank-mesh/src/actor/frames.rs
@@ -145,6 +145,9 @@
                     self.learn_member(member, Some(peer), now);
                 }
             }
+            Control::Confirmed(confirmation) => {
+                self.record_confirmation(&confirmation, Some(connection_id), now);
+            }
             Control::Busy { retry_after } => {
                 self.pull_deadline = None;
                 self.pull_backoff.postpone(retry_after, now, &mut self.rng);
@@ -172,6 +175,7 @@
             Step::Applied => {
                 self.pull_deadline = None;
                 self.push_config(Some(connection_id), crossed);
+                self.pass_on_confirmation(Some(connection_id), now);
             }
             Step::NeedWhole | Step::Bad(_) => {
                 self.pull_deadline = None;
@@ -198,6 +202,7 @@
                 self.set_peer_stamp(connection_id, &stamp);
                 let crossed = self.reach_of(peer) == Reach::Far;
                 self.push_config(Some(connection_id), crossed);
+                self.pass_on_confirmation(Some(connection_id), now);
             }
             Step::Bad(_) => self.pull_backoff.record_failure(now, &mut self.rng),
             Step::Old | Step::Conflict | Step::NeedWhole => {}
--- a/crates/crank-mesh/src/actor/message.rs
+++ b/crates/crank-mesh/src/actor/message.rs
@@ -8,7 +8,7 @@
 use crank_protocol::config::Snapshot;
 use crank_protocol::member::{Endpoint, Member};
 use crank_protocol::status::NodeStatus;
-use crank_protocol::wire::{Control, Datagram};
+use crank_protocol::wire::{Confirmation, Control, Datagram};
 use tokio::sync::mpsc;
 
 use crate::Error;
@@ -73,6 +73,11 @@
     pub(crate) head: StoreHead,
 }
 
+/// Records what the store's newest configuration was.
+pub(crate) struct Confirm {
+    pub(crate) confirmation: Confirmation,
+}
+
 /// Announces the state of the backend server beside this node.
 pub(crate) struct AnnounceEndpoint {
     pub(crate) endpoint: Option<Endpoint>,
--- a/crates/crank-mesh/src/actor/requests.rs
+++ b/crates/crank-mesh/src/actor/requests.rs
@@ -6,8 +6,8 @@
 use xtra::Handler;
 
 use super::message::{
-    AnnounceEndpoint, ApplySnapshot, EndQuery, Leave, QueryStarted, ReportHead, SendQueries,
-    SetSeeds, StartQuery,
+    AnnounceEndpoint, ApplySnapshot, Confirm, EndQuery, Leave, QueryStarted, ReportHead,
+    SendQueries, SetSeeds, StartQuery,
 };
 use super::state::Mesh;
 
@@ -20,6 +20,7 @@
         if step == Step::Applied {
             self.push_config(None, false);
             let now = self.now();
+            self.pass_on_confirmation(None, now);
             self.update_readiness(now);
         }
         step
@@ -36,6 +37,15 @@
     }
 }
 
+impl Handler<Confirm> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, message: Confirm, _: &mut xtra::Context<Self>) {
+        let now = self.now();
+        self.record_confirmation(&message.confirmation, None, now);
+    }
+}
+
 impl Handler<AnnounceEndpoint> for Mesh {
     type Return = ();
 
--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -10,13 +10,13 @@
 use crank_engine::Moment;
 use crank_engine::member::{MemberTable, OutgoingProbe, Prober, RegionTracker};
 use crank_engine::spread::{
-    Backoff, ConfigReplica, StartupCheck, Step, TransferLimiter, VersionComparison,
+    Backoff, ConfigReplica, Freshness, StartupCheck, Step, StoreCheck, TransferLimiter,
 };
+use crank_protocol::Name;
 use crank_protocol::config::{Snapshot, Stamp};
 use crank_protocol::member::{Member, State};
 use crank_protocol::status::NodeStatus;
 use crank_protocol::wire::{Control, Datagram, MAX_CONTROL_FRAME_BYTES, MAX_DATAGRAM_BYTES, Probe};
-use crank_protocol::{Millis, Name};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::net::UdpSocket;
@@ -33,11 +33,6 @@
 const MAX_GOSSIP_UPDATES: usize = 6;
 /// How long membership updates are collected before they are sent on control connections.
 const UPDATE_BATCH_DELAY: Duration = Duration::from_millis(20);
-/// A node that received nothing from other nodes for this long follows the platform's store itself.
-const ISOLATION_TIMEOUT: Millis = Millis(1_500);
-/// A node that lacked a configuration which others hold for this long reads it from the store
-/// itself.
-const OUTDATED_TIMEOUT: Millis = Millis(400);
 
 /// A control connection.
 pub(crate) struct ControlConnection {
@@ -66,6 +61,8 @@
     pub(crate) config: watch::Sender<Option<Arc<Snapshot>>>,
     pub(crate) ready: watch::Sender<bool>,
     pub(crate) should_follow_store: watch::Sender<bool>,
+    pub(crate) store_check: watch::Sender<Option<StoreCheck>>,
+    pub(crate) confirmed_at: watch::Sender<Option<Instant>>,
     pub(crate) traffic: Arc<Traffic>,
     pub(crate) error_counters: Arc<ErrorCounters>,
 }
@@ -76,6 +73,8 @@
     pub(crate) config: watch::Receiver<Option<Arc<Snapshot>>>,
     pub(crate) ready: watch::Receiver<bool>,
     pub(crate) should_follow_store: watch::Receiver<bool>,
+    pub(crate) store_check: watch::Receiver<Option<StoreCheck>>,
+    pub(crate) confirmed_at: watch::Receiver<Option<Instant>>,
 }
 
 impl Outputs {
@@ -85,11 +84,15 @@
         let (config, config_receiver) = watch::channel(None);
         let (ready, ready_receiver) = watch::channel(false);
         let (should_follow_store, should_follow_store_receiver) = watch::channel(true);
+        let (store_check, store_check_receiver) = watch::channel(None);
+        let (confirmed_at, confirmed_at_receiver) = watch::channel(None);
         let outputs = Self {
             view,
             config,
             ready,
             should_follow_store,
+            store_check,
+            confirmed_at,
             traffic: Arc::default(),
             error_counters: Arc::default(),
         };
@@ -98,6 +101,8 @@
             config: config_receiver,
             ready: ready_receiver,
             should_follow_store: should_follow_store_receiver,
+            store_check: store_check_receiver,
+            confirmed_at: confirmed_at_receiver,
         };
         (outputs, receivers)
     }
@@ -129,10 +134,7 @@
     pub(crate) transfer_limiter: TransferLimiter,
     /// The newest configuration of another node that this node lacks.
     pub(crate) newer_config: Option<NewerConfig>,
-    /// Since when another node has been known to hold a newer configuration.
-    outdated_since: Option<Moment>,
-    /// When a message of another node was last received.
-    pub(crate) last_received: Moment,
+    pub(crate) freshness: Freshness,
     /// The deadline of the outstanding request for a configuration.
     pub(crate) pull_deadline: Option<Moment>,
     pub(crate) pull_backoff: Backoff,
@@ -236,8 +238,7 @@
             startup_check: StartupCheck::default(),
             transfer_limiter: TransferLimiter::default(),
             newer_config: None,
-            outdated_since: None,
-            last_received: now,
+            freshness: Freshness::default(),
             pull_deadline: None,
             pull_backoff: Backoff::default(),
             connections: BTreeMap::new(),
@@ -392,31 +393,20 @@
         }
     }
 
-    /// Publishes whether this node should follow the platform's store itself: as a reader of its
-    /// region, or because updates from the readers do not reach it.
-    fn update_store_following(&mut self, now: Moment) {
-        let newer_stamp = self.newer_config.as_ref().map(|newer| &newer.stamp);
-        let lacks_config = newer_stamp.is_some()
-            && self.replica.compare(newer_stamp) == VersionComparison::PeerAhead;
-        let since = *self.outdated_since.get_or_insert(now);
-        if !lacks_config {
-            self.outdated_since = None;
-        }
-        let is_outdated = lacks_config && now.since(since) >= OUTDATED_TIMEOUT;
-        let is_isolated = now.since(self.last_received) >= ISOLATION_TIMEOUT;
-        let should_follow = self.topology.is_store_reader || is_isolated || is_outdated;
+    /// Publishes whether this node follows the platform's store, and whether it has to check it.
+    fn update_store_duties(&mut self, now: Moment) {
+        let follows = self.topology.is_store_reader;
         let has_changed = self
             .outputs
             .should_follow_store
-            .send_if_modified(|held| std::mem::replace(held, should_follow) != should_follow);
+            .send_if_modified(|held| std::mem::replace(held, follows) != follows);
         if has_changed {
             log::info!(
-                event = "store_following", follows = should_follow,
-                reader = self.topology.is_store_reader, isolated = is_isolated,
-                outdated = is_outdated;
+                event = "store_following", follows = follows;
                 "this node begins or ceases to follow the store"
             );
         }
+        self.update_store_check(now);
     }
 
     /// Logs which version came into force, which node it came from (none: the store), and for how
@@ -513,7 +503,7 @@
         self.probe_remote_peers(now);
         self.pull_newer_config(now);
         self.update_readiness(now);
-        self.update_store_following(now);
+        self.update_store_duties(now);
         self.update_unreachable_regions(now);
         self.schedule_flush();
     }
--- a/crates/crank-mesh/src/handle.rs
+++ b/crates/crank-mesh/src/handle.rs
@@ -6,18 +6,19 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use crank_engine::spread::{Step, StoreHead};
+use crank_engine::spread::{Step, StoreCheck, StoreHead};
 use crank_protocol::Name;
 use crank_protocol::config::Snapshot;
 use crank_protocol::member::{Endpoint, Member, State};
 use crank_protocol::status::{NodeReport, NodeStatus};
+use crank_protocol::wire::Confirmation;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout_at};
 use xtra::Address;
 
 use crate::actor::{
-    AnnounceEndpoint, ApplySnapshot, EndQuery, Leave, Mesh, ReportHead, SendQueries, SetSeeds,
-    StartQuery,
+    AnnounceEndpoint, ApplySnapshot, Confirm, EndQuery, Leave, Mesh, ReportHead, SendQueries,
+    SetSeeds, StartQuery,
 };
 use crate::{Error, Traffic, View};
 
@@ -94,6 +95,8 @@
     pub(crate) config: watch::Receiver<Option<Arc<Snapshot>>>,
     pub(crate) ready: watch::Receiver<bool>,
     pub(crate) should_follow_store: watch::Receiver<bool>,
+    pub(crate) store_check: watch::Receiver<Option<StoreCheck>>,
+    pub(crate) confirmed_at: watch::Receiver<Option<std::time::Instant>>,
     pub(crate) local_status: Arc<watch::Sender<LocalStatus>>,
     pub(crate) traffic: Arc<Traffic>,
     pub(crate) error_counters: Arc<ErrorCounters>,
@@ -310,6 +313,82 @@
         self.should_follow_store.clone()
     }
 
+    /// Returns a channel that holds how this node has to check the store, while it has to.
+    ///
+    /// It has to if neither the store nor another node has confirmed for a while that the
+    /// configuration in force is the newest one.
+    ///
+    /// ```
+    /// # use crank_mesh::{Settings, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let account = Name::new("lenha-viva")?;
+    /// # let settings = Settings::new(account, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// assert_eq!(*mesh.store_check().borrow(), None, "nothing was confirmed yet");
+    /// # Ok(())
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn store_check(&self) -> watch::Receiver<Option<StoreCheck>> {
+        self.store_check.clone()
+    }
+
+    /// Returns for how long no node has confirmed that the configuration in force is the newest in
+    /// the store; `None` if none ever has.
+    ///
+    /// ```
+    /// # use crank_mesh::{Settings, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let account = Name::new("lenha-viva")?;
+    /// # let settings = Settings::new(account, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// assert_eq!(mesh.confirmation_age(), None);
+    /// # Ok(())
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn confirmation_age(&self) -> Option<Duration> {
+        self.confirmed_at.borrow().map(|at| at.elapsed())
+    }
+
+    /// Reports what the store's newest configuration was; other nodes are told of it.
+    ///
+    /// # Errors
+    /// Returns [`Error::Stopped`] after [`Handle::leave`].
+    ///
+    /// ```
+    /// # use crank_mesh::{Settings, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let account = Name::new("lenha-viva")?;
+    /// # let settings = Settings::new(account, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// use crank_protocol::{Millis, config::{Revision, Version}, wire::Confirmation};
+    /// let (version, revision, age) = (Version(1), Revision(4), Millis(0));
+    /// mesh.confirm(Confirmation { version, revision, age }).await?;
+    /// assert!(mesh.confirmation_age().is_some());
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub async fn confirm(&self, confirmation: Confirmation) -> Result<(), Error> {
+        let message = Confirm { confirmation };
+        self.mesh.send(message).await.map_err(|_| Error::Stopped)
+    }
+
     /// Reports the result of reading the head row of the store.
     ///
     /// # Errors
--- a/crates/crank-mesh/src/lib.rs
+++ b/crates/crank-mesh/src/lib.rs
@@ -17,7 +17,7 @@
 mod traffic;
 mod view;
 
-pub use crank_engine::spread::{Step, StoreHead};
+pub use crank_engine::spread::{Step, StoreCheck, StoreHead};
 pub use error::Error;
 pub use handle::{ErrorCounters, Handle, LocalStatus};
 pub use listen::{CALL_PATH, CONTROL_PATH, Socket};
--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -201,6 +201,10 @@
             "The configuration version in force",
             version,
         )?;
+        if let Some(age) = self.0.confirmation_age() {
+            let help = "Time since it was confirmed that the store has no newer configuration";
+            encode_seconds(&mut encoder, "config_confirmed", help, age)?;
+        }
         let ready = u64::from(*self.0.ready().borrow());
         encode_gauge(
             &mut encoder,
@@ -277,6 +281,17 @@
     gauge.encode(encoder.encode_descriptor(name, help, None, gauge.metric_type())?)
 }
 
+fn encode_seconds(
+    encoder: &mut DescriptorEncoder<'_>,
+    name: &str,
+    help: &str,
+    value: Duration,
+) -> fmt::Result {
+    let gauge = ConstGauge::new(value.as_secs_f64());
+    let unit = Some(&Unit::Seconds);
+    gauge.encode(encoder.encode_descriptor(name, help, unit, gauge.metric_type())?)
+}
+
 fn encode_counter(
     encoder: &mut DescriptorEncoder<'_>,
     name: &str,
--- a/crates/crank-node/src/source.rs
+++ b/crates/crank-node/src/source.rs
@@ -6,9 +6,10 @@
 
 use crank_engine::backoff;
 use crank_engine::config::digest;
-use crank_mesh::{Handle, StoreHead};
+use crank_mesh::{Handle, StoreCheck, StoreHead};
 use crank_protocol::Millis;
-use crank_protocol::config::{Config, Snapshot, Stamp, Version};
+use crank_protocol::config::{Config, Revision, Snapshot, Stamp, Version};
+use crank_protocol::wire::Confirmation;
 use thiserror::Error as ThisError;
 use tokio::time::Instant;
 
@@ -20,10 +21,12 @@
 /// The longest backoff while the store does not answer: a node must get the newest configuration
 /// soon after the store is back.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
-
-/// A position in the store's history of changes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Cursor(pub u64);
+/// The longest backoff between two checks; longer than that of the nodes that follow the store,
+/// because all nodes check while it is away.
+const MAX_CHECK_RETRY_PAUSE: Duration = Duration::from_millis(2_000);
+/// The pause after a check, in case the store knows less than other nodes have told.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+const NO_WAIT: Millis = Millis(0);
 
 /// A configuration that the store has accepted.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,20 +40,20 @@
 /// The store's answer to a read or a wait for changes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SourceUpdate {
-    /// The position from which to wait for the next change.
-    pub cursor: Cursor,
-    /// The newest configuration, if it has changed since the previous cursor.
+    /// The revision of the store, from which to wait for the next change.
+    pub revision: Revision,
+    /// The newest configuration, if it has changed since the previous revision.
     pub accepted: Option<AcceptedConfig>,
 }
 
 /// The reasons why a store gave no answer that can be used.
 #[derive(Debug, Clone, PartialEq, Eq, ThisError)]
 pub enum SourceError {
-    /// The history no longer reaches back to the cursor.
+    /// The history no longer reaches back to the given revision.
     #[error(
         "the store no longer holds the changes since the last read: read the latest configuration"
     )]
-    CursorExpired,
+    HistoryDropped,
     /// The store could not be reached or refused the request.
     #[error("the store is unavailable ({detail}): the node retries until it answers")]
     Unavailable {
@@ -73,17 +76,24 @@
     /// Returns [`SourceError::Unavailable`] or [`SourceError::Malformed`].
     fn latest(&self) -> impl Future<Output = Result<SourceUpdate, SourceError>> + Send;
 
-    /// Waits for changes after a cursor, for at most `wait`.
+    /// Waits for changes after a revision, for at most `wait`.
     ///
     /// # Errors
     /// Returns any [`SourceError`].
     fn wait_for_changes(
         &self,
-        after: Cursor,
+        after: Revision,
         wait: Millis,
     ) -> impl Future<Output = Result<SourceUpdate, SourceError>> + Send;
 }
 
+/// What the store last told: its revision, and the newest version at that revision.
+#[derive(Debug, Clone, Copy)]
+struct Position {
+    revision: Revision,
+    version: Option<Version>,
+}
+
 /// Applies each configuration that the store accepts on this node, until the future is dropped.
 ///
 /// Reads the newest configuration once at the start, and follows the changes for as long as the
@@ -97,11 +107,11 @@
 /// }
 /// ```
 pub async fn follow<S: Source>(source: S, mesh: Handle) {
-    let mut cursor = None;
+    let mut position: Option<Position> = None;
     let mut outage = Outage::default();
     let mut should_follow = mesh.should_follow_store();
     loop {
-        if cursor.is_some() && !*should_follow.borrow() {
+        if position.is_some() && !*should_follow.borrow() {
             log::info!("other nodes follow the store for this one");
             outage.end();
             if should_follow
@@ -112,46 +122,136 @@
                 return;
             }
             log::info!("following the store again");
-            cursor = None;
+            position = None;
         }
-        let result = match cursor {
+        let started = Instant::now();
+        let result = match position {
             None => source.latest().await,
-            Some(after) => source.wait_for_changes(after, CHANGE_WAIT).await,
+            Some(known) => source.wait_for_changes(known.revision, CHANGE_WAIT).await,
         };
         match result {
             Ok(update) => {
                 outage.end();
                 let has_changed = update.accepted.is_some();
-                let is_first = cursor.replace(update.cursor).is_none();
-                apply_update(update, is_first, &mesh).await;
+                position = Some(apply_update(update, position, started, &mesh).await);
                 if has_changed {
                     tokio::time::sleep(PAUSE_AFTER_CHANGE).await;
                 }
             }
-            Err(SourceError::CursorExpired) => {
+            Err(SourceError::HistoryDropped) => {
                 log::info!(
                     "the store no longer holds the changes since the last read; reading it anew"
                 );
-                cursor = None;
+                position = None;
             }
             Err(error) => {
                 outage.begin(&error);
-                if cursor.is_none() {
+                if position.is_none() {
                     report_head(&mesh, StoreHead::Unavailable).await;
                 }
-                tokio::time::sleep(outage.retry_pause()).await;
+                tokio::time::sleep(outage.retry_pause(MAX_RETRY_PAUSE)).await;
             }
         }
     }
 }
 
-async fn apply_update(update: SourceUpdate, is_first: bool, mesh: &Handle) {
-    let Some(AcceptedConfig { version, config }) = update.accepted else {
-        if is_first {
-            report_head(mesh, StoreHead::Empty).await;
+/// Checks the store whenever the mesh asks this node to, until the future is dropped.
+///
+/// This goes on beside [`follow`], whose request for changes may be waiting on a connection that no
+/// longer delivers anything.
+///
+/// ```
+/// # use crank_mesh::Handle;
+/// # use crank_node::source::{Source, check_when_due};
+/// fn start<S: Source>(source: S, mesh: Handle) {
+///     tokio::spawn(check_when_due(source, mesh));
+/// }
+/// ```
+pub async fn check_when_due<S: Source>(source: S, mesh: Handle) {
+    let mut due = mesh.store_check();
+    let mut outage = Outage::default();
+    loop {
+        let check = match due.wait_for(Option::is_some).await {
+            Ok(check) => *check,
+            Err(_) => return,
+        };
+        let started = Instant::now();
+        let (result, known) = match check {
+            None => continue,
+            Some(StoreCheck::Latest) => (source.latest().await, None),
+            Some(StoreCheck::Changes { since, version }) => {
+                let known = Position {
+                    revision: since,
+                    version: Some(version),
+                };
+                (source.wait_for_changes(since, NO_WAIT).await, Some(known))
+            }
+        };
+        let result = match result {
+            Err(SourceError::HistoryDropped) => source.latest().await,
+            result => result,
+        };
+        match result {
+            Ok(update) => {
+                outage.end();
+                log_check(&update, &mesh);
+                apply_update(update, known, started, &mesh).await;
+                tokio::time::sleep(MIN_CHECK_INTERVAL).await;
+            }
+            Err(error) => {
+                outage.begin(&error);
+                tokio::time::sleep(outage.retry_pause(MAX_CHECK_RETRY_PAUSE)).await;
+            }
         }
-        return;
+    }
+}
+
+/// Logs a check that found a change, which the nodes that follow the store have not passed on.
+fn log_check(update: &SourceUpdate, mesh: &Handle) {
+    if let Some(accepted) = &update.accepted {
+        let unconfirmed = mesh.confirmation_age().map(Millis::from);
+        log::info!(
+            version = accepted.version.0,
+            unconfirmed_ms = unconfirmed.map_or(0, |age| age.0);
+            "checking the store found a change"
+        );
+    }
+}
+
+/// Applies what the store told, and confirms to the mesh what the newest version was when the call
+/// started; the answer may have been on its way for long.
+async fn apply_update(
+    update: SourceUpdate,
+    known: Option<Position>,
+    started: Instant,
+    mesh: &Handle,
+) -> Position {
+    let accepted = update.accepted;
+    let version = accepted.as_ref().map(|accepted| accepted.version);
+    let position = Position {
+        revision: update.revision,
+        version: version.or(known.and_then(|known| known.version)),
     };
+    match accepted {
+        Some(accepted) => apply_accepted(accepted, mesh).await,
+        None if known.is_none() => report_head(mesh, StoreHead::Empty).await,
+        None => {}
+    }
+    if let Some(version) = position.version {
+        let confirmation = Confirmation {
+            version,
+            revision: position.revision,
+            age: Millis::from(started.elapsed()),
+        };
+        if let Err(error) = mesh.confirm(confirmation).await {
+            log::error!(error:% = error; "the version could not be confirmed to the mesh");
+        }
+    }
+    position
+}
+
+async fn apply_accepted(accepted: AcceptedConfig, mesh: &Handle) {
+    let AcceptedConfig { version, config } = accepted;
     let stamp = Stamp {
         version,
         digest: digest(&config),
@@ -203,8 +303,8 @@
         self.failures = 0;
     }
 
-    fn retry_pause(&self) -> Duration {
+    fn retry_pause(&self, longest: Duration) -> Duration {
         let wait = Duration::from(backoff::delay(self.failures, &mut rand::rng()));
-        wait.min(MAX_RETRY_PAUSE)
+        wait.min(longest)
     }
 }
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -6,12 +6,12 @@
 use serde_bytes::ByteBuf;
 
 use crate::call::{Load, Outcome, Refusal, RequestHead, ResponseHead};
-use crate::config::{Delta, Snapshot, Stamp};
+use crate::config::{Delta, Revision, Snapshot, Stamp, Version};
 use crate::member::Member;
 use crate::{Millis, Name, compact};
 
 /// The version of the protocol between nodes.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 /// The maximum size of a datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 /// The maximum size of a frame on a control connection, in bytes.
@@ -137,6 +137,20 @@
         /// How long to wait before the request is repeated.
         retry_after: Millis,
     },
+    /// States what the store's newest configuration was a short time ago.
+    Confirmed(Confirmation),
+}
+
+/// States that a configuration was the newest in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Confirmation {
+    /// The version of the configuration.
+    pub version: Version,
+    /// The revision of the store at that time.
+    pub revision: Revision,
+    /// How long ago that was.
+    pub age: Millis,
 }
 
 /// A frame on a call connection.
