--- a/crates/crank-platform-client/src/contacts.rs
+++ b/crates/crank-platform-client/src/contacts.rs
@@ -30,8 +30,10 @@
 
 /// Reads the contacts of all data centres, at most 128.
 ///
+/// A row that is not a contact is logged and left out: another writer may have left it.
+///
 /// # Errors
-/// [`Error::Unavailable`] or [`Error::Malformed`].
+/// [`Error::Unavailable`].
 ///
 /// ```
 /// # use crank_platform_client::{contacts, Memory};
@@ -43,7 +45,7 @@
 pub async fn read(platform: &impl Rows, account: &Name) -> Result<Vec<Contact>, Error> {
     let partition = table::partition(account, CONTACTS);
     let rows = platform.rows(&partition, MAX_CONTACTS_READ).await?;
-    rows.iter().map(table::content).collect()
+    Ok(table::without_malformed(rows.iter().map(table::content)))
 }
 
 /// Writes a node's contact over whatever node had the same row.
--- a/crates/crank-platform-client/src/lib.rs
+++ b/crates/crank-platform-client/src/lib.rs
@@ -25,4 +25,5 @@
 pub use platform::{Platform, Rows};
 pub use remote::{Access, Remote};
 pub use settings::Settings;
+pub use table::without_malformed;
 pub use value::{Condition, Etag, Key, Listing, Object, Row, RowCondition, RowWrite, Value};
--- a/crates/crank-platform-client/src/platform.rs
+++ b/crates/crank-platform-client/src/platform.rs
@@ -16,7 +16,8 @@
     /// [`Error::Unavailable`] or [`Error::Malformed`].
     fn row(&self, key: &Key) -> impl Future<Output = Result<Option<Row>, Error>> + Send;
 
-    /// Reads the last rows of a partition, highest sort key first.
+    /// Reads the last rows of a partition, highest sort key first. Rows that cannot be decoded are
+    /// logged and left out, see [`crate::without_malformed`].
     ///
     /// # Errors
     /// [`Error::Unavailable`] or [`Error::Malformed`].
--- a/crates/crank-platform-client/src/remote/rows.rs
+++ b/crates/crank-platform-client/src/remote/rows.rs
@@ -12,6 +12,7 @@
 use aws_sdk_dynamodb::types::{AttributeValue, Put, TransactWriteItem};
 
 use super::{Access, answer_lost, timeout, unavailable};
+use crate::table::without_malformed;
 use crate::{Error, Key, Row, RowCondition, RowWrite, Value};
 
 const PARTITION: &str = "partition";
@@ -81,12 +82,8 @@
             .send()
             .await
             .map_err(|error| unavailable(&error))?;
-        found
-            .items
-            .unwrap_or_default()
-            .into_iter()
-            .map(row)
-            .collect()
+        let items = found.items.unwrap_or_default();
+        Ok(without_malformed(items.into_iter().map(row)))
     }
 
     pub(super) async fn transact(&self, mut writes: Vec<RowWrite>) -> Result<(), Error> {
--- a/crates/crank-platform-client/src/table.rs
+++ b/crates/crank-platform-client/src/table.rs
@@ -64,6 +64,23 @@
     }
 }
 
+/// Returns what could be decoded, and logs what could not.
+///
+/// ```
+/// use crank_platform_client::without_malformed;
+/// assert_eq!(without_malformed([Ok(1), Ok(2)].into_iter()), [1, 2]);
+/// ```
+pub fn without_malformed<T>(decoded: impl Iterator<Item = Result<T, Error>>) -> Vec<T> {
+    let is_usable = |decoded: Result<T, Error>| match decoded {
+        Ok(content) => Some(content),
+        Err(error) => {
+            log::warn!(error:% = error; "row left out");
+            None
+        }
+    };
+    decoded.filter_map(is_usable).collect()
+}
+
 pub(crate) fn malformed(key: &Key, detail: &impl ToString) -> Error {
     Error::Malformed {
         what: Arc::from(format!("row {} {}", key.partition, key.sort)),
