Let few nodes check the store at once: most jitter near its maximum

Readiness in crank-load names the node that is not ready and what it answered, and a call that gets no answer no longer uses up the whole limit.

--- a/crates/crank-engine/src/spread/freshness.rs
+++ b/crates/crank-engine/src/spread/freshness.rs
@@ -9,8 +9,8 @@
 use crate::Moment;
 
 /// A node checks the store when the last confirmation is older than this plus jitter.
-const MAX_CONFIRMATION_AGE: Millis = Millis(800);
-/// With jitter, few nodes check at once; their confirmation spares the others the check.
+const MAX_CONFIRMATION_AGE: Millis = Millis(1_000);
+/// The longest jitter of a check.
 const MAX_CHECK_JITTER: Millis = Millis(600);
 /// A confirmation is passed on only if it is this much later than the one passed on before.
 const MIN_FORWARD_GAP: Millis = Millis(250);
@@ -87,8 +87,7 @@
             at: latest.map_or(at, |latest| at.max(latest.at)),
         });
         if is_later {
-            let jitter = rng.random_range(0..=MAX_CHECK_JITTER.0);
-            self.check_at = at.after(Millis(MAX_CONFIRMATION_AGE.0 + jitter));
+            self.check_at = at.after(MAX_CONFIRMATION_AGE).after(check_jitter(rng));
         }
     }
 
@@ -153,3 +152,12 @@
         self.latest.map(|latest| now.since(latest.at))
     }
 }
+
+/// Draws the jitter of a check.
+///
+/// Few draws are short and most are near the maximum, so that of many nodes few check before the
+/// confirmation of the first has spared the others the check.
+fn check_jitter(rng: &mut impl Rng) -> Millis {
+    let share = rng.random::<f64>().cbrt();
+    Millis((MAX_CHECK_JITTER.0 as f64 * share) as u64)
+}
--- a/crates/crank-load/src/error.rs
+++ b/crates/crank-load/src/error.rs
@@ -56,6 +56,16 @@
         /// What the library said.
         source: reqwest::Error,
     },
+    /// A node did not become ready in the time that its caller gave.
+    #[error("node {node} is not ready after {waited_ms} ms, last: {detail}")]
+    NotReady {
+        /// The node.
+        node: Arc<str>,
+        /// Its last answer, or why there was none.
+        detail: String,
+        /// How long it was waited for, in milliseconds.
+        waited_ms: u64,
+    },
     /// A condition was not met in the time that its caller gave.
     #[error("{what} did not come about within {waited_ms} ms")]
     Timeout {
--- a/crates/crank-load/src/roster.rs
+++ b/crates/crank-load/src/roster.rs
@@ -9,6 +9,15 @@
 use crate::Error;
 use crate::fleet::{Fleet, wait};
 
+/// How long a node may take to say whether it is ready; after that it is asked again.
+const READY_CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A node that is not ready, and what it answered.
+struct Unready {
+    node: Arc<str>,
+    detail: String,
+}
+
 /// One node and the backend server beside it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -120,19 +129,34 @@
     /// ```
     pub async fn ready(&self, limit: Duration) -> Result<(), Error> {
         let client = reqwest::Client::new();
-        wait("readiness of all nodes", limit, async || {
-            for post in &self.posts {
-                let answer = client
-                    .get(format!("{}/readyz", post.operators))
-                    .send()
-                    .await;
-                if !answer.is_ok_and(|answer| answer.status().is_success()) {
-                    return false;
-                }
-            }
-            true
+        let mut last_unready = None;
+        let ready = wait("readiness of all nodes", limit, async || {
+            last_unready = self.first_unready(&client).await;
+            last_unready.is_none()
+        });
+        ready.await.map_err(|error| match last_unready {
+            Some(unready) => Error::NotReady {
+                node: unready.node,
+                detail: unready.detail,
+                waited_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX),
+            },
+            None => error,
         })
-        .await
+    }
+
+    /// Asks the nodes one after the other, and returns the first that is not ready.
+    async fn first_unready(&self, client: &reqwest::Client) -> Option<Unready> {
+        for post in &self.posts {
+            let call = client.get(format!("{}/readyz", post.operators));
+            let detail = match call.timeout(READY_CALL_TIMEOUT).send().await {
+                Ok(answer) if answer.status().is_success() => continue,
+                Ok(answer) => format!("status {}", answer.status()),
+                Err(error) => format!("{error:?}"),
+            };
+            let node = Arc::from(&*post.name);
+            return Some(Unready { node, detail });
+        }
+        None
     }
 
     /// The same without some of the nodes.
