--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod bulkhead;
 mod conventions;
+mod drain;
 mod lines;
 mod options;
 mod routed;
@@ -14,13 +15,13 @@
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use crank_engine::balance::ChosenTarget;
-use crank_engine::drain::{Drain, DrainProgress};
+use crank_engine::drain::Drain;
 use crank_engine::limit::Capacity;
 use crank_engine::route::{ResolvedRoute, RoutingTable};
 use crank_engine::{Moment, burn, retry};
 use crank_mesh::View;
 use crank_protocol::call::{
-    Body, Load, Outcome, Refusal, RefusedRequest, Request, RequestHead, Response,
+    Body, Outcome, Refusal, RefusedRequest, Request, RequestHead, Response,
 };
 use crank_protocol::config::{Snapshot, Version};
 use crank_protocol::member::{Place, Stage};
@@ -410,67 +411,6 @@
         bulkhead.refresh(self.now(), version, rule, &view);
     }
 
-    /// Starts to drain the node: refuses callers' new requests and finishes those in flight.
-    ///
-    /// Requests of the backend server beside this node are still accepted, because its own work in
-    /// flight may need them.
-    ///
-    /// ```
-    /// # use crank_node::entry::{EntryProxy, Transport};
-    /// # use crank_protocol::Millis;
-    /// fn on_sigterm<T: Transport>(entry: &EntryProxy<T>) {
-    ///     entry.start_drain(Millis(30_000));
-    /// }
-    /// ```
-    pub fn start_drain(&self, grace: Millis) {
-        self.shared.drain.lock().start(self.now(), grace);
-    }
-
-    /// Returns the progress of the drain.
-    ///
-    /// ```
-    /// # use crank_engine::drain::{Drain, DrainProgress};
-    /// # use crank_node::entry::{EntryProxy, Transport};
-    /// fn is_drained<T: Transport>(entry: &EntryProxy<T>) -> bool {
-    ///     entry.progress() == DrainProgress::Drained
-    /// }
-    /// ```
-    #[must_use]
-    pub fn progress(&self) -> DrainProgress {
-        let in_flight = self.load().values().map(in_flight).sum();
-        self.shared.drain.lock().progress(self.now(), in_flight)
-    }
-
-    /// Returns the running and waiting requests of each service.
-    ///
-    /// ```
-    /// # use crank_node::entry::{EntryProxy, Transport};
-    /// fn is_idle<T: Transport>(entry: &EntryProxy<T>) -> bool {
-    ///     entry.load().values().all(|load| load.running == 0)
-    /// }
-    /// ```
-    #[must_use]
-    pub fn load(&self) -> BTreeMap<Name, Load> {
-        let bulkheads = self.shared.bulkheads.lock();
-        bulkheads
-            .iter()
-            .map(|(name, bulkhead)| (name.clone(), bulkhead.admission().load()))
-            .collect()
-    }
-
-    /// Returns how many requests wait because the node's limit is reached.
-    ///
-    /// ```
-    /// # use crank_node::entry::{EntryProxy, Transport};
-    /// fn is_full<T: Transport>(entry: &EntryProxy<T>) -> bool {
-    ///     entry.waiting() > 0
-    /// }
-    /// ```
-    #[must_use]
-    pub fn waiting(&self) -> u32 {
-        self.shared.node_limit.load().waiting
-    }
-
     /// Counts a refused request against the objective, unless the caller caused the refusal.
     fn count_refusal(&self, rule: &ResolvedRoute, refused: &RefusedRequest, started_at: Moment) {
         match refused.refusal {
@@ -494,10 +434,6 @@
     }
 }
 
-fn in_flight(load: &Load) -> u32 {
-    load.running.saturating_add(load.waiting)
-}
-
 /// The lowest HTTP status that reports a failure of the backend server.
 const MIN_SERVER_ERROR_STATUS: u16 = 500;
 
--- a/crates/crank-protocol/src/config.rs
+++ b/crates/crank-protocol/src/config.rs
@@ -30,12 +30,6 @@
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
-impl fmt::Display for Revision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
 /// The SHA-256 of a configuration's canonical encoding, written as 64 hexadecimal digits.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "Arc<str>", into = "Arc<str>")]
--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -1,18 +1,16 @@
 //! Forwards requests to the backend server beside a node.
 
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use crank_protocol::call::{
-    Body, DEPTH_HEADER, Header, Load, OUTCOME_HEADER, REFUSAL_HEADER, Refusal, RequestHead,
-    Response, ResponseHead, VERSION_HEADER,
+    DEPTH_HEADER, Header, Load, OUTCOME_HEADER, REFUSAL_HEADER, Refusal, RequestHead, Response,
+    ResponseHead, VERSION_HEADER,
 };
 use crank_protocol::config::Method;
 use crank_protocol::{HttpDialect, Millis};
-use futures::{Stream, StreamExt};
 use http::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
     RETRY_AFTER,
@@ -23,6 +21,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::body_end::BodyEnd;
+use crate::checked_body::{CheckedBody, PooledConnection};
 use crate::connection::{Connection, ConnectionPool};
 
 /// The `Retry-After` of a shed request if the backend server does not state one.
@@ -376,110 +375,3 @@
         })
         .collect()
 }
-
-/// A response body that checks its own end while it is read.
-struct CheckedBody<S> {
-    body: Pin<Box<S>>,
-    remaining_bytes: Option<u64>,
-    deadline: Instant,
-    is_ended: bool,
-    pooled: Option<PooledConnection>,
-}
-
-/// A connection in use, and what is needed to return it to the pool after a complete response.
-struct PooledConnection {
-    pool: ConnectionPool,
-    limit: Option<Duration>,
-    address: SocketAddr,
-    connection: Connection,
-}
-
-impl PooledConnection {
-    /// Returns the connection to the pool, once the HTTP library is ready for the next request.
-    fn return_to_pool(self) {
-        let Self {
-            pool,
-            limit,
-            address,
-            mut connection,
-        } = self;
-        if limit == Some(Duration::ZERO) {
-            return;
-        }
-        if connection.is_ready() {
-            pool.put_back(address, connection, limit);
-            return;
-        }
-        tokio::spawn(async move {
-            if connection.ready().await.is_ok() {
-                pool.put_back(address, connection, limit);
-            }
-        });
-    }
-}
-
-impl<S> CheckedBody<S>
-where
-    S: Stream<Item = Result<Bytes, hyper::Error>> + Send + 'static,
-{
-    fn into_stream(
-        body: Pin<Box<S>>,
-        end: BodyEnd,
-        deadline: Instant,
-        pooled: PooledConnection,
-    ) -> Body {
-        let remaining_bytes = match end {
-            BodyEnd::None { .. } => Some(0),
-            BodyEnd::Length(length) => Some(length),
-            BodyEnd::LastChunk | BodyEnd::Unknown => None,
-        };
-        let checked = Self {
-            body,
-            remaining_bytes,
-            deadline,
-            is_ended: false,
-            pooled: Some(pooled),
-        };
-        Box::pin(futures::stream::unfold(checked, |mut checked| async move {
-            let next = checked.next().await?;
-            Some((next, checked))
-        }))
-    }
-
-    async fn next(&mut self) -> Option<Result<Bytes, Refusal>> {
-        if self.is_ended {
-            return None;
-        }
-        let next = match timeout_at(self.deadline, self.body.next()).await {
-            Ok(next) => self.check_chunk(next),
-            Err(_) => Some(Err(Refusal::TimedOut)),
-        };
-        self.is_ended = !matches!(next, Some(Ok(_)));
-        if next.is_none()
-            && let Some(pooled) = self.pooled.take()
-        {
-            pooled.return_to_pool();
-        }
-        next
-    }
-
-    fn check_chunk(
-        &mut self,
-        next: Option<Result<Bytes, hyper::Error>>,
-    ) -> Option<Result<Bytes, Refusal>> {
-        match (next, &mut self.remaining_bytes) {
-            (Some(Ok(data)), Some(remaining_bytes)) => {
-                let remaining = remaining_bytes.checked_sub(data.len() as u64);
-                let Some(remaining) = remaining else {
-                    return Some(Err(Refusal::Cut));
-                };
-                *remaining_bytes = remaining;
-                Some(Ok(data))
-            }
-            (Some(Ok(data)), None) => Some(Ok(data)),
-            (Some(Err(_)), _) => Some(Err(Refusal::Cut)),
-            (None, Some(remaining_bytes)) if *remaining_bytes > 0 => Some(Err(Refusal::Cut)),
-            (None, _) => None,
-        }
-    }
-}
--- a/crates/crank-server/src/lib.rs
+++ b/crates/crank-server/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod body_end;
+mod checked_body;
 mod connection;
 mod error;
 mod forwarder;
--- a/crates/crank-server/tests/faulty_servers.rs
+++ b/crates/crank-server/tests/faulty_servers.rs
@@ -18,6 +18,8 @@
 use tokio::time::{sleep, timeout};
 
 const TIME_LEFT: Millis = Millis(5_000);
+/// The time within which a connection must be closed after its request has ended.
+const CLOSE_TIME: Duration = Duration::from_secs(5);
 const ANSWER: &str =
     "HTTP/1.1 200 OK\r\nx-id: 7f3a\r\nx-signature: s\r\ncontent-length: 2\r\n\r\nok";
 const REFUSAL: &str =
@@ -156,10 +158,7 @@
         let sent = send(&forwarder(), address, Millis(1_000)).await;
         let is_unknown = matches!(sent, Err(Refusal::Lost | Refusal::TimedOut));
         assert!(is_unknown, "{part}: {sent:?}");
-        timeout(Duration::from_secs(5), is_closed)
-            .await
-            .unwrap()
-            .unwrap();
+        timeout(CLOSE_TIME, is_closed).await.unwrap().unwrap();
     }
 }
 
@@ -176,9 +175,6 @@
         let sent = send(&forwarder(), address, Millis(1_000)).await;
         let is_cut = matches!(sent, Err(Refusal::Cut | Refusal::TimedOut));
         assert!(is_cut, "{framing}: {sent:?}");
-        timeout(Duration::from_secs(5), is_closed)
-            .await
-            .unwrap()
-            .unwrap();
+        timeout(CLOSE_TIME, is_closed).await.unwrap().unwrap();
     }
 }
