--- a/crates/crank-mesh/src/actor/confirmations.rs
+++ b/crates/crank-mesh/src/actor/confirmations.rs
@@ -1,4 +1,4 @@
-//! Confirmations of the store's newest configuration: recorded, passed on, and missed.
+//! Which nodes follow the store, and the confirmations of its newest configuration.
 
 use std::time::{Duration, Instant};
 
@@ -42,6 +42,22 @@
         self.send_frames(&connection_ids, &Control::Confirmed(confirmation));
     }
 
+    /// Publishes whether this node follows the platform's store, and whether it has to check it.
+    pub(crate) fn update_store_duties(&mut self, now: Moment) {
+        let follows = self.topology.is_store_reader;
+        let has_changed = self
+            .outputs
+            .should_follow_store
+            .send_if_modified(|held| std::mem::replace(held, follows) != follows);
+        if has_changed {
+            log::info!(
+                event = "store_following", follows = follows;
+                "this node begins or ceases to follow the store"
+            );
+        }
+        self.update_store_check(now);
+    }
+
     /// Publishes whether this node has to check the store, and how.
     pub(crate) fn update_store_check(&mut self, now: Moment) {
         let newer_stamp = self.newer_config.as_ref().map(|newer| &newer.stamp);
--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -393,22 +393,6 @@
         }
     }
 
-    /// Publishes whether this node follows the platform's store, and whether it has to check it.
-    fn update_store_duties(&mut self, now: Moment) {
-        let follows = self.topology.is_store_reader;
-        let has_changed = self
-            .outputs
-            .should_follow_store
-            .send_if_modified(|held| std::mem::replace(held, follows) != follows);
-        if has_changed {
-            log::info!(
-                event = "store_following", follows = follows;
-                "this node begins or ceases to follow the store"
-            );
-        }
-        self.update_store_check(now);
-    }
-
     /// Logs which version came into force, which node it came from (none: the store), and for how
     /// long this node knew that it lacked a newer one.
     fn log_applied(&self, snapshot: Option<&Snapshot>, from: Option<&Name>) {
