--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -18,6 +18,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::source::RefusedConfig;
+
 /// The outcome of a request as reported to its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RequestOutcome {
@@ -162,6 +164,20 @@
             .register_collector(Box::new(MeshCollector(mesh)));
     }
 
+    /// Registers the metrics of configurations that the node cannot use.
+    ///
+    /// ```
+    /// use crank_node::{metrics::Metrics, source::RefusedConfig};
+    /// let metrics = Metrics::new();
+    /// metrics.add_refused_config(RefusedConfig::default());
+    /// assert!(metrics.encode().contains("crank_config_refusals_total 0"));
+    /// ```
+    pub fn add_refused_config(&self, refused: RefusedConfig) {
+        self.registry
+            .lock()
+            .register_collector(Box::new(RefusedConfigCollector(refused)));
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     ///
     /// ```
@@ -177,6 +193,28 @@
     }
 }
 
+#[derive(Debug)]
+struct RefusedConfigCollector(RefusedConfig);
+
+impl Collector for RefusedConfigCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
+        let help = "Configurations of the store that this node could not use";
+        encode_counter(&mut encoder, "config_refusals", help, self.0.refusals())?;
+        let Some(fault) = self.0.fault() else {
+            return Ok(());
+        };
+        let help = "1 while the newest configuration of the store cannot be used";
+        let metric_type = MetricType::Gauge;
+        let mut family = encoder.encode_descriptor("config_refused", help, None, metric_type)?;
+        let labels = [
+            ("document", &*fault.document),
+            ("path", &*fault.path),
+            ("detail", &*fault.detail),
+        ];
+        ConstGauge::new(1_u64).encode(family.encode_family(&labels)?)
+    }
+}
+
 struct MeshCollector(Handle);
 
 impl fmt::Debug for MeshCollector {
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -23,6 +23,7 @@
 use crate::entry::{self, Conventions, EntryProxy};
 use crate::gateway::MeteredGateway;
 use crate::metrics::Metrics;
+use crate::source::RefusedConfig;
 use crate::target::{self, Target};
 use crate::transport::MeshTransport;
 use crate::{Error, follow, handover};
@@ -72,6 +73,7 @@
     ready: Arc<watch::Sender<bool>>,
     burn: Arc<Mutex<BurnCounter>>,
     metrics: Arc<Metrics>,
+    refused_config: RefusedConfig,
     clock: Clock,
     announced: watch::Receiver<Option<Announcement>>,
     draining: CancellationToken,
@@ -133,6 +135,8 @@
         tokio::spawn(calls);
         let metrics = Arc::new(Metrics::new());
         metrics.add_mesh(mesh.clone());
+        let refused_config = RefusedConfig::default();
+        metrics.add_refused_config(refused_config.clone());
         let gateway = MeteredGateway::new(entry.clone(), metrics.clone());
         let edge = options.caller_listener.with_dialect(dialect);
         let edge = edge.with_close_delay(MIN_CLOSE_DELAY.max(options.linger.into()));
@@ -147,6 +151,7 @@
             ready: Arc::new(watch::Sender::new(false)),
             burn,
             metrics,
+            refused_config,
             clock,
             announced,
             draining: CancellationToken::new(),
@@ -220,6 +225,20 @@
     }
 
     /// Returns a token that is cancelled when the node closes its connections.
+    /// Returns the record of configurations that the node cannot use, for [`crate::source::follow`].
+    ///
+    /// ```
+    /// # use crank_node::node::Node;
+    /// # use crank_platform_client::Rows;
+    /// fn is_up_to_date<P: Rows>(node: &Node<P>) -> bool {
+    ///     node.refused_config().fault().is_none()
+    /// }
+    /// ```
+    #[must_use]
+    pub fn refused_config(&self) -> RefusedConfig {
+        self.refused_config.clone()
+    }
+
     pub(crate) fn closing(&self) -> CancellationToken {
         self.closing.clone()
     }
--- a/crates/crank-node/src/source.rs
+++ b/crates/crank-node/src/source.rs
@@ -1,10 +1,12 @@
 //! Follows a store that accepts configurations itself.
 
+mod outage;
+mod refused;
+
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crank_engine::backoff;
 use crank_engine::config::digest;
 use crank_mesh::{Handle, StoreCheck, StoreHead};
 use crank_protocol::Millis;
@@ -13,6 +15,10 @@
 use thiserror::Error as ThisError;
 use tokio::time::Instant;
 
+use outage::Outage;
+
+pub use refused::{ConfigFault, RefusedConfig};
+
 /// How long the store holds a request for changes open until there is one.
 const CHANGE_WAIT: Millis = Millis(20_000);
 /// The pause after a change before the next request: the store keeps only the newest of changes in
@@ -42,8 +48,9 @@
 pub struct SourceUpdate {
     /// The revision of the store, from which to wait for the next change.
     pub revision: Revision,
-    /// The newest configuration, if it has changed since the previous revision.
-    pub accepted: Option<AcceptedConfig>,
+    /// The newest configuration, if it has changed since the previous revision, or why this node
+    /// cannot use it.
+    pub config: Option<Result<AcceptedConfig, ConfigFault>>,
 }
 
 /// The reasons why a store gave no answer that can be used.
@@ -60,12 +67,6 @@
         /// The error that occurred.
         detail: Arc<str>,
     },
-    /// The configuration in the store cannot be parsed.
-    #[error("cannot read the store's configuration ({detail}): the one in force stays")]
-    Malformed {
-        /// What is wrong with the configuration.
-        detail: Arc<str>,
-    },
 }
 
 /// A store that accepts configurations itself.
@@ -73,7 +74,7 @@
     /// Reads the newest configuration.
     ///
     /// # Errors
-    /// Returns [`SourceError::Unavailable`] or [`SourceError::Malformed`].
+    /// Returns [`SourceError::Unavailable`].
     fn latest(&self) -> impl Future<Output = Result<SourceUpdate, SourceError>> + Send;
 
     /// Waits for changes after a revision, for at most `wait`.
@@ -101,12 +102,12 @@
 ///
 /// ```
 /// # use crank_mesh::Handle;
-/// # use crank_node::source::{Source, follow};
+/// # use crank_node::source::{RefusedConfig, Source, follow};
 /// fn start<S: Source>(source: S, mesh: Handle) {
-///     tokio::spawn(follow(source, mesh));
+///     tokio::spawn(follow(source, mesh, RefusedConfig::default()));
 /// }
 /// ```
-pub async fn follow<S: Source>(source: S, mesh: Handle) {
+pub async fn follow<S: Source>(source: S, mesh: Handle, refused: RefusedConfig) {
     let mut position: Option<Position> = None;
     let mut outage = Outage::default();
     let mut should_follow = mesh.should_follow_store();
@@ -132,7 +133,8 @@
         match result {
             Ok(update) => {
                 outage.end();
-                let has_changed = update.accepted.is_some();
+                let has_changed = update.config.is_some();
+                let update = usable_update(update, &refused);
                 position = Some(apply_update(update, position, started, &mesh).await);
                 if has_changed {
                     tokio::time::sleep(PAUSE_AFTER_CHANGE).await;
@@ -162,12 +164,12 @@
 ///
 /// ```
 /// # use crank_mesh::Handle;
-/// # use crank_node::source::{Source, check_when_due};
+/// # use crank_node::source::{RefusedConfig, Source, check_when_due};
 /// fn start<S: Source>(source: S, mesh: Handle) {
-///     tokio::spawn(check_when_due(source, mesh));
+///     tokio::spawn(check_when_due(source, mesh, RefusedConfig::default()));
 /// }
 /// ```
-pub async fn check_when_due<S: Source>(source: S, mesh: Handle) {
+pub async fn check_when_due<S: Source>(source: S, mesh: Handle, refused: RefusedConfig) {
     let mut due = mesh.store_check();
     let mut outage = Outage::default();
     loop {
@@ -194,6 +196,7 @@
         match result {
             Ok(update) => {
                 outage.end();
+                let update = usable_update(update, &refused);
                 log_check(&update, &mesh);
                 apply_update(update, known, started, &mesh).await;
                 tokio::time::sleep(MIN_CHECK_INTERVAL).await;
@@ -206,8 +209,36 @@
     }
 }
 
+/// An update without what this node cannot use.
+struct UsableUpdate {
+    revision: Revision,
+    accepted: Option<AcceptedConfig>,
+    is_refused: bool,
+}
+
+/// Records whether the configuration of an update can be used.
+fn usable_update(update: SourceUpdate, refused: &RefusedConfig) -> UsableUpdate {
+    let SourceUpdate { revision, config } = update;
+    let (accepted, is_refused) = match config {
+        None => (None, false),
+        Some(Ok(accepted)) => {
+            refused.accept(revision);
+            (Some(accepted), false)
+        }
+        Some(Err(fault)) => {
+            refused.refuse(revision, fault);
+            (None, true)
+        }
+    };
+    UsableUpdate {
+        revision,
+        accepted,
+        is_refused,
+    }
+}
+
 /// Logs a check that found a change, which the nodes that follow the store have not passed on.
-fn log_check(update: &SourceUpdate, mesh: &Handle) {
+fn log_check(update: &UsableUpdate, mesh: &Handle) {
     if let Some(accepted) = &update.accepted {
         let unconfirmed = mesh.confirmation_age().map(Millis::from);
         log::info!(
@@ -221,7 +252,7 @@
 /// Applies what the store told, and confirms to the mesh what the newest version was when the call
 /// started; the answer may have been on its way for long.
 async fn apply_update(
-    update: SourceUpdate,
+    update: UsableUpdate,
     known: Option<Position>,
     started: Instant,
     mesh: &Handle,
@@ -234,6 +265,9 @@
     };
     match accepted {
         Some(accepted) => apply_accepted(accepted, mesh).await,
+        None if known.is_none() && update.is_refused => {
+            report_head(mesh, StoreHead::Unavailable).await;
+        }
         None if known.is_none() => report_head(mesh, StoreHead::Empty).await,
         None => {}
     }
@@ -278,33 +312,3 @@
         log::error!(error:% = error; "the head could not be reported to the mesh");
     }
 }
-
-/// Tracks an outage of the store, to log one line at its start and one at its end.
-#[derive(Debug, Default)]
-struct Outage {
-    started: Option<Instant>,
-    failures: u32,
-}
-
-impl Outage {
-    fn begin(&mut self, error: &SourceError) {
-        if self.started.is_none() {
-            self.started = Some(Instant::now());
-            log::warn!(reason:% = error; "store lost");
-        }
-        self.failures = self.failures.saturating_add(1);
-    }
-
-    fn end(&mut self) {
-        if let Some(started) = self.started.take() {
-            let duration = Millis::from(started.elapsed());
-            log::info!(away_ms = duration.0, failures = self.failures; "store regained");
-        }
-        self.failures = 0;
-    }
-
-    fn retry_pause(&self, longest: Duration) -> Duration {
-        let wait = Duration::from(backoff::delay(self.failures, &mut rand::rng()));
-        wait.min(longest)
-    }
-}
