Run the request that must end first, among those of equal importance

The queue of ConcurrencyLimit orders by importance, then deadline, then arrival. Nothing tells calls from callers' requests and nothing is set: a call has less time.

--- a/crates/crank-engine/src/limit.rs
+++ b/crates/crank-engine/src/limit.rs
@@ -1,5 +1,11 @@
 //! Concurrency limits with a bounded queue.
 //!
+//! Load pattern: a service that runs callers' requests and also the short calls that requests of
+//! other services make while they run. In the order of arrival a call waits behind requests that
+//! have far more time, misses its deadline, and the request that made it fails after it has used
+//! its slot; retries then add load that keeps the queue full after the cause has gone. Here, among
+//! requests of equal importance, the one that must end first runs first.
+//!
 //! An entry node keeps one limit for each service, and a target node keeps one for its backend
 //! server.
 
@@ -26,7 +32,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PendingRequest {
-    /// The ID of the request; requests of equal importance run in the order of their IDs.
+    /// The ID of the request; IDs ascend in the order of arrival.
     pub id: u64,
     /// The importance of the request: under overload, less important requests are refused first.
     pub importance: Importance,
@@ -67,11 +73,13 @@
     pub queue: u32,
 }
 
-/// The position in the queue: more important requests first, then by ascending ID.
+/// The position in the queue: more important requests first, then those with the earliest
+/// deadline, then by ascending ID.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct QueuePosition {
     importance: Reverse<Importance>,
+    deadline: Moment,
     id: u64,
 }
 
@@ -79,7 +87,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct WaitingRequest {
-    deadline: Moment,
     #[serde(rename = "run")]
     expected_run_time: Option<Millis>,
 }
@@ -209,18 +216,9 @@
                 Some(_) | None => return vec![refuse(request.id, self.overload_refusal())],
             }
         }
-        let PendingRequest {
-            deadline,
-            expected_run_time,
-            ..
-        } = request;
-        self.waiting.insert(
-            queue_position(&request),
-            WaitingRequest {
-                deadline,
-                expected_run_time,
-            },
-        );
+        let expected_run_time = request.expected_run_time;
+        let waiting = WaitingRequest { expected_run_time };
+        self.waiting.insert(queue_position(&request), waiting);
         decisions
     }
 
@@ -320,16 +318,11 @@
     fn start_waiting_requests(&mut self, now: Moment) -> Vec<Decision> {
         let mut decisions = Vec::new();
         while self.has_free_slot() {
-            let Some((
-                position,
-                WaitingRequest {
-                    deadline,
-                    expected_run_time,
-                },
-            )) = self.waiting.pop_first()
-            else {
+            let Some((position, waiting)) = self.waiting.pop_first() else {
                 break;
             };
+            let WaitingRequest { expected_run_time } = waiting;
+            let deadline = position.deadline;
             let end = now.0.saturating_add(self.run_micros(expected_run_time));
             if end > deadline.0 || deadline <= now {
                 decisions.push(refuse(position.id, Refusal::TooLate));
@@ -383,6 +376,7 @@
 fn queue_position(request: &PendingRequest) -> QueuePosition {
     QueuePosition {
         importance: Reverse(request.importance),
+        deadline: request.deadline,
         id: request.id,
     }
 }
--- a/crates/crank-node/src/entry/lines.rs
+++ b/crates/crank-node/src/entry/lines.rs
@@ -77,6 +77,7 @@
         request = *routed.label,
         service:% = routed.head.service,
         route:% = routed.rule.name,
+        importance:? = routed.head.importance,
         version = routed.head.version.0,
         tried:? = search.tried(),
         full:? = search.full(),
