End a planned stop within its grace period, and answer what is still running

A request that came late in the grace got its whole deadline too.

Now the end is announced at SIGTERM: what is taken from then on gets no more time than the node has (the server is given that deadline), what still runs 0.2 s before the end is answered as timed out, and connections get 0.3 s to close.

--- a/crates/crank-engine/src/admission.rs
+++ b/crates/crank-engine/src/admission.rs
@@ -143,6 +143,31 @@
         }
     }
 
+    /// Announces when the node ends; see [`Drain::announce_end`].
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, admission::Admission, limit::Capacity};
+    /// # use crank_protocol::Millis;
+    /// let mut admission = Admission::new(Capacity { slots: 1, queue: 1 });
+    /// admission.announce_end(Moment(0), Millis(5));
+    /// assert_eq!(admission.latest_end(Moment(9_000)), Moment(5_000));
+    /// ```
+    pub fn announce_end(&mut self, now: Moment, grace: Millis) {
+        self.drain.announce_end(now, grace);
+    }
+
+    /// Returns by when a request with this deadline must have ended; see [`Drain::latest_end`].
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, admission::Admission, limit::Capacity};
+    /// let admission = Admission::new(Capacity { slots: 1, queue: 1 });
+    /// assert_eq!(admission.latest_end(Moment(9_000)), Moment(9_000));
+    /// ```
+    #[must_use]
+    pub fn latest_end(&self, deadline: Moment) -> Moment {
+        self.drain.latest_end(deadline)
+    }
+
     /// Starts to drain the node: new requests are refused as described at [`Drain::admit`], and
     /// requests that run or wait are finished.
     ///
--- a/crates/crank-engine/src/drain.rs
+++ b/crates/crank-engine/src/drain.rs
@@ -64,6 +64,8 @@
     node: Option<DrainPeriod>,
     server: Option<DrainPeriod>,
     stage: Stage,
+    #[serde(default)]
+    announced: Option<DrainPeriod>,
 }
 
 impl Default for Drain {
@@ -85,9 +87,39 @@
             node: None,
             server: None,
             stage: Stage::Gone,
+            announced: None,
         }
     }
 
+    /// Announces that the node ends after `grace`: what it takes from now on must have ended by
+    /// then. A drain that starts later counts from now on.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, drain::Drain};
+    /// # use crank_protocol::Millis;
+    /// let mut drain = Drain::new();
+    /// drain.announce_end(Moment(0), Millis(5));
+    /// assert_eq!(drain.latest_end(Moment(9_000)), Moment(5_000));
+    /// ```
+    pub fn announce_end(&mut self, now: Moment, grace: Millis) {
+        self.announced
+            .get_or_insert(DrainPeriod { since: now, grace });
+    }
+
+    /// Returns by when a request with this deadline must have ended: the backend server is given no
+    /// more time than the node has, so that its answer is not cut off.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, drain::Drain};
+    /// assert_eq!(Drain::new().latest_end(Moment(9_000)), Moment(9_000));
+    /// ```
+    #[must_use]
+    pub fn latest_end(&self, deadline: Moment) -> Moment {
+        self.announced.map_or(deadline, |period| {
+            deadline.min(period.since.after(period.grace))
+        })
+    }
+
     /// Starts to drain the node; further calls have no effect.
     ///
     /// ```
@@ -101,7 +133,8 @@
     /// assert_eq!(drain.progress(Moment(6_000), 1), overdue);
     /// ```
     pub fn start(&mut self, now: Moment, grace: Millis) {
-        self.node.get_or_insert(DrainPeriod { since: now, grace });
+        let period = self.announced.unwrap_or(DrainPeriod { since: now, grace });
+        self.node.get_or_insert(period);
     }
 
     /// Sets the stage that the backend server announced, with its grace period in case it drains.
--- a/crates/crank-node/src/admission.rs
+++ b/crates/crank-node/src/admission.rs
@@ -249,6 +249,35 @@
         state.apply(decisions);
     }
 
+    /// Announces that the node ends after `grace`; what is admitted from now on must have ended by
+    /// then.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, limit::Capacity};
+    /// # use crank_node::{clock::Clock, admission::AdmissionController};
+    /// # use crank_protocol::Millis;
+    /// let controller = AdmissionController::new(Clock::new(), Capacity { slots: 1, queue: 0 });
+    /// controller.announce_end(Millis(5));
+    /// assert!(controller.latest_end(Moment(9_000_000)) < Moment(9_000_000));
+    /// ```
+    pub fn announce_end(&self, grace: Millis) {
+        let now = self.clock.now();
+        self.state.lock().admission.announce_end(now, grace);
+    }
+
+    /// Returns by when a request with this deadline must have ended.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, limit::Capacity};
+    /// # use crank_node::{clock::Clock, admission::AdmissionController};
+    /// let controller = AdmissionController::new(Clock::new(), Capacity { slots: 1, queue: 0 });
+    /// assert_eq!(controller.latest_end(Moment(9_000)), Moment(9_000));
+    /// ```
+    #[must_use]
+    pub fn latest_end(&self, deadline: Moment) -> Moment {
+        self.state.lock().admission.latest_end(deadline)
+    }
+
     /// Starts to drain the node: refuses new requests and finishes those already admitted.
     ///
     /// ```
@@ -260,10 +289,8 @@
     /// assert_eq!(controller.progress(), DrainProgress::Drained);
     /// ```
     pub fn start_drain(&self, grace: Millis) {
-        self.state
-            .lock()
-            .admission
-            .start_drain(self.clock.now(), grace);
+        let now = self.clock.now();
+        self.state.lock().admission.start_drain(now, grace);
     }
 
     /// Returns the progress of the drain.
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -29,6 +29,7 @@
 use futures::StreamExt;
 use parking_lot::Mutex;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::admission::{AdmissionController, AdmissionRequest, Permit};
 use crate::clock::Clock;
@@ -106,6 +107,8 @@
     table: ArcSwapOption<RoutingTable>,
     bulkheads: Mutex<BTreeMap<Name, Arc<Bulkhead>>>,
     drain: Mutex<Drain>,
+    /// Cancelled when all attempts must end, because the node does.
+    ending: CancellationToken,
 }
 
 /// The permits that a request holds.
@@ -158,6 +161,7 @@
                 table: ArcSwapOption::empty(),
                 bulkheads: Mutex::new(BTreeMap::new()),
                 drain: Mutex::new(drain),
+                ending: CancellationToken::new(),
             }),
         }
     }
@@ -210,6 +214,7 @@
             self.shared.drain.lock().admit(started_at, options.depth)?;
         }
         let deadline = started_at.after(options.timeout);
+        let deadline = self.shared.drain.lock().latest_end(deadline);
         let bulkhead = self.bulkhead(&rule);
         self.refresh(&bulkhead, table.version(), &rule);
         let permits = self
@@ -331,9 +336,11 @@
             .transport
             .call(choice, head, routed.body.clone());
         let end = self.shared.dependencies.clock.to_instant(routed.deadline);
-        let result = tokio::time::timeout_at(end, call)
-            .await
-            .unwrap_or_else(|_| Err(retry::refused(Refusal::TimedOut, None)));
+        let result = tokio::select! {
+            result = tokio::time::timeout_at(end, call) => result.ok(),
+            () = self.shared.ending.cancelled() => None,
+        };
+        let result = result.unwrap_or_else(|| Err(retry::refused(Refusal::TimedOut, None)));
         let took = attempt.finish(&result);
         // An attempt that could not queue spent nearly all of its time running.
         if let (Some(took), false) = (took, candidate.may_queue) {
--- a/crates/crank-node/src/entry/drain.rs
+++ b/crates/crank-node/src/entry/drain.rs
@@ -25,6 +25,32 @@
         self.shared.drain.lock().start(self.now(), grace);
     }
 
+    /// Announces that the node ends after `grace`: a request that is taken from now on gets no more
+    /// time than that.
+    ///
+    /// ```
+    /// # use crank_node::entry::{EntryProxy, Transport};
+    /// # use crank_protocol::Millis;
+    /// fn on_sigterm<T: Transport>(entry: &EntryProxy<T>) {
+    ///     entry.announce_end(Millis(5_000));
+    /// }
+    /// ```
+    pub fn announce_end(&self, grace: Millis) {
+        self.shared.drain.lock().announce_end(self.now(), grace);
+    }
+
+    /// Ends all attempts in flight as timed out, so that their callers still get an answer.
+    ///
+    /// ```
+    /// # use crank_node::entry::{EntryProxy, Transport};
+    /// fn before_exit<T: Transport>(entry: &EntryProxy<T>) {
+    ///     entry.end_attempts();
+    /// }
+    /// ```
+    pub fn end_attempts(&self) {
+        self.shared.ending.cancel();
+    }
+
     /// Returns the progress of the drain.
     ///
     /// ```
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -279,13 +279,17 @@
         self.ready.send_replace(false);
         self.draining.cancel();
         if self.linger > Millis(0) {
+        let grace = Duration::from(self.linger) + Duration::from(self.grace);
+        let last_answer = grace.saturating_sub(ANSWER_TIME);
+        let ends_at = tokio::time::Instant::now() + last_answer;
+        self.entry.announce_end(last_answer.into());
+        self.target.announce_end(last_answer.into());
             self.closing.cancel();
             tokio::time::sleep(self.linger.into()).await;
         }
         self.entry.start_drain(self.grace);
         self.target.start_drain(self.grace);
-        let grace = Duration::from(self.grace);
-        let drained = tokio::time::timeout(grace, self.wait_until_drained())
+        let drained = tokio::time::timeout_at(ends_at, self.wait_until_drained())
             .await
             .is_ok();
         if !drained {
@@ -294,11 +298,20 @@
                 running = load.running,
                 waiting = load.waiting,
                 unsettled = self.target.unsettled_claims();
-                "grace period ended with work in flight; closing connections"
+                "grace period ended with work in flight; ending it"
             );
         }
+            self.entry.end_attempts();
         self.closing.cancel();
-        let _ = tokio::time::timeout(grace, self.caller_task).await;
+        let close_time = if self.linger > Millis(0) {
+            MAX_CLOSE_TIME
+        } else {
+            MIN_CLOSE_DELAY + MAX_CLOSE_TIME
+        };
+        let closed = tokio::time::timeout(close_time, self.caller_task).await;
+        if closed.is_err() {
+            log::warn!("connections of callers were still open and are cut");
+        }
         self.mesh.leave().await;
         log::info!(node:% = self.name, drained = drained; "left");
     }
@@ -314,6 +327,11 @@
 }
 
 /// The shortest time for which a leaving node asks callers to close their connections before it
+/// How long before the end of the grace period the last request ends, so that its answer is still
+/// passed on.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+/// How long connections of callers may take to close once nothing is in flight.
+const MAX_CLOSE_TIME: Duration = Duration::from_millis(300);
 /// closes them itself.
 const MIN_CLOSE_DELAY: Duration = Duration::from_secs(1);
 
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -235,6 +235,7 @@
         let permit = self.admit(&head, deadline).await?;
         match head.idempotency_key.clone() {
             Some(key) => self.run_once(key, head, body, permit, deadline).await,
+        let deadline = self.shared.admission.latest_end(deadline);
             None => self.forward(head, body, permit, deadline).await,
         }
     }
@@ -338,6 +339,21 @@
     /// Returns the progress of the drain.
     ///
     /// ```
+    /// Announces that the node ends after `grace`: a request that is taken from now on gets no more
+    /// time than that.
+    ///
+    /// ```
+    /// # use crank_node::target::{Forwarder, Target};
+    /// # use crank_platform_client::Rows;
+    /// # use crank_protocol::Millis;
+    /// fn on_sigterm<P: Rows, F: Forwarder>(target: &Target<P, F>) {
+    ///     target.announce_end(Millis(5_000));
+    /// }
+    /// ```
+    pub fn announce_end(&self, grace: Millis) {
+        self.shared.admission.announce_end(grace);
+    }
+
     /// # use crank_engine::drain::DrainProgress;
     /// # use crank_node::target::{Forwarder, Target};
     /// # use crank_platform_client::Rows;
