--- a/crates/crank-caller/src/reply.rs
+++ b/crates/crank-caller/src/reply.rs
@@ -125,7 +125,7 @@
         Refusal::NoRoute => StatusCode::NOT_FOUND,
         Refusal::BadRequest { .. } => StatusCode::BAD_REQUEST,
         Refusal::TooLate | Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-        Refusal::Lost | Refusal::Cut => StatusCode::BAD_GATEWAY,
+        Refusal::Lost | Refusal::ConnectionLost | Refusal::Cut => StatusCode::BAD_GATEWAY,
         Refusal::KeyInUse => StatusCode::CONFLICT,
         Refusal::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
     };
@@ -152,7 +152,7 @@
         }
         Refusal::KeyMismatch => "the idempotency key was used for another request: use a new one",
         Refusal::NotSent => "the backend server could not be reached: try again",
-        Refusal::Lost => {
+        Refusal::Lost | Refusal::ConnectionLost => {
             "the connection was lost after the request was sent: ask what became of it before trying again"
         }
         Refusal::TimedOut => {
--- a/crates/crank-engine/src/balance/eject.rs
+++ b/crates/crank-engine/src/balance/eject.rs
@@ -122,7 +122,7 @@
     if target.latency.samples() < target.record.min_samples() {
         return false;
     }
-    let mean = |target: &Target| target.latency.micros().map(|micros| micros as f64);
+    let mean = |target: &Target| target.latency.mean().map(|micros| micros as f64);
     let mut others: Vec<f64> = targets
         .iter()
         .filter(|(other, target)| *other != id && target.latency.samples() >= MIN_SAMPLES)
--- a/crates/crank-engine/src/ewma.rs
+++ b/crates/crank-engine/src/ewma.rs
@@ -1,53 +1,54 @@
-//! An exponentially weighted moving average (EWMA) of durations.
+//! An exponentially weighted moving average (EWMA) of measurements.
 
 use serde::{Deserialize, Serialize};
 
 /// The weight of a new sample.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
-/// An exponentially weighted moving average of durations, in microseconds.
+/// An exponentially weighted moving average of measurements in one unit, such as microseconds.
 ///
 /// ```
 /// use crank_engine::ewma::Ewma;
 /// let mut ewma = Ewma::default();
-/// assert_eq!(ewma.micros(), None);
+/// assert_eq!(ewma.mean(), None);
 /// ewma.add(1_000);
-/// assert_eq!(ewma.micros(), Some(1_000));
+/// assert_eq!(ewma.mean(), Some(1_000));
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Ewma {
     samples: u32,
-    micros: f64,
+    #[serde(rename = "micros")]
+    mean: f64,
 }
 
 impl Ewma {
-    /// Adds a duration in microseconds.
+    /// Adds a measurement.
     ///
     /// ```
     /// # let mut ewma = crank_engine::ewma::Ewma::default();
     /// ewma.add(1_000);
     /// ewma.add(2_000);
-    /// assert_eq!(ewma.micros(), Some(1_200));
+    /// assert_eq!(ewma.mean(), Some(1_200));
     /// ```
-    pub fn add(&mut self, micros: u64) {
-        let micros = micros as f64;
+    pub fn add(&mut self, value: u64) {
+        let value = value as f64;
         if self.samples == 0 {
-            self.micros = micros;
+            self.mean = value;
         } else {
-            self.micros += (micros - self.micros) * SAMPLE_WEIGHT;
+            self.mean += (value - self.mean) * SAMPLE_WEIGHT;
         }
         self.samples = self.samples.saturating_add(1);
     }
 
-    /// Returns the average in microseconds, or `None` before the first sample.
+    /// Returns the average, or `None` before the first sample.
     ///
     /// ```
-    /// assert!(crank_engine::ewma::Ewma::default().micros().is_none());
+    /// assert!(crank_engine::ewma::Ewma::default().mean().is_none());
     /// ```
     #[must_use]
-    pub fn micros(&self) -> Option<u64> {
-        (self.samples > 0).then_some(self.micros as u64)
+    pub fn mean(&self) -> Option<u64> {
+        (self.samples > 0).then_some(self.mean as u64)
     }
 
     /// Returns the number of samples so far.
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod heartbeat;
 pub mod ini;
 pub mod limit;
+pub mod liveness;
 pub mod member;
 pub mod notice;
 pub mod overlay;
@@ -24,6 +25,7 @@
 pub mod route;
 pub mod spread;
 pub mod status;
+pub mod uplink;
 
 mod error;
 mod hash;
--- a/crates/crank-engine/src/retry.rs
+++ b/crates/crank-engine/src/retry.rs
@@ -36,9 +36,11 @@
         | Refusal::StoreDown
         | Refusal::KeyMismatch
         | Refusal::NotSent => Outcome::NotRun,
-        Refusal::KeyInUse | Refusal::Lost | Refusal::TimedOut | Refusal::Cancelled => {
-            Outcome::Unknown
-        }
+        Refusal::KeyInUse
+        | Refusal::Lost
+        | Refusal::ConnectionLost
+        | Refusal::TimedOut
+        | Refusal::Cancelled => Outcome::Unknown,
         Refusal::Cut => Outcome::Ran,
     }
 }
@@ -344,7 +346,8 @@
         | Refusal::Leaving
         | Refusal::Overloaded { .. }
         | Refusal::NotSent
-        | Refusal::Lost => true,
+        | Refusal::Lost
+        | Refusal::ConnectionLost => true,
         Refusal::NoRoute
         | Refusal::StoreDown
         | Refusal::BadRequest { .. }
--- /dev/null
+++ b/crates/crank-engine/tests/uplink.rs
@@ -0,0 +1,170 @@
+//! Replays large responses that together exceed the link, with small ones between them.
+
+#![allow(clippy::unwrap_used)]
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use crank_engine::Moment;
+use crank_engine::uplink::{TURN_BYTES, Uplink};
+use crank_protocol::Millis;
+
+const LINK_MBITS: u32 = 20;
+const LINK_BYTES_PER_SECOND: u64 = 2_500_000;
+const SECOND: u64 = 1_000_000;
+const DURATION: u64 = 20 * SECOND;
+/// 36 large responses a second of 90 kB on average: 130% of the link.
+const LARGE_INTERVAL: u64 = 27_700;
+const LARGE_SIZES: [u64; 4] = [40_000, 60_000, 80_000, 180_000];
+const SMALL_INTERVAL: u64 = 6_700;
+const SMALL_SIZE: u64 = 600;
+/// How long a caller of a large response waits, and the part of it that counts as in time.
+const LARGE_TARGET: Millis = Millis(600);
+/// How long a backend server waits for the answer to a call of its own.
+const CALL_DEADLINE: u64 = 400_000;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Small,
+    Large(u64),
+    Part,
+}
+
+/// The link itself: it sends what it is handed in the order of arrival.
+struct Link {
+    free_at: u64,
+}
+
+impl Link {
+    fn send(&mut self, now: u64, bytes: u64) -> u64 {
+        self.free_at = self.free_at.max(now) + bytes * SECOND / LINK_BYTES_PER_SECOND;
+        self.free_at
+    }
+}
+
+#[derive(Default)]
+struct Results {
+    small_delays: Vec<u64>,
+    large_in_time: u64,
+    large_late: u64,
+    refused: u64,
+}
+
+fn arrivals() -> BinaryHeap<Reverse<(u64, Event)>> {
+    let small = (0..DURATION / SMALL_INTERVAL).map(|n| (n * SMALL_INTERVAL, Event::Small));
+    let large = (0..DURATION / LARGE_INTERVAL).map(|n| {
+        let size = LARGE_SIZES[n as usize % LARGE_SIZES.len()];
+        (n * LARGE_INTERVAL, Event::Large(size))
+    });
+    small.chain(large).map(Reverse).collect()
+}
+
+/// Hands everything to the link as it comes, as nodes did before.
+fn send_as_it_comes() -> Results {
+    let mut results = Results::default();
+    let mut link = Link { free_at: 0 };
+    let mut events = arrivals();
+    while let Some(Reverse((now, event))) = events.pop() {
+        match event {
+            Event::Small => results.small_delays.push(link.send(now, SMALL_SIZE) - now),
+            Event::Large(size) => {
+                let is_late = link.send(now, size) > now + LARGE_TARGET.0 * 1_000;
+                results.large_late += u64::from(is_late);
+                results.large_in_time += u64::from(!is_late);
+            }
+            Event::Part => unreachable!(),
+        }
+    }
+    results
+}
+
+fn send_one_after_the_other() -> Results {
+    let mut results = Results::default();
+    let mut link = Link { free_at: 0 };
+    let mut uplink = Uplink::new(LINK_MBITS);
+    let mut waiting = VecDeque::new();
+    let mut events = arrivals();
+    while let Some(Reverse((now, event))) = events.pop() {
+        let moment = Moment(now);
+        match event {
+            Event::Small => {
+                uplink.send_now(moment, SMALL_SIZE);
+                results.small_delays.push(link.send(now, SMALL_SIZE) - now);
+            }
+            Event::Large(size) => {
+                let latest = moment.after(LARGE_TARGET);
+                if uplink.book(moment, size, latest).is_err() {
+                    results.refused += 1;
+                    continue;
+                }
+                waiting.push_back((size, latest.0));
+                if waiting.len() == 1 {
+                    events.push(Reverse((take_turn(&mut uplink, moment, size), Event::Part)));
+                }
+            }
+            Event::Part => {
+                let (left, latest) = waiting.front_mut().unwrap();
+                let sent = (*left).min(TURN_BYTES as u64);
+                *left -= sent;
+                let end = link.send(now, sent);
+                if *left == 0 {
+                    results.large_late += u64::from(end > *latest);
+                    results.large_in_time += u64::from(end <= *latest);
+                    waiting.pop_front();
+                }
+                if let Some((left, _)) = waiting.front() {
+                    let turn = take_turn(&mut uplink, moment, *left);
+                    events.push(Reverse((turn, Event::Part)));
+                }
+            }
+        }
+    }
+    results
+}
+
+fn take_turn(uplink: &mut Uplink, now: Moment, left: u64) -> u64 {
+    let part = left.min(TURN_BYTES as u64);
+    uplink.release(part);
+    uplink.take_turn(now, part).0
+}
+
+#[test]
+fn small_responses_do_not_wait_behind_large_ones_that_exceed_the_link() {
+    let (before, after) = (send_as_it_comes(), send_one_after_the_other());
+    let in_time = |results: &Results| {
+        let timely = results
+            .small_delays
+            .iter()
+            .filter(|delay| **delay < CALL_DEADLINE)
+            .count();
+        timely as f64 / results.small_delays.len() as f64
+    };
+    assert!(
+        in_time(&before) < 0.5,
+        "the load does not reproduce the fault"
+    );
+    assert!(in_time(&after) > 0.999);
+}
+
+#[test]
+fn large_responses_that_are_taken_end_in_time_and_the_rest_is_refused_before_it_runs() {
+    let (before, after) = (send_as_it_comes(), send_one_after_the_other());
+    assert!(before.large_late > before.large_in_time);
+    assert!(after.large_in_time > 2 * before.large_in_time);
+    assert!(after.large_late * 50 <= after.large_in_time);
+    assert!(after.refused > 0);
+}
+
+#[test]
+fn a_link_that_carries_everything_refuses_nothing() {
+    let mut uplink = Uplink::new(200);
+    let mut events = arrivals();
+    while let Some(Reverse((now, event))) = events.pop() {
+        if let Event::Large(size) = event {
+            let now = Moment(now);
+            uplink.book(now, size, now.after(LARGE_TARGET)).unwrap();
+            uplink.release(size);
+            uplink.take_turn(now, size);
+        }
+    }
+}
--- a/crates/crank-mesh/src/call/attempt.rs
+++ b/crates/crank-mesh/src/call/attempt.rs
@@ -209,6 +209,9 @@
                 AttemptStage::Sent if reason == CloseReason::Drained => {
                     refused_request(Refusal::Leaving, Outcome::NotRun)
                 }
+                AttemptStage::Sent if reason == CloseReason::Silent => {
+                    refused_request(Refusal::ConnectionLost, Outcome::Unknown)
+                }
                 AttemptStage::Sent => lost_refusal(),
                 AttemptStage::Receiving { .. } => cut_refusal(),
             };
--- a/crates/crank-mesh/src/call/frame.rs
+++ b/crates/crank-mesh/src/call/frame.rs
@@ -56,6 +56,8 @@
     Unspecified,
     /// The server was drained: it answered every request that it had started.
     Drained,
+    /// The connection went silent; unanswered requests may or may not have run.
+    Silent,
 }
 
 /// Reads the next message; a text message is an error.
--- a/crates/crank-mesh/src/call/link.rs
+++ b/crates/crank-mesh/src/call/link.rs
@@ -6,27 +6,29 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use crank_engine::liveness::Step;
 use crank_protocol::Name;
-use crank_protocol::call::{Outcome, Refusal, RefusedRequest, RequestHead, Response};
+use crank_protocol::call::{RefusedRequest, RequestHead, Response};
 use crank_protocol::config::Method;
 use crank_protocol::wire::{Call, Hello};
+use futures::StreamExt;
 use futures::stream::{SplitSink, SplitStream};
-use futures::{SinkExt, StreamExt};
 use parking_lot::Mutex;
-use serde_bytes::ByteBuf;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
-use super::attempt::{Attempts, not_sent_refusal, refused_request};
+use super::attempt::{Attempts, not_sent_refusal};
 use super::frame::{self, CloseReason, Incoming};
+use super::monitor::Monitor;
 use super::reader::ResponseReader;
-use super::{CLIENT_IDLE_TIMEOUT, CLOSE_TIMEOUT, PEER_TIMEOUT, PING_INTERVAL};
+use super::writer::{Outgoing, QueuedRequest, write_all};
+use super::{CLIENT_IDLE_TIMEOUT, CLOSE_TIMEOUT, IDLE_CHECK_INTERVAL};
 use crate::Error;
 
-type Socket = WebSocketStream<TcpStream>;
+pub(super) type Socket = WebSocketStream<TcpStream>;
 
 /// A client connection to the node of a target; clones share it.
 ///
@@ -40,21 +42,7 @@
 pub(super) struct Shared {
     pub(super) attempts: Arc<Mutex<Attempts>>,
     pub(super) outgoing: mpsc::UnboundedSender<Outgoing>,
-}
-
-/// A message in the send queue.
-pub(super) enum Outgoing {
-    Request(Box<QueuedRequest>),
-    Frame(Call),
-    Ping,
-}
-
-/// A request in the send queue.
-pub(super) struct QueuedRequest {
-    attempt: u64,
-    head: Box<RequestHead>,
-    body: Bytes,
-    deadline: Instant,
+    monitor: Arc<Monitor>,
 }
 
 impl Connection {
@@ -82,22 +70,30 @@
         time_limit: Duration,
     ) -> Result<Self, Error> {
         let opened = timeout(time_limit, open(hello, node, address)).await;
-        let socket = opened.map_err(|_| Error::HandshakeTimeout { address })??;
-        Ok(Self::start(socket))
+        let (socket, handshake) = opened.map_err(|_| Error::HandshakeTimeout { address })??;
+        Ok(Self::start(socket, handshake))
     }
 
     /// Starts the task that moves frames between the socket and the attempts.
-    fn start(socket: Socket) -> Self {
+    fn start(socket: Socket, handshake: Duration) -> Self {
         let (sink, stream) = socket.split();
         let (outgoing, queue) = mpsc::unbounded_channel();
         let attempts = Arc::new(Mutex::new(Attempts::default()));
         let weak_outgoing = outgoing.downgrade();
+        let monitor = Arc::new(Monitor::new(handshake));
         let shared = Arc::new(Shared {
             attempts: attempts.clone(),
             outgoing,
+            monitor: monitor.clone(),
         });
         tokio::spawn(async move {
-            let result = run_connection(sink, stream, queue, weak_outgoing, &attempts).await;
+            let tasks = ConnectionTasks {
+                sink,
+                stream,
+                queue,
+                outgoing: weak_outgoing,
+            };
+            let result = tasks.run(&attempts, &monitor).await;
             match result {
                 Ok(reason) => attempts.lock().close(reason),
                 Err(error) => {
@@ -145,6 +141,30 @@
         self.shared.attempts.lock().dropped_frames()
     }
 
+    /// Returns whether the connection seems to have gone silent, so that new requests should go
+    /// over another one.
+    ///
+    /// ```
+    /// # fn example(connection: &crank_mesh::call::Connection) {
+    /// assert!(!connection.is_suspect());
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        self.shared.monitor.is_suspect()
+    }
+
+    /// Waits until the connection seems to have gone silent while requests wait.
+    pub(super) async fn suspected(&self) {
+        self.shared.monitor.suspected().await;
+    }
+
+    /// Records that the node answers over a newer connection: this one ends once it is certain that
+    /// it has gone silent, or when nothing is in flight.
+    pub(super) fn record_replacement(&self) -> Duration {
+        self.shared.monitor.record_replacement()
+    }
+
     /// Sends a request and waits for the head of its response.
     ///
     /// Dropping the future, or the response before its end, cancels the request at the target.
@@ -173,6 +193,7 @@
         let deadline = Instant::now() + Duration::from(head.time_left);
         let is_head = head.method == Method::Head;
         let added = self.shared.attempts.lock().add(attempt, is_head);
+        self.shared.monitor.wake();
         let events = added.ok_or_else(not_sent_refusal)?;
         let mut reader = ResponseReader::new(attempt, self.shared.clone(), events, deadline);
         let queued = QueuedRequest {
@@ -194,8 +215,12 @@
     }
 }
 
-/// Opens the WebSocket and exchanges hellos.
-async fn open(hello: &Hello, node: &Name, address: SocketAddr) -> Result<Socket, Error> {
+/// Opens the WebSocket and exchanges hellos; returns how long the hellos took.
+async fn open(
+    hello: &Hello,
+    node: &Name,
+    address: SocketAddr,
+) -> Result<(Socket, Duration), Error> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|source| Error::Connect { address, source })?;
@@ -205,181 +230,106 @@
     let url = format!("ws://{address}/call");
     let config = Some(frame::socket_config());
     let (mut socket, _) = client_async_with_config(url, stream, config).await?;
+    let started_at = Instant::now();
     let theirs = frame::exchange_hellos(&mut socket, hello).await?;
+    let handshake = started_at.elapsed();
     if theirs.member.id != *node {
         return Err(Error::NodeMismatch {
             expected: node.clone(),
             actual: theirs.member.id,
         });
     }
-    Ok(socket)
+    Ok((socket, handshake))
 }
 
-/// Moves frames in both directions until the connection ends.
-async fn run_connection(
+/// Both halves of a connection.
+struct ConnectionTasks {
     sink: SplitSink<Socket, Message>,
     stream: SplitStream<Socket>,
     queue: mpsc::UnboundedReceiver<Outgoing>,
     outgoing: mpsc::WeakUnboundedSender<Outgoing>,
-    attempts: &Mutex<Attempts>,
-) -> Result<CloseReason, Error> {
-    let mut reading = pin!(read_all(stream, outgoing, attempts));
-    let write_result = tokio::select! {
-        result = write_all(sink, queue, attempts) => result,
-        result = &mut reading => return result,
-    };
-    let Err(error) = write_result else {
-        return Ok(CloseReason::Unspecified);
-    };
-    // The last frames of the other side, such as its close message, may still be unread.
-    attempts.lock().stop_accepting();
-    match timeout(CLOSE_TIMEOUT, reading).await {
-        Ok(Ok(CloseReason::Drained)) => Ok(CloseReason::Drained),
-        _ => Err(error),
-    }
 }
 
-/// Writes queued messages until the queue is closed; flushes when it is empty.
-async fn write_all(
-    mut sink: SplitSink<Socket, Message>,
-    mut queue: mpsc::UnboundedReceiver<Outgoing>,
-    attempts: &Mutex<Attempts>,
-) -> Result<(), Error> {
-    while let Some(first) = queue.recv().await {
-        let mut next = Some(first);
-        while let Some(outgoing) = next {
-            if let Some(message) = encode_outgoing(outgoing, attempts)? {
-                let fed = sink.feed(message).await;
-                fed?;
-            }
-            next = queue.try_recv().ok();
-        }
-        let flushed = sink.flush().await;
-        flushed?;
-    }
-    let _ = sink.close().await;
-    Ok(())
-}
-
-/// Encodes a queued message; returns `None` for a request that is no longer sent.
-fn encode_outgoing(
-    outgoing: Outgoing,
-    attempts: &Mutex<Attempts>,
-) -> Result<Option<Message>, Error> {
-    match outgoing {
-        Outgoing::Request(queued) => Ok(encode_request(*queued, attempts)),
-        Outgoing::Frame(call) => frame::encode(&call).map(Some),
-        Outgoing::Ping => Ok(Some(Message::Ping(Bytes::new()))),
-    }
-}
-
-/// Encodes a request and marks it as sent.
-///
-/// Refuses the attempt and returns `None` if the deadline has passed or the frame is too large.
-fn encode_request(queued: QueuedRequest, attempts: &Mutex<Attempts>) -> Option<Message> {
-    let QueuedRequest {
-        attempt,
-        mut head,
-        body,
-        deadline,
-    } = queued;
-    head.time_left = deadline.saturating_duration_since(Instant::now()).into();
-    if head.time_left.0 == 0 {
-        let too_late = refused_request(Refusal::TooLate, Outcome::NotRun);
-        attempts.lock().refuse(attempt, too_late);
-        return None;
-    }
-    let call = Call::Request {
-        attempt,
-        head,
-        body: ByteBuf::from(Vec::from(body)),
-    };
-    match frame::encode(&call) {
-        Ok(message) => attempts.lock().mark_sent(attempt).then_some(message),
-        Err(error) => {
-            let detail = Arc::from(error.to_string());
-            let bad_request = refused_request(Refusal::BadRequest { detail }, Outcome::NotRun);
-            attempts.lock().refuse(attempt, bad_request);
-            None
+impl ConnectionTasks {
+    /// Moves frames in both directions until the connection ends.
+    async fn run(
+        self,
+        attempts: &Mutex<Attempts>,
+        monitor: &Monitor,
+    ) -> Result<CloseReason, Error> {
+        let mut reading = pin!(read_all(self.stream, self.outgoing, attempts, monitor));
+        let write_result = tokio::select! {
+            result = write_all(self.sink, self.queue, attempts, monitor) => result,
+            result = &mut reading => return result,
+        };
+        let Err(error) = write_result else {
+            return Ok(CloseReason::Unspecified);
+        };
+        // The last frames of the other side, such as its close message, may still be unread.
+        attempts.lock().stop_accepting();
+        match timeout(CLOSE_TIMEOUT, reading).await {
+            Ok(Ok(CloseReason::Drained)) => Ok(CloseReason::Drained),
+            _ => Err(error),
         }
     }
 }
 
-/// Reads frames until the connection ends, is idle for too long or does not answer pings.
+/// Reads frames until the connection ends, is idle for too long or has gone silent.
 async fn read_all(
     mut stream: SplitStream<Socket>,
     outgoing: mpsc::WeakUnboundedSender<Outgoing>,
     attempts: &Mutex<Attempts>,
+    monitor: &Monitor,
 ) -> Result<CloseReason, Error> {
-    let mut liveness = LivenessTimer::new(Instant::now());
+    let mut last_received = Instant::now();
     loop {
-        match timeout(PING_INTERVAL, frame::read_message(&mut stream)).await {
-            Ok(Ok(Incoming::Frame(call))) => {
-                liveness = LivenessTimer::new(Instant::now());
-                handle_frame(call, attempts)?;
+        let waiting = attempts.lock().len();
+        let latest = Instant::now() + IDLE_CHECK_INTERVAL;
+        let until = match monitor.next_step(waiting > 0) {
+            Step::Wait { until } | Step::Suspect { until } => monitor.instant(until, latest),
+            Step::Ping => {
+                send_ping(&outgoing, monitor);
+                continue;
+            }
+            Step::Close => return Ok(CloseReason::Silent),
+        };
+        tokio::select! {
+            incoming = frame::read_message(&mut stream) => {
+                last_received = Instant::now();
+                match incoming? {
+                    Incoming::Frame(call) => {
+                        monitor.record_message();
+                        handle_frame(call, attempts)?;
+                    }
+                    Incoming::Heartbeat => monitor.record_pong(),
+                    Incoming::Close(reason) => return Ok(reason),
+                }
             }
-            Ok(Ok(Incoming::Heartbeat)) => liveness = LivenessTimer::new(Instant::now()),
-            Ok(Ok(Incoming::Close(reason))) => return Ok(reason),
-            Ok(Err(error)) => return Err(error),
-            Err(_) => {
-                if should_close(&mut liveness, attempts)? {
+            () = monitor.changed() => {}
+            () = tokio::time::sleep_until(until) => {
+                if should_close(last_received, attempts) {
                     return Ok(CloseReason::Unspecified);
                 }
-                send_ping(&outgoing, attempts);
             }
         }
     }
 }
 
-/// Measures how long the other side has sent nothing.
-struct LivenessTimer {
-    last_received: Instant,
-    /// When the first ping since then was sent; a connection without attempts sends none.
-    first_ping: Option<Instant>,
-}
-
-impl LivenessTimer {
-    fn new(last_received: Instant) -> Self {
-        Self {
-            last_received,
-            first_ping: None,
-        }
-    }
-
-    /// Returns whether pings have been unanswered for too long; starts the timer if it is not
-    /// running.
-    fn has_expired(&mut self, now: Instant) -> bool {
-        let first_ping = *self.first_ping.get_or_insert(now);
-        now - first_ping >= PEER_TIMEOUT - PING_INTERVAL
-    }
-}
-
 /// Returns whether the connection is closed, and closes it after the idle timeout.
-///
-/// # Errors
-/// Returns [`Error::PeerTimeout`] if attempts are waiting and the other side does not answer pings.
-fn should_close(liveness: &mut LivenessTimer, attempts: &Mutex<Attempts>) -> Result<bool, Error> {
+fn should_close(last_received: Instant, attempts: &Mutex<Attempts>) -> bool {
     let mut attempts = attempts.lock();
-    let now = Instant::now();
     if attempts.len() > 0 {
-        return if liveness.has_expired(now) {
-            Err(Error::PeerTimeout)
-        } else {
-            Ok(false)
-        };
+        return false;
     }
-    liveness.first_ping = None;
-    if now - liveness.last_received >= CLIENT_IDLE_TIMEOUT {
+    if last_received.elapsed() >= CLIENT_IDLE_TIMEOUT {
         attempts.close(CloseReason::Unspecified);
     }
-    Ok(attempts.is_closed())
+    attempts.is_closed()
 }
 
-/// Queues a ping if attempts are waiting.
-fn send_ping(outgoing: &mpsc::WeakUnboundedSender<Outgoing>, attempts: &Mutex<Attempts>) {
-    if attempts.lock().len() == 0 {
-        return;
-    }
+/// Queues a ping and counts it as sent: a queue that cannot be written is no better than silence.
+fn send_ping(outgoing: &mpsc::WeakUnboundedSender<Outgoing>, monitor: &Monitor) {
+    monitor.record_ping();
     if let Some(outgoing) = outgoing.upgrade() {
         let _ = outgoing.send(Outgoing::Ping);
     }
--- a/crates/crank-mesh/src/call/pool.rs
+++ b/crates/crank-mesh/src/call/pool.rs
@@ -2,14 +2,16 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use crank_protocol::Name;
 use crank_protocol::call::{RefusedRequest, RequestHead, Response};
 use crank_protocol::wire::Hello;
+use crank_protocol::{Millis, Name};
 use parking_lot::Mutex;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use super::attempt::not_sent_refusal;
@@ -17,6 +19,11 @@
 
 /// How long opening a connection may take, including the handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The minimum time between two replacements of the connection to a peer: a node that is slow to
+/// answer would be no quicker over a third one.
+const MIN_REPLACEMENT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The number of connections that a node opens at once.
+const MAX_CONCURRENT_OPENS: usize = 16;
 /// The number of peers at which idle ones are removed to make room for another.
 const MAX_PEERS: usize = 256;
 
@@ -34,6 +41,8 @@
 pub struct Pool {
     hello: Arc<Hello>,
     slots: Arc<Mutex<HashMap<Peer, Arc<PeerSlot>>>>,
+    /// Bounds the connections that are being opened.
+    opens: Arc<Semaphore>,
 }
 
 /// The connection to a peer, if one is open, and the failures to open one.
@@ -44,11 +53,20 @@
     failures: tokio::sync::Mutex<Failures>,
 }
 
-/// The consecutive failures to connect to a peer.
+/// The consecutive failures to connect to a peer, and when its connection was last replaced.
 #[derive(Default)]
 struct Failures {
     count: u32,
     retry_at: Option<Instant>,
+    replaced_at: Option<Instant>,
+}
+
+impl Failures {
+    /// Returns whether a connection was replaced so recently that another one would not help.
+    fn was_replaced_recently(&self, now: Instant) -> bool {
+        self.replaced_at
+            .is_some_and(|at| now < at + MIN_REPLACEMENT_INTERVAL)
+    }
 }
 
 impl PeerSlot {
@@ -60,6 +78,12 @@
             .cloned()
     }
 
+    /// Returns the connection unless it seems to have gone silent.
+    fn sound_connection(&self) -> Option<Connection> {
+        self.open_connection()
+            .filter(|connection| !connection.is_suspect())
+    }
+
     fn is_idle(&self) -> bool {
         let connection = self.open_connection();
         connection.is_none_or(|connection| connection.in_flight() == 0)
@@ -81,6 +105,7 @@
         Self {
             hello: Arc::new(hello),
             slots: Arc::default(),
+            opens: Arc::new(Semaphore::new(MAX_CONCURRENT_OPENS)),
         }
     }
 
@@ -122,19 +147,38 @@
         body: Bytes,
     ) -> Result<Response, RefusedRequest> {
         let slot = self.slot(peer).ok_or_else(not_sent_refusal)?;
-        if let Some(connection) = slot.open_connection() {
-            return connection.send_request(head, body).await;
+        if let Some(connection) = slot.sound_connection() {
+            return self.send_on(connection, slot, peer, head, body).await;
         }
         let started = Instant::now();
         let time_left = Duration::from(head.time_left);
         // Runs in its own task, so that its result is recorded even if this caller stops waiting.
-        let connect = tokio::spawn(self.clone().connect(slot, peer.clone()));
+        let connect = tokio::spawn(self.clone().connect(slot.clone(), peer.clone()));
         let time_limit = time_left.min(CONNECT_TIMEOUT);
         let connected = tokio::time::timeout(time_limit, connect).await;
         let connection = connected.ok().and_then(Result::ok).flatten();
         let connection = connection.ok_or_else(not_sent_refusal)?;
         head.time_left = time_left.saturating_sub(started.elapsed()).into();
-        connection.send_request(head, body).await
+        self.send_on(connection, slot, peer, head, body).await
+    }
+
+    /// Sends a request on a connection; opens another one if this one seems to go silent, because
+    /// only an answer over another connection makes the silence certain.
+    async fn send_on(
+        &self,
+        connection: Connection,
+        slot: Arc<PeerSlot>,
+        peer: &Peer,
+        head: RequestHead,
+        body: Bytes,
+    ) -> Result<Response, RefusedRequest> {
+        let mut request = pin!(connection.send_request(head, body));
+        tokio::select! {
+            result = &mut request => return result,
+            () = connection.suspected() => {}
+        }
+        tokio::spawn(self.clone().connect(slot, peer.clone()));
+        request.await
     }
 
     /// Returns the slot of a peer; `None` if there are too many peers and none is idle.
@@ -152,22 +196,30 @@
         Some(slots.entry(peer.clone()).or_default().clone())
     }
 
-    /// Opens a connection to a peer unless one is open or the backoff after failures lasts.
+    /// Opens a connection to a peer unless a sound one is open, one was replaced just now, or the
+    /// backoff after failures lasts.
     async fn connect(self, slot: Arc<PeerSlot>, peer: Peer) -> Option<Connection> {
         let mut failures = slot.failures.lock().await;
-        if let Some(connection) = slot.open_connection() {
+        if let Some(connection) = slot.sound_connection() {
             return Some(connection);
         }
-        if failures
-            .retry_at
-            .is_some_and(|retry_at| retry_at > Instant::now())
-        {
+        let now = Instant::now();
+        if failures.retry_at.is_some_and(|retry_at| retry_at > now) {
             return None;
         }
+        let suspect = slot.open_connection();
+        if suspect.is_some() && failures.was_replaced_recently(now) {
+            return suspect;
+        }
+        let _permit = self.opens.acquire().await.ok()?;
         match Connection::connect(&self.hello, &peer.id, peer.address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 *failures = Failures::default();
                 *slot.connection.lock() = Some(connection.clone());
+                if let Some(suspect) = suspect {
+                    failures.replaced_at = Some(Instant::now());
+                    replace(&suspect, &peer);
+                }
                 Some(connection)
             }
             Err(error) => {
@@ -180,3 +232,13 @@
         }
     }
 }
+
+fn replace(suspect: &Connection, peer: &Peer) {
+    let silence = suspect.record_replacement();
+    log::info!(
+        node:% = peer.id,
+        silent_ms = Millis::from(silence).0,
+        in_flight = suspect.in_flight();
+        "call connection has gone silent: replaced by a new one"
+    );
+}
--- a/crates/crank-mesh/src/call/reader.rs
+++ b/crates/crank-mesh/src/call/reader.rs
@@ -10,7 +10,8 @@
 
 use super::FLOW_CONTROL_WINDOW_BYTES;
 use super::attempt::{AttemptEvent, RemovedAttempt, lost_refusal, refused_request};
-use super::link::{Outgoing, Shared};
+use super::link::Shared;
+use super::writer::Outgoing;
 
 /// Reads the response to one attempt; cancels the attempt if dropped before its end.
 pub(super) struct ResponseReader {
--- a/crates/crank-mesh/src/call/server.rs
+++ b/crates/crank-mesh/src/call/server.rs
@@ -23,9 +23,10 @@
 
 use super::attempt::{lost_refusal, refused_request};
 use super::frame::{self, Incoming};
+use super::uplink::{Booking, Pace, SharedUplink};
 use super::{
-    CLOSE_TIMEOUT, DRAIN_QUIET_TIME, FLOW_CONTROL_WINDOW_BYTES, MAX_CHUNK_BYTES, MAX_IN_FLIGHT,
-    SERVER_IDLE_TIMEOUT, STALL_TIMEOUT,
+    CLOSE_TIMEOUT, DRAIN_QUIET_TIME, FLOW_CONTROL_WINDOW_BYTES, MAX_IN_FLIGHT, SERVER_IDLE_TIMEOUT,
+    STALL_TIMEOUT,
 };
 use crate::Error;
 
@@ -64,20 +65,22 @@
 /// # use tokio::net::TcpStream;
 /// # use tokio_tungstenite::WebSocketStream;
 /// # use tokio_util::sync::CancellationToken;
-/// # use crank_mesh::{Error, call::{self, RequestHandler}};
+/// # use crank_mesh::{Error, call::{self, RequestHandler, SharedUplink}};
 /// async fn accept(
 ///     socket: WebSocketStream<TcpStream>,
 ///     hello: &Hello,
 ///     handler: impl RequestHandler,
+///     uplink: SharedUplink,
 ///     draining: CancellationToken,
 /// ) -> Result<(), Error> {
-///     call::serve(socket, hello, handler, draining).await
+///     call::serve(socket, hello, handler, uplink, draining).await
 /// }
 /// ```
 pub async fn serve(
     mut socket: Socket,
     hello: &Hello,
     handler: impl RequestHandler,
+    uplink: SharedUplink,
     draining: CancellationToken,
 ) -> Result<(), Error> {
     let _ = socket.get_ref().set_nodelay(true);
@@ -89,6 +92,7 @@
         handler,
         running: running.clone(),
         outgoing,
+        uplink,
         draining,
         last_frame: Instant::now(),
     };
@@ -155,6 +159,7 @@
     handler: T,
     running: Arc<Mutex<RunningAttempts>>,
     outgoing: mpsc::Sender<Call>,
+    uplink: SharedUplink,
     draining: CancellationToken,
     last_frame: Instant,
 }
@@ -204,7 +209,8 @@
         Ok(())
     }
 
-    /// Starts the task of a request; refuses it if this node is draining or runs too many.
+    /// Starts the task of a request; refuses it if this node is draining or runs too many, or if
+    /// its link could not send the response in time.
     fn start(&self, attempt: u64, head: RequestHead, body: Bytes) {
         let mut running = self.running.lock();
         if !running.remember(attempt) {
@@ -218,10 +224,15 @@
             credit: credit.clone(),
             running: self.running.clone(),
         };
-        let task = if is_full || self.draining.is_cancelled() {
-            tokio::spawn(sender.refuse(refused_request(Refusal::Leaving, Outcome::NotRun)))
+        let booked = if is_full || self.draining.is_cancelled() {
+            Err(Refusal::Leaving)
         } else {
-            tokio::spawn(sender.run(self.handler.clone(), head, body))
+            let overloaded = |retry_after| Refusal::Overloaded { retry_after };
+            self.uplink.book(&head).map_err(overloaded)
+        };
+        let task = match booked {
+            Ok(booking) => tokio::spawn(sender.run(self.handler.clone(), head, body, booking)),
+            Err(refusal) => tokio::spawn(sender.refuse(refused_request(refusal, Outcome::NotRun))),
         };
         let abort = task.abort_handle();
         running.tasks.insert(attempt, Task { abort, credit });
@@ -289,10 +300,16 @@
 
 impl ResponseSender {
     /// Runs the handler and sends its result; a panic counts as an unknown outcome.
-    async fn run(self, handler: impl RequestHandler, head: RequestHead, body: Bytes) {
+    async fn run(
+        self,
+        handler: impl RequestHandler,
+        head: RequestHead,
+        body: Bytes,
+        booking: Booking,
+    ) {
         let running = AssertUnwindSafe(handler.handle(head, body)).catch_unwind();
         match running.await {
-            Ok(Ok(response)) => self.send_response(response).await,
+            Ok(Ok(response)) => self.send_response(response, booking).await,
             Ok(Err(refused)) => self.refuse(refused).await,
             Err(_) => self.refuse(lost_refusal()).await,
         }
@@ -309,9 +326,10 @@
         let _ = self.outgoing.send(frame).await;
     }
 
-    async fn send_response(self, response: Response) {
+    async fn send_response(self, response: Response, booking: Booking) {
         let Response { head, mut body } = response;
         let attempt = self.attempt;
+        let mut pace = booking.start(head.length);
         let head = Box::new(head);
         if !self.send_frame(Call::Answer { attempt, head }).await {
             return;
@@ -321,7 +339,7 @@
             match chunk {
                 Ok(data) => {
                     length += data.len() as u64;
-                    if !self.send_body(data).await {
+                    if !self.send_body(data, &mut pace).await {
                         return self
                             .refuse(refused_request(Refusal::Cut, Outcome::Ran))
                             .await;
@@ -333,16 +351,15 @@
         self.send_frame(Call::End { attempt, length }).await;
     }
 
-    /// Sends a part of the body as credit allows; returns false if no credit arrives in time or the
-    /// connection has ended.
-    async fn send_body(&self, mut data: Bytes) -> bool {
+    /// Sends a part of the body as credit allows and the link has room; returns false if no credit
+    /// arrives in time or the connection has ended.
+    async fn send_body(&self, mut data: Bytes, pace: &mut Pace) -> bool {
         while !data.is_empty() {
-            let chunk = data.split_to(data.len().min(MAX_CHUNK_BYTES));
-            let credit = self.credit.acquire_many(chunk.len() as u32);
-            let Ok(Ok(permit)) = timeout(STALL_TIMEOUT, credit).await else {
+            let chunk = data.split_to(data.len().min(pace.max_part_bytes()));
+            if !self.take_credit(chunk.len() as u32, pace).await {
                 return false;
-            };
-            permit.forget();
+            }
+            pace.wait(chunk.len() as u64).await;
             let frame = Call::Body {
                 attempt: self.attempt,
                 data: ByteBuf::from(Vec::from(chunk)),
@@ -354,6 +371,21 @@
         true
     }
 
+    /// Takes credit for a part of the body; returns false if none arrives in time.
+    async fn take_credit(&self, bytes: u32, pace: &mut Pace) -> bool {
+        if let Ok(permit) = self.credit.try_acquire_many(bytes) {
+            permit.forget();
+            return true;
+        }
+        pace.give_way();
+        let credit = self.credit.acquire_many(bytes);
+        let Ok(Ok(permit)) = timeout(STALL_TIMEOUT, credit).await else {
+            return false;
+        };
+        permit.forget();
+        true
+    }
+
     async fn send_frame(&self, frame: Call) -> bool {
         self.outgoing.send(frame).await.is_ok()
     }
--- /dev/null
+++ b/crates/crank-mesh/src/call/uplink.rs
@@ -0,0 +1,155 @@
+//! The uplink of this node, as the responses of all its call connections share it.
+
+use std::sync::Arc;
+
+use crank_engine::Moment;
+use crank_engine::uplink::{MAX_SMALL_RESPONSE_BYTES, TURN_BYTES, Uplink};
+use crank_protocol::Millis;
+use crank_protocol::call::RequestHead;
+use parking_lot::Mutex;
+use tokio::sync::OwnedMutexGuard;
+use tokio::time::{Duration, Instant, sleep_until};
+
+use super::MAX_CHUNK_BYTES;
+
+/// The uplink of a node; clones share it.
+#[derive(Debug, Clone)]
+pub struct SharedUplink {
+    started_at: Instant,
+    state: Arc<Mutex<Uplink>>,
+    /// Held by the large response that is being sent; those that wait follow in the order of
+    /// arrival.
+    turns: Arc<tokio::sync::Mutex<()>>,
+}
+
+impl SharedUplink {
+    /// Creates the state of a link of this width; with zero, which means unknown, nothing waits.
+    ///
+    /// ```
+    /// let uplink = crank_mesh::call::SharedUplink::new(20);
+    /// ```
+    #[must_use]
+    pub fn new(link_mbits: u32) -> Self {
+        Self {
+            started_at: Instant::now(),
+            state: Arc::new(Mutex::new(Uplink::new(link_mbits))),
+            turns: Arc::default(),
+        }
+    }
+
+    /// Books the response that a request is expected to have, if it is a large one.
+    ///
+    /// # Errors
+    /// Returns how much later than in time the response would end.
+    pub(super) fn book(&self, head: &RequestHead) -> Result<Booking, Millis> {
+        let expected = head.expected_response_bytes.unwrap_or(0);
+        let mut booking = Booking {
+            uplink: self.clone(),
+            bytes: 0,
+        };
+        if expected <= MAX_SMALL_RESPONSE_BYTES {
+            return Ok(booking);
+        }
+        let now = self.now();
+        let time_left = head.latency_target.unwrap_or(head.time_left);
+        let latest = now.after(time_left.min(head.time_left));
+        self.state.lock().book(now, expected, latest)?;
+        booking.bytes = expected;
+        Ok(booking)
+    }
+
+    fn now(&self) -> Moment {
+        let micros = self.started_at.elapsed().as_micros();
+        Moment(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
+
+/// The part of the link that one response needs; what is left of it is released when dropped.
+pub(super) struct Booking {
+    uplink: SharedUplink,
+    bytes: u64,
+}
+
+impl Booking {
+    /// Starts the response, whose length replaces the expected one.
+    pub(super) fn start(mut self, length: Option<u64>) -> Pace {
+        let now = self.uplink.now();
+        let mut state = self.uplink.state.lock();
+        state.release(std::mem::take(&mut self.bytes));
+        match length {
+            Some(length) if length <= MAX_SMALL_RESPONSE_BYTES => {
+                state.send_now(now, length);
+                Pace::AtOnce
+            }
+            Some(_) | None => {
+                let length = length.unwrap_or(0);
+                state.book_more(length);
+                drop(state);
+                self.bytes = length;
+                Pace::InTurns {
+                    booking: self,
+                    turn: None,
+                }
+            }
+        }
+    }
+
+    /// Waits until the link has sent what was handed to it before.
+    async fn wait(&mut self, part_bytes: u64) {
+        let released = self.bytes.min(part_bytes);
+        self.bytes -= released;
+        let turn = {
+            let now = self.uplink.now();
+            let mut state = self.uplink.state.lock();
+            state.release(released);
+            state.take_turn(now, part_bytes)
+        };
+        sleep_until(self.uplink.started_at + Duration::from_micros(turn.0)).await;
+    }
+}
+
+impl Drop for Booking {
+    fn drop(&mut self) {
+        self.uplink.state.lock().release(self.bytes);
+    }
+}
+
+/// When the parts of a response are sent.
+pub(super) enum Pace {
+    /// A small response does not wait.
+    AtOnce,
+    /// A large response keeps its turn until it ends or has to wait for credit.
+    InTurns {
+        booking: Booking,
+        turn: Option<OwnedMutexGuard<()>>,
+    },
+}
+
+impl Pace {
+    /// Returns the maximum size of a part.
+    pub(super) fn max_part_bytes(&self) -> usize {
+        match self {
+            Self::AtOnce => MAX_CHUNK_BYTES,
+            Self::InTurns { .. } => TURN_BYTES,
+        }
+    }
+
+    /// Waits until the next part may be sent.
+    pub(super) async fn wait(&mut self, part_bytes: u64) {
+        let Self::InTurns { booking, turn } = self else {
+            return;
+        };
+        if turn.is_none() {
+            let turns = booking.uplink.turns.clone();
+            *turn = Some(turns.lock_owned().await);
+        }
+        booking.wait(part_bytes).await;
+    }
+
+    /// Lets another large response go first, because this one cannot go on now.
+    pub(super) fn give_way(&mut self) {
+        if let Self::InTurns { turn, .. } = self {
+            *turn = None;
+        }
+    }
+}
--- a/crates/crank-mesh/tests/common/mod.rs
+++ b/crates/crank-mesh/tests/common/mod.rs
@@ -1,9 +1,11 @@
 //! Helpers for tests of call connections on the loopback interface.
 
+#![allow(dead_code)]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crank_mesh::call::{self, Connection, RequestHandler};
+use crank_mesh::call::{self, Connection, RequestHandler, SharedUplink};
 use crank_protocol::call::{Body, Load, RequestHead, Response, ResponseHead};
 use crank_protocol::config::{Importance, Method, Version};
 use crank_protocol::member::{Member, Place, State};
@@ -50,6 +52,7 @@
         latency_target: None,
         may_queue: true,
         expected_run_time: None,
+        expected_response_bytes: None,
         importance: Importance::Normal,
         idempotent: false,
         idempotency_key: None,
@@ -86,7 +89,8 @@
             let socket = accept(&listener).await;
             let (handler, draining) = (handler.clone(), draining.clone());
             tokio::spawn(async move {
-                call::serve(socket, &hello("target", "sutkent"), handler, draining).await
+                let (hello, uplink) = (hello("target", "sutkent"), SharedUplink::new(0));
+                call::serve(socket, &hello, handler, uplink, draining).await
             });
         }
     });
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -318,7 +318,9 @@
         let started_at = self.now();
         let mut head = routed.head.clone();
         head.may_queue = candidate.may_queue;
-        head.expected_run_time = routed.bulkhead.expected_run_time(&routed.rule.name);
+        let expectation = routed.bulkhead.expectation(&routed.rule.name);
+        head.expected_run_time = expectation.run_time;
+        head.expected_response_bytes = expectation.response_bytes;
         head.time_left = routed.deadline.since(started_at);
         let spent = started_at.since(routed.started_at);
         head.latency_target = head
@@ -346,6 +348,11 @@
         if let (Some(took), false) = (took, candidate.may_queue) {
             routed.bulkhead.record_run_time(&routed.rule.name, took);
         }
+        if let Some(bytes) = result.as_ref().ok().and_then(successful_length) {
+            routed
+                .bulkhead
+                .record_response_bytes(&routed.rule.name, bytes);
+        }
         result
     }
 
@@ -474,3 +481,9 @@
     let good = burn::meets_objective(objective.as_ref(), answered, now.since(started_at));
     burn.lock().record(&rule.route.service, good, now);
 }
+
+/// Returns the length of the body of a successful response, if the server states it.
+fn successful_length(response: &Response) -> Option<u64> {
+    let succeeded = response.head.status < MIN_SERVER_ERROR_STATUS;
+    response.head.length.filter(|_| succeeded)
+}
--- a/crates/crank-node/src/entry/bulkhead.rs
+++ b/crates/crank-node/src/entry/bulkhead.rs
@@ -39,8 +39,23 @@
     version: Version,
     view: Option<Arc<View>>,
     repeat_limit: Option<RepeatLimit>,
-    /// The mean run time of each route's requests.
-    run_times: BTreeMap<Name, Ewma>,
+    routes: BTreeMap<Name, RouteProfile>,
+}
+
+/// What the requests of a route were like so far.
+#[derive(Debug, Default)]
+struct RouteProfile {
+    /// The mean run time in microseconds.
+    run_time: Ewma,
+    /// The mean size of a response body in bytes.
+    response_bytes: Ewma,
+}
+
+/// What a request of a route is expected to be like, if others were seen.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Expectation {
+    pub(super) run_time: Option<Millis>,
+    pub(super) response_bytes: Option<u64>,
 }
 
 impl Bulkhead {
@@ -54,7 +69,7 @@
             version: Version::default(),
             view: None,
             repeat_limit: dependencies.conventions.repeat_limit,
-            run_times: BTreeMap::new(),
+            routes: BTreeMap::new(),
         };
         Self {
             admission,
@@ -117,20 +132,29 @@
             .choose_with_free_slot(now, excluded, &mut rand::rng())
     }
 
-    /// Returns how long a request of a route is expected to run, if any has finished.
-    pub(super) fn expected_run_time(&self, route: &Name) -> Option<Millis> {
+    /// Returns what a request of a route is expected to be like.
+    pub(super) fn expectation(&self, route: &Name) -> Expectation {
         let state = self.state.lock();
-        let micros = state.run_times.get(route)?.micros()?;
-        Some(Millis(micros / MICROS_PER_MILLI))
+        let Some(profile) = state.routes.get(route) else {
+            return Expectation::default();
+        };
+        let run_micros = profile.run_time.mean();
+        Expectation {
+            run_time: run_micros.map(|micros| Millis(micros / MICROS_PER_MILLI)),
+            response_bytes: profile.response_bytes.mean(),
+        }
     }
 
     pub(super) fn record_run_time(&self, route: &Name, micros: u64) {
         let mut state = self.state.lock();
-        state
-            .run_times
-            .entry(route.clone())
-            .or_default()
-            .add(micros);
+        let profile = state.routes.entry(route.clone()).or_default();
+        profile.run_time.add(micros);
+    }
+
+    pub(super) fn record_response_bytes(&self, route: &Name, bytes: u64) {
+        let mut state = self.state.lock();
+        let profile = state.routes.entry(route.clone()).or_default();
+        profile.response_bytes.add(bytes);
     }
 
     /// Decides whether a request that its server answered with a failure is retried on another.
@@ -236,6 +260,7 @@
         Refusal::TimedOut => AttemptResult::Slow { micros },
         Refusal::NoRoute
         | Refusal::BadRequest { .. }
+        | Refusal::ConnectionLost
         | Refusal::TooLate
         | Refusal::StoreDown
         | Refusal::KeyInUse
--- a/crates/crank-node/src/entry/options.rs
+++ b/crates/crank-node/src/entry/options.rs
@@ -61,6 +61,7 @@
             latency_target: rule.objective().map(|objective| objective.latency),
             may_queue: true,
             expected_run_time: None,
+            expected_response_bytes: None,
             importance: rule.importance(),
             idempotent: rule.route.idempotent,
             idempotency_key: self.idempotency_key,
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -6,7 +6,7 @@
 
 use crank_engine::burn::BurnCounter;
 use crank_engine::drain::DrainProgress;
-use crank_mesh::call::{self, Pool};
+use crank_mesh::call::{self, Pool, SharedUplink};
 use crank_mesh::{Handle, Socket};
 use crank_platform_client::Rows;
 use crank_protocol::member::{Member, Place, State};
@@ -131,7 +131,8 @@
             burn: burn.clone(),
             conventions: options.conventions,
         });
-        let calls = serve_calls(accepted, hello, target.clone(), closing.clone());
+        let uplink = SharedUplink::new(options.link_mbits);
+        let calls = serve_calls(accepted, hello, target.clone(), uplink, closing.clone());
         tokio::spawn(calls);
         let metrics = Arc::new(Metrics::new());
         metrics.add_mesh(mesh.clone());
@@ -278,12 +279,12 @@
         log::info!(node:% = self.name; "leaving");
         self.ready.send_replace(false);
         self.draining.cancel();
-        if self.linger > Millis(0) {
         let grace = Duration::from(self.linger) + Duration::from(self.grace);
         let last_answer = grace.saturating_sub(ANSWER_TIME);
         let ends_at = tokio::time::Instant::now() + last_answer;
         self.entry.announce_end(last_answer.into());
         self.target.announce_end(last_answer.into());
+        if self.linger > Millis(0) {
             self.closing.cancel();
             tokio::time::sleep(self.linger.into()).await;
         }
@@ -300,8 +301,8 @@
                 unsettled = self.target.unsettled_claims();
                 "grace period ended with work in flight; ending it"
             );
-        }
             self.entry.end_attempts();
+        }
         self.closing.cancel();
         let close_time = if self.linger > Millis(0) {
             MAX_CLOSE_TIME
@@ -326,12 +327,12 @@
     }
 }
 
-/// The shortest time for which a leaving node asks callers to close their connections before it
 /// How long before the end of the grace period the last request ends, so that its answer is still
 /// passed on.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// How long connections of callers may take to close once nothing is in flight.
 const MAX_CLOSE_TIME: Duration = Duration::from_millis(300);
+/// The shortest time for which a leaving node asks callers to close their connections before it
 /// closes them itself.
 const MIN_CLOSE_DELAY: Duration = Duration::from_secs(1);
 
@@ -367,13 +368,15 @@
     mut accepted: mpsc::Receiver<Socket>,
     hello: Hello,
     target: NodeTarget<P>,
+    uplink: SharedUplink,
     closing: CancellationToken,
 ) {
     let hello = Arc::new(hello);
     while let Some(socket) = accepted.recv().await {
         let (hello, target, closing) = (hello.clone(), target.clone(), closing.clone());
+        let uplink = uplink.clone();
         tokio::spawn(async move {
-            if let Err(error) = call::serve(socket, &hello, target, closing).await {
+            if let Err(error) = call::serve(socket, &hello, target, uplink, closing).await {
                 log::debug!(error:% = error; "call connection closed");
             }
         });
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -9,6 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use crank_engine::limit::Capacity;
 use crank_engine::{Moment, drain::DrainProgress, retry};
+use crank_mesh::call::FLOW_CONTROL_WINDOW_BYTES;
 use crank_platform_client::Rows;
 use crank_protocol::call::{Body, Header, Load, Refusal, RefusedRequest, RequestHead, Response};
 use crank_protocol::config::{Service, Snapshot};
@@ -26,7 +27,9 @@
 
 /// The drain grace of a backend server whose service is not in the configuration.
 const DEFAULT_DRAIN_GRACE: Millis = Millis(10_000);
-const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1_024;
+/// A body up to this size is read whole before any of it is passed on, so that a response that
+/// breaks off may be retried, and the backend server's slot is free before the body is sent.
+const MAX_BUFFERED_BODY_BYTES: usize = FLOW_CONTROL_WINDOW_BYTES as usize;
 
 /// Forwards requests to the backend server beside the node.
 pub trait Forwarder: Send + Sync + 'static {
@@ -232,10 +235,10 @@
     /// ```
     pub async fn run(&self, head: RequestHead, body: Bytes) -> Result<Response, RefusedRequest> {
         let deadline = self.now().after(head.time_left);
+        let deadline = self.shared.admission.latest_end(deadline);
         let permit = self.admit(&head, deadline).await?;
         match head.idempotency_key.clone() {
             Some(key) => self.run_once(key, head, body, permit, deadline).await,
-        let deadline = self.shared.admission.latest_end(deadline);
             None => self.forward(head, body, permit, deadline).await,
         }
     }
@@ -336,9 +339,6 @@
         self.shared.admission.start_drain(grace);
     }
 
-    /// Returns the progress of the drain.
-    ///
-    /// ```
     /// Announces that the node ends after `grace`: a request that is taken from now on gets no more
     /// time than that.
     ///
@@ -354,6 +354,9 @@
         self.shared.admission.announce_end(grace);
     }
 
+    /// Returns the progress of the drain.
+    ///
+    /// ```
     /// # use crank_engine::drain::DrainProgress;
     /// # use crank_node::target::{Forwarder, Target};
     /// # use crank_platform_client::Rows;
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -334,6 +334,7 @@
         latency_target: None,
         may_queue: true,
         expected_run_time: None,
+        expected_response_bytes: None,
         importance: Importance::Normal,
         idempotent: false,
         idempotency_key: idempotency_key.map(Arc::from),
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -63,6 +63,9 @@
     /// The expected run time, if the entry node has measured other requests of the route.
     #[serde(rename = "run")]
     pub expected_run_time: Option<Millis>,
+    /// The expected size of the response body, if the entry node has seen others of the route.
+    #[serde(rename = "bytes")]
+    pub expected_response_bytes: Option<u64>,
     /// The importance under overload; the least important requests are refused first.
     pub importance: Importance,
     /// Whether the request is idempotent, so that it is safe to run it twice.
@@ -123,6 +126,9 @@
     NotSent,
     /// The connection, the node or the backend server was lost after the request was sent.
     Lost,
+    /// The connection to the target's node went silent after the request was sent; the node itself
+    /// answers over another connection.
+    ConnectionLost,
     /// The request was sent, but no response arrived before the deadline.
     TimedOut,
     /// The response was truncated.
@@ -152,6 +158,7 @@
             Self::KeyMismatch => "key_mismatch",
             Self::NotSent => "not_sent",
             Self::Lost => "lost",
+            Self::ConnectionLost => "connection_lost",
             Self::TimedOut => "timed_out",
             Self::Cut => "cut",
             Self::Cancelled => "cancelled",
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -11,7 +11,7 @@
 use crate::{Millis, Name, compact};
 
 /// The version of the protocol between nodes.
-pub const PROTOCOL_VERSION: u16 = 3;
+pub const PROTOCOL_VERSION: u16 = 4;
 /// The maximum size of a datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 /// The maximum size of a frame on a control connection, in bytes.
--- a/crates/crank-server/tests/forwarding.rs
+++ b/crates/crank-server/tests/forwarding.rs
@@ -47,6 +47,7 @@
         latency_target: None,
         may_queue: true,
         expected_run_time: None,
+        expected_response_bytes: None,
         importance: Importance::Normal,
         idempotent: false,
         idempotency_key: None,
