--- a/crates/crank-server/tests/faulty_servers.rs
+++ b/crates/crank-server/tests/faulty_servers.rs
@@ -39,7 +39,7 @@
     }))
 }
 
-fn head() -> RequestHead {
+fn head(id: &str) -> RequestHead {
     RequestHead {
         request_id: 0x1f,
         service: Name::new("recipes").unwrap(),
@@ -47,7 +47,7 @@
         path: "/a".into(),
         headers: vec![Header {
             name: Arc::from("x-id"),
-            value: b"7f3a".to_vec(),
+            value: id.as_bytes().to_vec(),
         }],
         time_left: TIME_LEFT,
         latency_target: None,
@@ -66,9 +66,18 @@
     forwarder: &Forwarder,
     address: SocketAddr,
     time_left: Millis,
+) -> Result<Bytes, Refusal> {
+    send_with_id(forwarder, address, time_left, "7f3a").await
+}
+
+async fn send_with_id(
+    forwarder: &Forwarder,
+    address: SocketAddr,
+    time_left: Millis,
+    id: &str,
 ) -> Result<Bytes, Refusal> {
     let response = forwarder
-        .send_request(address, &head(), Bytes::new(), time_left)
+        .send_request(address, &head(id), Bytes::new(), time_left)
         .await?;
     let chunks: Vec<Bytes> = response.body.try_collect().await?;
     Ok(Bytes::from(chunks.concat()))
@@ -127,6 +136,54 @@
     assert_eq!(send(&forwarder, address, TIME_LEFT).await, Ok("ok".into()));
 }
 
+// The copy has the first request's id, and arrives in two parts around the next request.
+#[tokio::test]
+async fn a_late_copy_in_two_parts_is_never_the_answer_to_the_next_request() {
+    for cut in 0..ANSWER.len() {
+        let (first, rest) = ANSWER.split_at(cut);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut read = vec![0; 4_096];
+            let _ = stream.read(&mut read).await;
+            let _ = stream.write_all(ANSWER.as_bytes()).await;
+            let _ = stream.write_all(first.as_bytes()).await;
+            let _ = stream.read(&mut read).await;
+            let _ = stream.write_all(rest.as_bytes()).await;
+            let (stream, _) = listener.accept().await.unwrap();
+            serve(stream, None).await;
+        });
+        let forwarder = forwarder();
+        assert_eq!(send(&forwarder, address, TIME_LEFT).await, Ok("ok".into()));
+        let next = send_with_id(&forwarder, address, TIME_LEFT, "0002").await;
+        assert!(next.is_err(), "{next:?} with a copy cut after {cut} bytes");
+    }
+}
+
+// A short body must not look whole, nor a head that is cut off count as an answer.
+#[tokio::test]
+async fn an_answer_that_ends_after_any_of_its_bytes_is_never_a_success() {
+    const LONG_ANSWER: &str = "HTTP/1.1 200 OK\r\nx-id: 7f3a\r\nx-signature: s\r\ncontent-length: 12\r\n\r\nspoons, dozen";
+    let whole = LONG_ANSWER.len() - 1;
+    for cut in 0..whole {
+        for is_reset in [false, true] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            tokio::spawn(async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let _ = stream.read(&mut vec![0; 4_096]).await;
+                let _ = stream.write_all(&LONG_ANSWER.as_bytes()[..cut]).await;
+                if is_reset {
+                    let _ = stream.set_zero_linger();
+                }
+            });
+            let answer = send(&forwarder(), address, TIME_LEFT).await;
+            assert!(answer.is_err(), "{answer:?} after {cut} bytes");
+        }
+    }
+}
+
 /// Starts a server that answers with `start`, then with `part` over and over. The receiver is told
 /// when the connection is closed.
 async fn endless_server(
