--- a/crates/crank-engine/src/balance.rs
+++ b/crates/crank-engine/src/balance.rs
@@ -1,5 +1,6 @@
 //! Load balancing: chooses a target by load and distance, with outlier ejection and slow start.
 
+mod distance;
 mod eject;
 mod subset;
 mod target;
@@ -15,63 +16,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Moment;
+use distance::DISTANCES;
 use target::Target;
 
+pub use distance::Distance;
 pub use eject::{CONSECUTIVE_FAILURES, MAX_EJECTION_TIME, MIN_EJECTION_TIME};
 pub use subset::{MIN_LOCAL_TARGETS, MIN_REMOTE_TARGETS};
 
 /// The utilization of a target's slots above which more distant targets are considered too.
 const FULL_UTILIZATION: f64 = 1.0;
 
-/// The distance between a node and a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Distance {
-    /// The target is in the same data centre.
-    Near,
-    /// The target is in another data centre of the same region.
-    Region,
-    /// The target is in another region.
-    Far,
-}
-
-const DISTANCES: [Distance; 3] = [Distance::Near, Distance::Region, Distance::Far];
-
-impl Distance {
-    /// Returns the distance between two places.
-    ///
-    /// ```
-    /// use crank_engine::balance::Distance;
-    /// use crank_protocol::{Name, member::Place};
-    /// let place = |region: &str, data_centre: &str| Place {
-    ///     region: Name::new(region).unwrap(),
-    ///     data_centre: Name::new(data_centre).unwrap(),
-    /// };
-    /// let here = place("bahia", "b1");
-    /// assert_eq!(Distance::between(&here, &place("bahia", "b2")), Distance::Region);
-    /// assert_eq!(Distance::between(&here, &place("maranhao", "m1")), Distance::Far);
-    /// ```
-    #[must_use]
-    pub fn between(one: &Place, other: &Place) -> Self {
-        if one.region != other.region {
-            Self::Far
-        } else if one.data_centre != other.data_centre {
-            Self::Region
-        } else {
-            Self::Near
-        }
-    }
-
-    /// Returns what is added to a target's utilization for its distance, as a share of its slots.
-    fn penalty(self) -> f64 {
-        match self {
-            Self::Near => 0.0,
-            Self::Region => 0.1,
-            Self::Far => 1.5,
-        }
-    }
-}
-
 /// The target that was chosen for an attempt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -7,6 +7,7 @@
 mod options;
 mod routed;
 mod search;
+mod transfer;
 
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -20,13 +21,10 @@
 use crank_engine::route::{ResolvedRoute, RoutingTable};
 use crank_engine::{Moment, burn, retry};
 use crank_mesh::View;
-use crank_protocol::call::{
-    Body, Outcome, Refusal, RefusedRequest, Request, RequestHead, Response,
-};
+use crank_protocol::call::{Outcome, Refusal, RefusedRequest, Request, RequestHead, Response};
 use crank_protocol::config::{Snapshot, Version};
 use crank_protocol::member::{Place, Stage};
 use crank_protocol::{Millis, Name};
-use futures::StreamExt;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -37,6 +35,7 @@
 use options::RequestOptions;
 use routed::RoutedRequest;
 use search::{Candidate, TargetSearch};
+use transfer::{ResponseTransfer, record};
 
 pub use conventions::{Conventions, RepeatLimit};
 
@@ -362,7 +361,7 @@
         &self,
         routed: RoutedRequest,
         permits: RequestPermits,
-        mut response: Response,
+        response: Response,
     ) -> Response {
         let transfer = ResponseTransfer {
             burn: self.shared.dependencies.burn.clone(),
@@ -373,22 +372,7 @@
             started_at: routed.started_at,
             _permits: permits,
         };
-        let end = self.shared.dependencies.clock.to_instant(routed.deadline);
-        let body = (response.body, transfer);
-        let stream = futures::stream::unfold(Some(body), move |state| async move {
-            let (mut body, mut transfer) = state?;
-            match tokio::time::timeout_at(end, body.next()).await {
-                Ok(Some(Ok(data))) => Some((Ok(data), Some((body, transfer)))),
-                Ok(Some(Err(refusal))) => Some((Err(refusal), None)),
-                Ok(None) => {
-                    transfer.complete = true;
-                    None
-                }
-                Err(_) => Some((Err(Refusal::Cut), None)),
-            }
-        });
-        response.body = Box::pin(stream) as Body;
-        response
+        transfer.pass_on(response, routed.deadline)
     }
 
     fn table(&self) -> Result<Arc<RoutingTable>, Refusal> {
@@ -451,37 +435,6 @@
 /// The lowest HTTP status that reports a failure of the backend server.
 const MIN_SERVER_ERROR_STATUS: u16 = 500;
 
-/// A response whose body is being passed on; counts the request when it is dropped.
-struct ResponseTransfer {
-    burn: Arc<Mutex<burn::BurnCounter>>,
-    clock: Clock,
-    rule: Arc<ResolvedRoute>,
-    started_at: Moment,
-    succeeded: bool,
-    complete: bool,
-    _permits: RequestPermits,
-}
-
-impl Drop for ResponseTransfer {
-    fn drop(&mut self) {
-        let answered = self.succeeded && self.complete;
-        let now = self.clock.now();
-        record(&self.burn, &self.rule, answered, self.started_at, now);
-    }
-}
-
-fn record(
-    burn: &Mutex<burn::BurnCounter>,
-    rule: &ResolvedRoute,
-    answered: bool,
-    started_at: Moment,
-    now: Moment,
-) {
-    let objective = rule.objective();
-    let good = burn::meets_objective(objective.as_ref(), answered, now.since(started_at));
-    burn.lock().record(&rule.route.service, good, now);
-}
-
 /// Returns the length of the body of a successful response, if the server states it.
 fn successful_length(response: &Response) -> Option<u64> {
     let succeeded = response.head.status < MIN_SERVER_ERROR_STATUS;
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -1,35 +1,33 @@
 //! The node of a target: admits, claims, forwards and records requests.
 
+mod body;
 mod once;
 
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use crank_engine::limit::Capacity;
 use crank_engine::{Moment, drain::DrainProgress, retry};
-use crank_mesh::call::FLOW_CONTROL_WINDOW_BYTES;
 use crank_platform_client::Rows;
-use crank_protocol::call::{Body, Header, Load, Refusal, RefusedRequest, RequestHead, Response};
+use crank_protocol::call::{Header, Load, Refusal, RefusedRequest, RequestHead, Response};
 use crank_protocol::config::{Service, Snapshot};
 use crank_protocol::member::Stage;
 use crank_protocol::{HttpDialect, Millis, Name};
 use crank_server::Announcement;
-use futures::StreamExt;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
 use crate::admission::{AdmissionController, AdmissionRequest, Permit};
 use crate::clock::Clock;
 
+use body::{BufferedResponse, buffer_body, hold_permit};
+
 pub use once::MAX_RECORDED_BODY_BYTES;
 
 /// The drain grace of a backend server whose service is not in the configuration.
 const DEFAULT_DRAIN_GRACE: Millis = Millis(10_000);
-/// A body up to this size is read whole before any of it is passed on, so that a response that
-/// breaks off may be retried, and the backend server's slot is free before the body is sent.
-const MAX_BUFFERED_BODY_BYTES: usize = FLOW_CONTROL_WINDOW_BYTES as usize;
 
 /// Forwards requests to the backend server beside the node.
 pub trait Forwarder: Send + Sync + 'static {
@@ -391,45 +389,3 @@
         self.shared.dependencies.clock.now()
     }
 }
-
-/// A response with as much of its body as is buffered before any of it is passed on.
-enum BufferedResponse {
-    Complete(Response),
-    Partial(Response),
-}
-
-/// Buffers a small body completely: if it breaks off before the caller has received any of it, the
-/// response is lost and the request may be retried where that is safe.
-async fn buffer_body(mut response: Response) -> Result<BufferedResponse, Refusal> {
-    let mut read = BytesMut::new();
-    while read.len() <= MAX_BUFFERED_BODY_BYTES {
-        match response.body.next().await {
-            Some(Ok(data)) => read.extend_from_slice(&data),
-            Some(Err(Refusal::Cut)) => return Err(Refusal::Lost),
-            Some(Err(refusal)) => return Err(refusal),
-            None => {
-                let whole = read.freeze();
-                response.body = Box::pin(futures::stream::once(async move { Ok(whole) }));
-                return Ok(BufferedResponse::Complete(response));
-            }
-        }
-    }
-    let first = futures::stream::once(async move { Ok(read.freeze()) });
-    response.body = Box::pin(first.chain(response.body));
-    Ok(BufferedResponse::Partial(response))
-}
-
-/// Wraps a body so that it holds its permit until it ends, and is cut at the deadline.
-fn hold_permit(body: Body, permit: Permit, clock: Clock, deadline: Moment) -> Body {
-    let end = clock.to_instant(deadline);
-    let stream = futures::stream::unfold(Some((body, permit)), move |state| async move {
-        let (mut body, permit) = state?;
-        match tokio::time::timeout_at(end, body.next()).await {
-            Ok(Some(Ok(data))) => Some((Ok(data), Some((body, permit)))),
-            Ok(Some(Err(refusal))) => Some((Err(refusal), None)),
-            Ok(None) => None,
-            Err(_) => Some((Err(Refusal::Cut), None)),
-        }
-    });
-    Box::pin(stream)
-}
