--- a/crates/crank-mesh/src/call/uplink.rs
+++ b/crates/crank-mesh/src/call/uplink.rs
@@ -86,7 +86,7 @@
         }
     }
 
-    /// Waits until the link has sent what was handed to it before.
+    /// Waits until the link has room for the next part.
     async fn wait(&mut self, part_bytes: u64) {
         let released = self.bytes.min(part_bytes);
         self.bytes -= released;
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -126,8 +126,7 @@
     NotSent,
     /// The connection, the node or the backend server was lost after the request was sent.
     Lost,
-    /// The connection to the target's node went silent after the request was sent; the node itself
-    /// answers over another connection.
+    /// The connection to the target's node went silent after the request was sent.
     ConnectionLost,
     /// The request was sent, but no response arrived before the deadline.
     TimedOut,
