--- a/crates/crank-mesh/src/call/link.rs
+++ b/crates/crank-mesh/src/call/link.rs
@@ -170,9 +170,8 @@
     /// Dropping the future, or the response before its end, cancels the request at the target.
     ///
     /// # Errors
-    /// Returns the refusal of the target; [`Refusal::NotSent`] or [`Refusal::TooLate`] if the
-    /// request certainly did not run; [`Refusal::Lost`] or [`Refusal::TimedOut`] if that is
-    /// unknown.
+    /// Returns the refusal of the target, or one whose outcome says whether the request certainly
+    /// did not run, or whether that is unknown.
     ///
     /// ```
     /// # use crank_protocol::call::{Response, RequestHead, RefusedRequest};
