--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases, and what they share.
 
+mod cut_extra_answer;
 mod stop_cuts_answers;
 
 use std::path::PathBuf;
@@ -10,6 +11,7 @@
 pub fn run(case: &str, has_trouble: bool, record: &Record) -> Verdict {
     match case {
         "stop-cuts-answers" => stop_cuts_answers::run(has_trouble, record),
+        "cut-extra-answer" => cut_extra_answer::run(has_trouble, record),
         _ => Verdict::CouldNotRun,
     }
 }
