Review case 3: a delayed check-in brings back a server that has deregistered (DRAIN)

Cause: a node that knows its server by a health check only holds neither its start time nor its sequence; a departure keeps it so, and the delayed check-in then counts as that of a later process.

--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, and what they share.
 
 mod cut_extra_answer;
+mod stale_check_in;
 mod stop_cuts_answers;
 
 use std::path::PathBuf;
@@ -12,6 +13,7 @@
     match case {
         "stop-cuts-answers" => stop_cuts_answers::run(has_trouble, record),
         "cut-extra-answer" => cut_extra_answer::run(has_trouble, record),
+        "stale-check-in" => stale_check_in::run(has_trouble, record),
         _ => Verdict::CouldNotRun,
     }
 }
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -8,8 +8,8 @@
 
 use crate::http::{Message, read_message, write_message};
 use crate::world::Record;
-use crate::{ATTEMPT_ID, EXPECTED_INSTANCE, HEARTBEAT_PATH, INSTANCE_ID, NOT_EXECUTED};
-use crate::{SERVER_LOAD, SIGNATURE};
+use crate::{ATTEMPT_ID, DEREGISTER_PATH, EXPECTED_INSTANCE, HEARTBEAT_PATH, INSTANCE_ID};
+use crate::{NOT_EXECUTED, SERVER_LOAD, SIGNATURE};
 
 const BEAT_INTERVAL: Duration = Duration::from_millis(870);
 const SLOTS: u32 = 9;
@@ -31,6 +31,8 @@
     running: Arc<AtomicU32>,
     sequence: Arc<AtomicU64>,
     is_draining: Arc<AtomicBool>,
+    is_beating: Arc<AtomicBool>,
+    has_ended: Arc<AtomicBool>,
     born: u128,
 }
 
@@ -55,6 +57,8 @@
             running: Arc::default(),
             sequence: Arc::default(),
             is_draining: Arc::default(),
+            is_beating: Arc::new(AtomicBool::new(true)),
+            has_ended: Arc::default(),
             born: born.as_millis(),
         };
         let serving = server.clone();
@@ -67,37 +71,70 @@
         server
     }
 
-    /// Sends check-ins to the node on its machine for as long as the case runs.
+    /// Sends check-ins to the node on its machine for as long as it has not left.
     pub fn beat(&self, control: SocketAddr) {
         let server = self.clone();
         std::thread::spawn(move || {
-            loop {
-                server.beat_once(control);
+            while !server.has_ended.load(Ordering::SeqCst) {
+                if server.is_beating.load(Ordering::SeqCst) {
+                    let check_in = server.next_check_in();
+                    server.send_check_in(control, &check_in);
+                }
                 std::thread::sleep(BEAT_INTERVAL);
             }
         });
     }
 
-    fn beat_once(&self, control: SocketAddr) {
+    pub fn stop_beating(&self) {
+        self.is_beating.store(false, Ordering::SeqCst);
+    }
+
+    /// The body of the next check-in.
+    pub fn next_check_in(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let state = if self.is_draining.load(Ordering::SeqCst) {
-            "draining"
-        } else {
-            "ready"
-        };
-        let body = format!(
+        let is_leaving = self.is_draining.load(Ordering::SeqCst);
+        let state = if is_leaving { "draining" } else { "ready" };
+        format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"ba-feira\",\"version\":\"v1\",\
              \"slots\":{SLOTS},\"state\":\"{state}\",\"cold_remaining_ms\":0,\
              \"sequence\":{sequence},\"born\":{}}}",
             self.service, self.address, self.born
-        );
-        let line = format!("POST {HEARTBEAT_PATH}{} HTTP/1.1", self.id);
+        )
+    }
+
+    /// Sends a check-in; returns the status of the answer, 0 if there is none within a second.
+    pub fn send_check_in(&self, control: SocketAddr, check_in: &str) -> u16 {
+        self.post(control, HEARTBEAT_PATH, check_in)
+    }
+
+    /// Says that the server leaves, without having said that it drains; returns the status.
+    pub fn deregister(&self, control: SocketAddr) -> u16 {
+        self.is_draining.store(true, Ordering::SeqCst);
+        self.post(
+            control,
+            DEREGISTER_PATH,
+            &format!("{{\"born\":{}}}", self.born),
+        )
+    }
+
+    /// Ends the server: it takes no more connections and answers nothing more.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::SeqCst);
+    }
+
+    fn post(&self, control: SocketAddr, path: &str, body: &str) -> u16 {
+        let line = format!("POST {path}{} HTTP/1.1", self.id);
         let headers = [("Host", "node"), ("Content-Type", "application/json")];
-        if let Ok(mut stream) = TcpStream::connect_timeout(&control, Duration::from_secs(1)) {
-            let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
-            if write_message(&mut stream, &line, &headers, body.as_bytes()).is_ok() {
-                let _ = read_message(&mut BufReader::new(stream));
-            }
+        let Ok(mut stream) = TcpStream::connect_timeout(&control, Duration::from_secs(1)) else {
+            return 0;
+        };
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+        if write_message(&mut stream, &line, &headers, body.as_bytes()).is_err() {
+            return 0;
+        }
+        match read_message(&mut BufReader::new(stream)) {
+            Ok(Some(answer)) => answer.status(),
+            _ => 0,
         }
     }
 
@@ -108,6 +145,9 @@
         };
         let mut reader = BufReader::new(reading);
         while let Ok(Some(request)) = read_message(&mut reader) {
+            if self.has_ended.load(Ordering::SeqCst) {
+                return;
+            }
             let is_kept = if request.target() == "/health" {
                 self.answer_health(&mut stream)
             } else if !self.is_expected(&request) {
