--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -3,6 +3,7 @@
 mod cut_extra_answer;
 mod stale_check_in;
 mod stop_cuts_answers;
+mod stop_cuts_paced_answers;
 
 use std::path::PathBuf;
 
@@ -14,6 +15,7 @@
         "stop-cuts-answers" => stop_cuts_answers::run(has_trouble, record),
         "cut-extra-answer" => cut_extra_answer::run(has_trouble, record),
         "stale-check-in" => stale_check_in::run(has_trouble, record),
+        "stop-cuts-paced-answers" => stop_cuts_paced_answers::run(has_trouble, record),
         _ => Verdict::CouldNotRun,
     }
 }
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -60,6 +60,8 @@
     pub ready: SocketAddr,
     pub mesh: SocketAddr,
     pub metrics: SocketAddr,
+    /// The width of the machine's link in Mbit/s.
+    pub link_mbits: &'static str,
 }
 
 impl Settings {
@@ -83,6 +85,7 @@
             ready: address(8302),
             mesh: address(7620),
             metrics: address(7621),
+            link_mbits: "1000.0",
         }
     }
 
@@ -93,7 +96,7 @@
             ("node_name", self.name.clone()),
             ("region", "bahia".to_owned()),
             ("zone", self.zone.clone()),
-            ("limits.link_mbps", "1000.0".to_owned()),
+            ("limits.link_mbps", self.link_mbits.to_owned()),
             ("listen_addresses.outbound", self.callers.to_string()),
             ("listen_addresses.control_plane", self.control.to_string()),
             ("listen_addresses.ready", self.ready.to_string()),
