--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -56,10 +56,6 @@
         })
     }
 
-    pub fn writer(&mut self) -> &mut TcpStream {
-        &mut self.writer
-    }
-
     /// Sends a request.
     pub fn send(
         &mut self,
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -18,11 +18,6 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    /// The method of a request.
-    pub fn method(&self) -> &str {
-        self.first_line.split(' ').next().unwrap_or_default()
-    }
-
     /// The path and query of a request.
     pub fn target(&self) -> &str {
         self.first_line.split(' ').nth(1).unwrap_or_default()
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,8 +3,6 @@
 //! Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With
 //! TROUBLE=0 in the environment the disruption is left out.
 
-#![allow(dead_code)] // What one case does not use, another may.
-
 mod cases;
 mod client;
 mod http;
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -9,7 +9,7 @@
 use crate::http::{Message, read_message, write_message};
 use crate::world::Record;
 use crate::{ATTEMPT_ID, DEREGISTER_PATH, EXPECTED_INSTANCE, HEARTBEAT_PATH, INSTANCE_ID};
-use crate::{NOT_EXECUTED, SERVER_LOAD, SIGNATURE};
+use crate::{SERVER_LOAD, SIGNATURE};
 
 const BEAT_INTERVAL: Duration = Duration::from_millis(870);
 const SLOTS: u32 = 9;
@@ -222,14 +222,6 @@
         write_message(stream, &format!("HTTP/1.1 {status}"), &headers, body).is_ok()
     }
 
-    /// Rejects a request that has not run.
-    pub fn shed(&self, request: &Message, stream: &mut TcpStream) -> bool {
-        let id = request.header(ATTEMPT_ID).unwrap_or_default();
-        self.record.line(&format!("server {} sheds {id}", self.id));
-        let headers = [(NOT_EXECUTED, "1"), (ATTEMPT_ID, id)];
-        write_message(stream, "HTTP/1.1 503 Service Unavailable", &headers, b"").is_ok()
-    }
-
     pub fn load(&self) -> String {
         let running = self.running.load(Ordering::SeqCst);
         format!("{running},0,{SLOTS}")
