--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -9,13 +9,19 @@
 
 use crate::Verdict;
 use crate::world::Record;
+use stop_cuts_paced_answers::Trouble;
 
 pub fn run(case: &str, has_trouble: bool, record: &Record) -> Verdict {
     match case {
         "stop-cuts-answers" => stop_cuts_answers::run(has_trouble, record),
         "cut-extra-answer" => cut_extra_answer::run(has_trouble, record),
         "stale-check-in" => stale_check_in::run(has_trouble, record),
-        "stop-cuts-paced-answers" => stop_cuts_paced_answers::run(has_trouble, record),
+        "stop-cuts-paced-answers" => {
+            stop_cuts_paced_answers::run(Trouble::Stop, has_trouble, record)
+        }
+        "kill-cuts-paced-answers" => {
+            stop_cuts_paced_answers::run(Trouble::Kill, has_trouble, record)
+        }
         _ => Verdict::CouldNotRun,
     }
 }
--- a/review/standins/cases/stop_cuts_paced_answers.rs
+++ b/review/standins/cases/stop_cuts_paced_answers.rs
@@ -1,4 +1,5 @@
-//! A planned stop of a server's node while answers wait for their turn on its narrow link.
+//! The node beside a server ends, by a planned stop or by a kill, while answers wait for their turn
+//! on its narrow link.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -18,13 +19,36 @@
 const SMALL_ANSWER_BYTES: usize = 600;
 const WORK: Duration = Duration::from_millis(20);
 const CLIENTS: usize = 13;
-const STOP_AFTER: Duration = Duration::from_millis(200);
 /// No rate: the clients read as fast as they can.
 const UNLIMITED: u64 = 1_000_000_000;
 /// LOST: "more than three times".
 const MAX_CUT: usize = 3;
 
-pub fn run(has_trouble: bool, record: &Record) -> Verdict {
+/// How the node beside the server ends.
+#[derive(Clone, Copy)]
+pub enum Trouble {
+    Stop,
+    Kill,
+}
+
+impl Trouble {
+    fn signal(self) -> &'static str {
+        match self {
+            Self::Stop => "TERM",
+            Self::Kill => "KILL",
+        }
+    }
+
+    /// How long after the requests it comes.
+    fn delay(self) -> Duration {
+        match self {
+            Self::Stop => Duration::from_millis(200),
+            Self::Kill => Duration::from_millis(1_500),
+        }
+    }
+}
+
+pub fn run(trouble: Trouble, has_trouble: bool, record: &Record) -> Verdict {
     let folder = Folder::new();
     let store = Store::start();
     store.put_config(&config());
@@ -69,10 +93,10 @@
             std::thread::spawn(move || read_large(client, number, &record))
         })
         .collect();
-    std::thread::sleep(STOP_AFTER);
+    std::thread::sleep(trouble.delay());
     if has_trouble {
         let stopped_at = Instant::now();
-        nodes[0].signal("TERM");
+        nodes[0].signal(trouble.signal());
         nodes[0].wait_for_end(stopped_at);
     }
     let answers: Vec<_> = reading
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -175,7 +175,7 @@
                 let after = since.elapsed().as_secs_f64();
                 let name = &self.settings.name;
                 self.record
-                    .line(&format!("node {name} ended {after:.3} s after SIGTERM"));
+                    .line(&format!("node {name} ended {after:.3} s after the signal"));
                 return;
             }
             std::thread::sleep(Duration::from_millis(5));
