--- a/review/standins/cases/cut_extra_answer.rs
+++ b/review/standins/cases/cut_extra_answer.rs
@@ -27,7 +27,7 @@
 /// The share of its orders that each server answers with a failure of its own, in thousandths: an
 /// ordinary one, such as a hall that is already booked.
 const FAILED_SHARE: u64 = 100;
-const CALM: Duration = Duration::from_secs(3);
+const CALM: Duration = Duration::from_secs(4);
 const FAULTY: Duration = Duration::from_secs(5);
 
 /// A small generator of pseudo-random numbers.
--- a/review/standins/cases/stop_cuts_answers.rs
+++ b/review/standins/cases/stop_cuts_answers.rs
@@ -7,7 +7,7 @@
 use crate::client::{Answer, Client};
 use crate::server::Server;
 use crate::store::Store;
-use crate::world::{GRACE, Node, Record, Settings};
+use crate::world::{GRACE, IN_TOUCH_AFTER, Node, Record, Settings};
 
 /// The route's timeout and the clients' deadline.
 const DEADLINE: Duration = Duration::from_millis(8_000);
@@ -79,6 +79,7 @@
     if !node.wait_until_ready() {
         return None;
     }
+    std::thread::sleep(IN_TOUCH_AFTER);
     let client = warm_client(node.settings.callers, number)?;
     let reader = record.clone();
     let sent_at = Instant::now();
--- a/review/standins/cases/stop_cuts_paced_answers.rs
+++ b/review/standins/cases/stop_cuts_paced_answers.rs
@@ -9,7 +9,7 @@
 use crate::client::{Answer, Client};
 use crate::server::Server;
 use crate::store::Store;
-use crate::world::{Node, Record, Settings};
+use crate::world::{IN_TOUCH_AFTER, Node, Record, Settings};
 
 /// The longest deadline of the sheets, which is the route's timeout too.
 const DEADLINE: Duration = Duration::from_millis(4_000);
@@ -78,6 +78,7 @@
     if !nodes.iter().all(Node::wait_until_ready) {
         return Verdict::CouldNotRun;
     }
+    std::thread::sleep(IN_TOUCH_AFTER);
     let callers = nodes[1].settings.callers;
     let clients: Vec<_> = (0..CLIENTS)
         .filter_map(|number| warm_client(callers, number))
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -14,6 +14,8 @@
 
 /// What the platform grants between SIGTERM and SIGKILL in a small deployment.
 pub const GRACE: Duration = Duration::from_secs(6);
+/// How long a node must have run undisturbed to be in touch (`touch_ms` is 3,000), and more.
+pub const IN_TOUCH_AFTER: Duration = Duration::from_millis(3_500);
 const START_LIMIT: Duration = Duration::from_secs(20);
 
 /// Writes one line for each event, with the time since the start.
