Remember departures by themselves, so that no late heartbeat brings back a server that has left

Cause: that a server has left was kept as the stage of its newest heartbeat, and lost with it. A new node process knows its server by a health check alone, without start and sequence; the delayed heartbeat has both, was therefore not of "the same process", and replaced the record. Without a record the departure was acknowledged and forgotten.

Fix: the decision moves to crank_engine::registration, without lock and clock, and keeps departures by themselves: all processes of a server id that were started up to the one that deregistered have left, whatever is heard later. What a departure does not say (its start) is taken from what is known, or from the time of day at which it arrives.

Related paths with the same cause, each with a test: a departure that arrives before anything else; a health check that was sent before the departure; a late heartbeat that replaced a successor known by its health check; two late heartbeats after a restart that confirmed each other. A second heartbeat now confirms only if it arrives over 5 s after the node's start; until then the health check does, and is repeated each second instead of given up after six tries.

Tests that failed before, on with only the test files replaced: 4 of 7 in heartbeats_after_a_node_restart.rs, 2 of 2 in a_hosted_node_serves.rs (200 where 503 is due). a_second_heartbeat_or_a_health_check_makes_the_server_ready asked for what the last related path shows to be wrong (two heartbeats at once are no proof); two tests replace it, one for the health check and one that asks for both sides of the 5 s. The stand-in server of platform/tests failed its health check while its heartbeats said ready; now both agree. New: a line for each heartbeat that changes the state of the server, with its start and sequence number.

--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod notice;
 pub mod overlay;
 pub mod publish;
+pub mod registration;
 pub mod retry;
 pub mod route;
 pub mod spread;
--- a/crates/crank-node/src/recall.rs
+++ b/crates/crank-node/src/recall.rs
@@ -14,6 +14,8 @@
 const MAX_CHECKS: u32 = 3;
 const CHECK_TIMEOUT: Millis = Millis(500);
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// The pause after which a server that sends heartbeats, but failed its checks, is checked again.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The address and service of the backend server beside the node.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,9 +26,10 @@
     pub address: SocketAddr,
 }
 
-/// Checks the backend server's health until it is known to be ready, a few times at most.
+/// Checks the backend server's health until it is known to be ready or to leave.
 ///
-/// A server that is leaving fails the check, so it is not mistaken for a ready one.
+/// A server that is leaving fails the check, so it is not mistaken for a ready one. The checks end
+/// when the server's heartbeats tell its stage for certain.
 ///
 /// ```
 /// # use crank_node::recall::{BackendServer, check_until_ready};
@@ -56,8 +59,11 @@
     }
     // A server that starts later than its node is checked once it has sent a heartbeat.
     let mut announced = probe.tracker.watch();
-    if announced.wait_for(Option::is_some).await.is_ok() {
-        probe.run().await;
+    if announced.wait_for(Option::is_some).await.is_err() {
+        return;
+    }
+    while !probe.run().await {
+        tokio::time::sleep(RETRY_INTERVAL).await;
     }
 }
 
--- a/crates/crank-protocol/src/lib.rs
+++ b/crates/crank-protocol/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod call;
 pub mod config;
+pub mod heartbeat;
 pub mod member;
 pub mod status;
 pub mod wire;
--- a/crates/crank-server/src/lib.rs
+++ b/crates/crank-server/src/lib.rs
@@ -9,6 +9,8 @@
 mod heartbeat_tracker;
 
 pub use announcements::AnnouncementListener;
+pub use crank_engine::registration::Heard;
+pub use crank_protocol::heartbeat::{Announcement, HeartbeatReport, ProcessStart};
 pub use error::Error;
 pub use forwarder::{Forwarder, Health};
-pub use heartbeat_tracker::{Announcement, Heard, HeartbeatReport, HeartbeatTracker, ProcessStart};
+pub use heartbeat_tracker::HeartbeatTracker;
