Bound what one connection may do before others run, whatever its peer sends

Nothing else of the process ran meanwhile.

Cause: the HTTP library reads on within one poll for as long as bytes arrive that complete nothing; only tokio's budget of 128 reads ends the poll, each read of up to 400 KB. Evidence: a stack of the stalled process: its only runtime thread in ChunkedState::read_size, below one poll of one connection.

Fix: crank_stream::FairStream hands over at most 64 KiB before other tasks run; connections of callers and to backend servers go through it. Towards servers a connection also ends once 1 MiB has arrived that makes up neither a head nor a part of a body; the outcome is unknown, not "not run". Why it works: the bound lies below the library, so it holds for every form of useless bytes, known or not.

Tests, all on real sockets, the nodes as processes, bounds from the route's latency objective (500 ms) and 32 MB: each form of endless bytes from a server (13) and a caller (9), and at the node's other addresses (4). Failing before: the interim responses, and the zeros from both sides; interim_responses_and_chunk_sizes_without_end_are_given_up_before_the_deadline (TimedOut at the deadline instead of Lost). The others held before and are kept as guards.

Open: a store that does the same (its client library takes no stream of ours).

--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crank_protocol::HttpDialect;
+use crank_stream::FairStream;
 use http::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -174,7 +175,7 @@
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_READ_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(FairStream::new(stream)), service);
             let connection = self.shutdown.watch(connection);
             tokio::spawn(async move {
                 if let Err(error) = connection.await {
--- a/crates/crank-server/src/checked_body.rs
+++ b/crates/crank-server/src/checked_body.rs
@@ -46,7 +46,7 @@
             return;
         }
         tokio::spawn(async move {
-            if connection.ready().await.is_ok() {
+            if connection.wait_until_ready().await {
                 pool.put_back(address, connection, limit);
             }
         });
@@ -91,6 +91,9 @@
             Err(_) => Some(Err(Refusal::TimedOut)),
         };
         self.is_ended = !matches!(next, Some(Ok(_)));
+        if let (false, Some(pooled)) = (self.is_ended, &self.pooled) {
+            pooled.connection.record_progress();
+        }
         if next.is_none()
             && let Some(pooled) = self.pooled.take()
         {
--- a/crates/crank-server/src/connection.rs
+++ b/crates/crank-server/src/connection.rs
@@ -3,12 +3,18 @@
 //! Connections are reused between requests and dropped as soon as their state is uncertain.
 
 use std::collections::HashMap;
+use std::error::Error;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use crank_stream::{FairStream, Progress};
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -20,8 +26,43 @@
 /// Idle connections are dropped before the backend server closes them.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// What a server may send that makes up neither the head of a response nor a part of its body, such
+/// as interim responses: far more than the longest head that is accepted.
+const MAX_UNUSED_BYTES: u64 = 1_024 * 1_024;
+
 /// An HTTP connection that carries one request at a time.
-pub(crate) type Connection = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    progress: Progress,
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its response.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.progress.record();
+        let response = self.sender.try_send_request(request).await?;
+        self.progress.record();
+        Ok(response)
+    }
+
+    /// Records that a part of a response's body was received.
+    pub(crate) fn record_progress(&self) {
+        self.progress.record();
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Waits until the next request can be sent; returns false if the connection has closed.
+    pub(crate) async fn wait_until_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+}
 
 #[derive(Debug)]
 struct IdleConnection {
@@ -57,7 +98,7 @@
         connection: Connection,
         limit: Option<Duration>,
     ) {
-        if connection.is_closed() {
+        if connection.sender.is_closed() {
             return;
         }
         let limit = limit.map_or(IDLE_TIMEOUT, |limit| limit.min(IDLE_TIMEOUT));
@@ -84,12 +125,25 @@
             Err(_) => return None,
         };
         let _ = stream.set_nodelay(true);
-        let (connection, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let progress = Progress::new();
+        let stream = FairStream::new(stream).with_limit(progress.clone(), MAX_UNUSED_BYTES);
+        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         tokio::spawn(async move {
             if let Err(error) = driver.await {
-                log::debug!(address:% = address, error:% = error; "backend connection failed");
+                report_failure(address, &error);
             }
         });
-        Some(connection)
+        Some(Connection { sender, progress })
+    }
+}
+
+fn report_failure(address: SocketAddr, error: &hyper::Error) {
+    let cause = error.source().and_then(|cause| cause.downcast_ref());
+    match cause.map(std::io::Error::kind) {
+        Some(ErrorKind::InvalidData) => log::warn!(
+            address:% = address, error:? = error;
+            "backend server sends bytes without end: connection closed"
+        ),
+        _ => log::debug!(address:% = address, error:% = error; "backend connection failed"),
     }
 }
--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -173,7 +173,7 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<(HttpResponse<Incoming>, Connection), Refusal> {
         while let Some(mut connection) = self.pool.take(address) {
-            match connection.try_send_request(request).await {
+            match connection.send(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -183,7 +183,7 @@
         }
         let opened = self.pool.open(address).await;
         let mut connection = opened.ok_or(Refusal::NotSent)?;
-        match connection.try_send_request(request).await {
+        match connection.send(request).await {
             Ok(response) => Ok((response, connection)),
             Err(error) if error.message().is_some() => Err(Refusal::NotSent),
             Err(error) => Err(connection_lost(address, &error.into_error())),
--- a/crates/crank-server/tests/faulty_servers.rs
+++ b/crates/crank-server/tests/faulty_servers.rs
@@ -220,6 +220,23 @@
     }
 }
 
+// Guards against waiting until the deadline for a head that will not come.
+#[tokio::test]
+async fn interim_responses_and_chunk_sizes_without_end_are_given_up_before_the_deadline() {
+    let signed =
+        "HTTP/1.1 200 OK\r\nx-id: 7f3a\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n";
+    for (start, part, refusal) in [
+        ("", "HTTP/1.1 103 Early Hints\r\n\r\n", Refusal::Lost),
+        (signed, "0", Refusal::Cut),
+    ] {
+        let block = part.repeat(10_000).leak();
+        let (address, is_closed) = endless_server(start, block).await;
+        let sent = send(&forwarder(), address, TIME_LEFT).await;
+        assert_eq!(sent, Err(refusal));
+        timeout(CLOSE_TIME, is_closed).await.unwrap().unwrap();
+    }
+}
+
 #[tokio::test]
 async fn bytes_without_end_in_a_response_body_end_at_the_deadline() {
     let signed = "HTTP/1.1 200 OK\r\nx-id: 7f3a\r\nx-signature: s\r\n";
--- /dev/null
+++ b/crates/crank-stream/src/progress.rs
@@ -0,0 +1,42 @@
+//! Progress on a connection: whether the bytes that arrive are of any use.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Reports progress on a connection to its [`crate::FairStream`]; clones share the state.
+///
+/// ```
+/// let progress = crank_stream::Progress::new();
+/// progress.record();
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Progress {
+    unused_bytes: Arc<AtomicU64>,
+}
+
+impl Progress {
+    /// Creates a report for one connection.
+    ///
+    /// ```
+    /// let progress = crank_stream::Progress::new();
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that a message has begun, or a part of it was received.
+    ///
+    /// ```
+    /// crank_stream::Progress::new().record();
+    /// ```
+    pub fn record(&self) {
+        self.unused_bytes.store(0, Ordering::Relaxed);
+    }
+
+    /// Counts bytes that have arrived; returns the number since the last progress.
+    pub(crate) fn add(&self, bytes: usize) -> u64 {
+        let bytes = bytes as u64;
+        self.unused_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes
+    }
+}
