Wait in a planned stop until callers and other nodes have taken their answers

Cause: Node::leave counted a response as done once the next layer had taken its last byte: the sender of the call connection, which waits for its turns, or the HTTP library. Then connections of callers had 300 ms, and call connections nothing at all.

Fix: once drained, the node waits for its callers' connections and for the call connections it serves, until the end of the grace less the reserve that it had before.

--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use warp::Filter;
 
 use crate::clock::Clock;
@@ -79,6 +80,7 @@
     draining: CancellationToken,
     closing: CancellationToken,
     caller_task: tokio::task::JoinHandle<()>,
+    call_connections: TaskTracker,
 }
 
 impl<P: Rows> Node<P> {
@@ -132,8 +134,15 @@
             conventions: options.conventions,
         });
         let uplink = SharedUplink::new(options.link_mbits);
-        let calls = serve_calls(accepted, hello, target.clone(), uplink, closing.clone());
-        tokio::spawn(calls);
+        let call_connections = TaskTracker::new();
+        let server = CallServer {
+            hello: Arc::new(hello),
+            target: target.clone(),
+            uplink,
+            closing: closing.clone(),
+            connections: call_connections.clone(),
+        };
+        tokio::spawn(server.run(accepted));
         let metrics = Arc::new(Metrics::new());
         metrics.add_mesh(mesh.clone());
         let refused_config = RefusedConfig::default();
@@ -158,6 +167,7 @@
             draining: CancellationToken::new(),
             closing,
             caller_task,
+            call_connections,
         })
     }
 
@@ -225,7 +235,6 @@
         self.draining.clone()
     }
 
-    /// Returns a token that is cancelled when the node closes its connections.
     /// Returns the record of configurations that the node cannot use, for [`crate::source::follow`].
     ///
     /// ```
@@ -240,6 +249,7 @@
         self.refused_config.clone()
     }
 
+    /// Returns a token that is cancelled when the node closes its connections.
     pub(crate) fn closing(&self) -> CancellationToken {
         self.closing.clone()
     }
@@ -304,14 +314,15 @@
             self.entry.end_attempts();
         }
         self.closing.cancel();
-        let close_time = if self.linger > Millis(0) {
-            MAX_CLOSE_TIME
+        let close_delay = if self.linger > Millis(0) {
+            Duration::ZERO
         } else {
-            MIN_CLOSE_DELAY + MAX_CLOSE_TIME
+            MIN_CLOSE_DELAY
         };
-        let closed = tokio::time::timeout(close_time, self.caller_task).await;
-        if closed.is_err() {
-            log::warn!("connections of callers were still open and are cut");
+        let closes_by = ends_at.max(tokio::time::Instant::now() + close_delay) + MAX_CLOSE_TIME;
+        let closed = close_connections(self.caller_task, self.call_connections);
+        if tokio::time::timeout_at(closes_by, closed).await.is_err() {
+            log::warn!("connections of callers or other nodes were still open and are cut");
         }
         self.mesh.leave().await;
         log::info!(node:% = self.name, drained = drained; "left");
@@ -330,7 +341,7 @@
 /// How long before the end of the grace period the last request ends, so that its answer is still
 /// passed on.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
-/// How long connections of callers may take to close once nothing is in flight.
+/// How long connections may take to close after the last request has ended.
 const MAX_CLOSE_TIME: Duration = Duration::from_millis(300);
 /// The shortest time for which a leaving node asks callers to close their connections before it
 /// closes them itself.
@@ -364,21 +375,37 @@
     }
 }
 
-async fn serve_calls<P: Rows>(
-    mut accepted: mpsc::Receiver<Socket>,
-    hello: Hello,
+/// Waits until callers and other nodes have taken the responses that are on their way to them.
+async fn close_connections(
+    caller_task: tokio::task::JoinHandle<()>,
+    call_connections: TaskTracker,
+) {
+    if let Err(error) = caller_task.await {
+        log::error!(error:% = error; "the listener for callers ended with an error");
+    }
+    call_connections.close();
+    call_connections.wait().await;
+}
+
+/// Serves the calls of other nodes.
+struct CallServer<P> {
+    hello: Arc<Hello>,
     target: NodeTarget<P>,
     uplink: SharedUplink,
     closing: CancellationToken,
-) {
-    let hello = Arc::new(hello);
-    while let Some(socket) = accepted.recv().await {
-        let (hello, target, closing) = (hello.clone(), target.clone(), closing.clone());
-        let uplink = uplink.clone();
-        tokio::spawn(async move {
-            if let Err(error) = call::serve(socket, &hello, target, uplink, closing).await {
-                log::debug!(error:% = error; "call connection closed");
-            }
-        });
+    connections: TaskTracker,
+}
+
+impl<P: Rows> CallServer<P> {
+    async fn run(self, mut accepted: mpsc::Receiver<Socket>) {
+        while let Some(socket) = accepted.recv().await {
+            let (hello, target) = (self.hello.clone(), self.target.clone());
+            let (uplink, closing) = (self.uplink.clone(), self.closing.clone());
+            self.connections.spawn(async move {
+                if let Err(error) = call::serve(socket, &hello, target, uplink, closing).await {
+                    log::debug!(error:% = error; "call connection closed");
+                }
+            });
+        }
     }
 }
