Give the parts to come their shared types: client accounts, caller limits, releases, messages between nodes

Interfaces that several parts need, agreed on before they are built side by side. A configuration may hold client accounts (keys as digests, importance, rate limit) and limits of callers; a route may be public; an endpoint and a heartbeat name the release of the server's software; a request carries the client account that it counts for. Nodes can send each other small messages by topic in datagrams (crank_mesh::Handle::send_message), lost or repeated like any datagram.

Nothing reads the new fields yet. A configuration without them keeps its digest, because they are left out of the encoding when they are empty. The version of the protocol between nodes is now 5.

--- a/crates/crank-command/tests/support/mod.rs
+++ b/crates/crank-command/tests/support/mod.rs
@@ -65,6 +65,7 @@
                 service,
                 stage: self.stage,
                 slots: 6,
+                release: None,
             }),
         }
     }
--- a/crates/crank-engine/examples/requests/model.rs
+++ b/crates/crank-engine/examples/requests/model.rs
@@ -107,6 +107,7 @@
             service: crate::name("service"),
             stage: Stage::Ready,
             slots,
+            release: None,
         }),
     }
 }
--- a/crates/crank-engine/examples/requests/shared_limit.rs
+++ b/crates/crank-engine/examples/requests/shared_limit.rs
@@ -81,6 +81,7 @@
                     deadline: Moment(now).after(TIMEOUT),
                     depth: 0,
                     expected_run_time: None,
+                    account: None,
                 };
                 limits[limit_index(scope, is_hanging)].admit(Moment(now), pending_request)
             }
--- a/crates/crank-engine/examples/requests/simulation.rs
+++ b/crates/crank-engine/examples/requests/simulation.rs
@@ -284,6 +284,7 @@
                     deadline,
                     depth: 0,
                     expected_run_time: None,
+                    account: None,
                 };
                 let admission = &mut self.servers[server].admission;
                 let decisions = admission.admit(Moment(self.now), pending_request);
--- a/crates/crank-engine/src/admission.rs
+++ b/crates/crank-engine/src/admission.rs
@@ -24,6 +24,7 @@
 /// let request = |id| PendingRequest {
 ///     id, importance: Default::default(), deadline: Moment(9_000), depth: 0,
 ///     expected_run_time: None,
+///     account: None,
 /// };
 /// let refused = Decision::Refuse { id: 1, refusal: Refusal::Leaving };
 /// assert_eq!(admission.admit(Moment(0), request(1)), [refused]);
@@ -64,6 +65,7 @@
     /// let request = PendingRequest {
     ///     id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0,
     ///     expected_run_time: None,
+    ///     account: None,
     /// };
     /// assert_eq!(admission.admit(Moment(0), request).len(), 1);
     /// ```
@@ -84,6 +86,7 @@
     /// let request = PendingRequest {
     ///     id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0,
     ///     expected_run_time: None,
+    ///     account: None,
     /// };
     /// assert_eq!(admission.admit_without_wait(Moment(0), request).len(), 1);
     /// ```
--- a/crates/crank-engine/src/config.rs
+++ b/crates/crank-engine/src/config.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use crank_protocol::Name;
-use crank_protocol::config::{Change, Config, Delta, Digest, Route, Service, Snapshot, Stamp};
+use crank_protocol::config::{
+    Change, ClientAccount, Config, Delta, Digest, Route, Service, Snapshot, Stamp,
+};
 use sha2::{Digest as _, Sha256};
 
 use crate::Error;
@@ -15,7 +17,7 @@
 /// ```
 /// # use crank_protocol::{Name, config::{Account, Config}};
 /// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
-/// # let config = Config { account, services: Default::default(), routes: Default::default() };
+/// # let config = Config::new(account);
 /// let digest = crank_engine::config::digest(&config);
 /// assert_eq!(digest, crank_engine::config::digest(&config.clone()));
 /// ```
@@ -48,7 +50,7 @@
 /// ```
 /// # use crank_protocol::{Name, config::{Account, Config, Snapshot, Stamp, Version}};
 /// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
-/// # let config = Config { account, services: Default::default(), routes: Default::default() };
+/// # let config = Config::new(account);
 /// # let stamp = Stamp { version: Version(1), digest: crank_engine::config::digest(&config) };
 /// let old = Snapshot { stamp, config };
 /// let mut new = old.clone();
@@ -76,6 +78,15 @@
         put_route,
         Change::NoRoute,
     ));
+    changes.extend(map_changes(
+        &old.clients,
+        &new.clients,
+        put_client,
+        Change::NoClient,
+    ));
+    if old.limits != new.limits {
+        changes.push(Change::Limits(new.limits));
+    }
     Delta {
         base: base.stamp.clone(),
         result: result.stamp.clone(),
@@ -91,6 +102,10 @@
     Change::Route(name, route)
 }
 
+fn put_client(name: Name, client: ClientAccount) -> Change {
+    Change::Client(name, client)
+}
+
 fn map_changes<T: Clone + PartialEq>(
     old: &BTreeMap<Name, T>,
     new: &BTreeMap<Name, T>,
@@ -115,7 +130,7 @@
 /// ```
 /// # use crank_protocol::{Name, config::{Account, Config, Snapshot, Stamp, Version}};
 /// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
-/// # let config = Config { account, services: Default::default(), routes: Default::default() };
+/// # let config = Config::new(account);
 /// # let stamp = Stamp { version: Version(1), digest: crank_engine::config::digest(&config) };
 /// # let old = Snapshot { stamp, config };
 /// let mut new = old.clone();
@@ -137,7 +152,7 @@
 /// ```
 /// # use crank_protocol::{Name, config::{Account, Change, Config}};
 /// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
-/// # let config = Config { account, services: Default::default(), routes: Default::default() };
+/// # let config = Config::new(account);
 /// let removal = Change::NoService(Name::new("recipes").unwrap());
 /// assert_eq!(crank_engine::config::with_changes(config.clone(), &[removal]), config);
 /// ```
@@ -164,6 +179,13 @@
         Change::NoRoute(name) => {
             config.routes.remove(&name);
         }
+        Change::Client(name, client) => {
+            config.clients.insert(name, client);
+        }
+        Change::NoClient(name) => {
+            config.clients.remove(&name);
+        }
+        Change::Limits(limits) => config.limits = limits,
     }
 }
 
@@ -175,7 +197,7 @@
 /// ```
 /// # use crank_protocol::{Name, config::{Account, Config, Digest, Stamp, Version}};
 /// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
-/// # let config = Config { account, services: Default::default(), routes: Default::default() };
+/// # let config = Config::new(account);
 /// let stamp = Stamp { version: Version(1), digest: Digest::new(&"00".repeat(32)).unwrap() };
 /// assert!(crank_engine::config::verify_digest(config, stamp).is_err());
 /// ```
--- a/crates/crank-engine/src/folder/merge.rs
+++ b/crates/crank-engine/src/folder/merge.rs
@@ -138,6 +138,8 @@
         account: builder.account?,
         services: builder.services,
         routes: builder.routes,
+        clients: Default::default(),
+        limits: Default::default(),
     })
 }
 
--- a/crates/crank-engine/src/folder/route.rs
+++ b/crates/crank-engine/src/folder/route.rs
@@ -59,6 +59,7 @@
         attempts,
         importance,
         latency,
+        public: false,
     })
 }
 
--- a/crates/crank-engine/src/limit.rs
+++ b/crates/crank-engine/src/limit.rs
@@ -12,9 +12,9 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-use crank_protocol::Millis;
 use crank_protocol::call::Refusal;
 use crank_protocol::config::Importance;
+use crank_protocol::{Millis, Name};
 use serde::{Deserialize, Serialize};
 
 use crate::Moment;
@@ -29,7 +29,7 @@
 const MEAN_DIVISOR: u64 = 8;
 
 /// A request that asks to be admitted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PendingRequest {
     /// The ID of the request; IDs ascend in the order of arrival.
@@ -40,6 +40,8 @@
     pub deadline: Moment,
     /// The depth in the call chain; zero for a request from outside the mesh.
     pub depth: u32,
+    /// The client account that the request counts for, if any.
+    pub account: Option<Name>,
     /// The expected run time, if the entry node has an estimate.
     #[serde(rename = "run")]
     pub expected_run_time: Option<Millis>,
@@ -116,6 +118,7 @@
     /// let request = |id| PendingRequest {
     ///     id, importance: Default::default(), deadline: Moment(9_000), depth: 0,
     ///     expected_run_time: None,
+    ///     account: None,
     /// };
     /// assert_eq!(limit.admit(Moment(0), request(1)), [Decision::Run { id: 1 }]);
     /// assert_eq!(limit.admit(Moment(0), request(2)), []);
@@ -143,6 +146,7 @@
     /// let request = PendingRequest {
     ///     id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0,
     ///     expected_run_time: None,
+    ///     account: None,
     /// };
     /// assert_eq!(limit.admit(Moment(0), request), []);
     /// let decisions = limit.resize(Moment(0), Capacity { slots: 1, queue: 1 });
@@ -166,6 +170,7 @@
     /// let late = PendingRequest {
     ///     id: 1, importance: Default::default(), deadline: Moment(5), depth: 0,
     ///     expected_run_time: None,
+    ///     account: None,
     /// };
     /// let refused = Decision::Refuse { id: 1, refusal: Refusal::TooLate };
     /// assert_eq!(limit.admit(Moment(5), late), [refused]);
@@ -193,6 +198,7 @@
     /// let request = |id| PendingRequest {
     ///     id, importance: Default::default(), deadline: Moment(9_000), depth: 0,
     ///     expected_run_time: None,
+    ///     account: None,
     /// };
     /// assert_eq!(limit.admit_without_wait(Moment(0), request(1)), [Decision::Run { id: 1 }]);
     /// let decisions = limit.admit_without_wait(Moment(0), request(2));
@@ -248,6 +254,7 @@
     /// let request = PendingRequest {
     ///     id: 1, importance: Default::default(), deadline: Moment(9_000), depth: 0,
     ///     expected_run_time: None,
+    ///     account: None,
     /// };
     /// limit.admit(Moment(0), request);
     /// assert_eq!(limit.refuse_waiting(&Refusal::Leaving).len(), 1);
--- a/crates/crank-engine/src/member/prober.rs
+++ b/crates/crank-engine/src/member/prober.rs
@@ -163,7 +163,7 @@
             Probe::PingFor { number, target } => {
                 self.relay_probe(table, from, address, *number, target)
             }
-            Probe::Ask { .. } | Probe::Told { .. } => Vec::new(),
+            Probe::Ask { .. } | Probe::Told { .. } | Probe::Message(_) => Vec::new(),
         }
     }
 
--- a/crates/crank-engine/src/registration.rs
+++ b/crates/crank-engine/src/registration.rs
@@ -234,6 +234,7 @@
                 service: last.report.service.clone(),
                 stage: last.stage(now, self.heartbeat_timeout),
                 slots: last.report.slots,
+                release: last.report.start.release.clone(),
             },
             address: last.report.address,
             server_id: last.report.start.server_id.clone(),
--- a/crates/crank-engine/src/route.rs
+++ b/crates/crank-engine/src/route.rs
@@ -146,7 +146,7 @@
     /// ```
     /// # use crank_protocol::{Name, config::{Account, Config, Snapshot, Stamp, Version}};
     /// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
-    /// # let config = Config { account, services: Default::default(), routes: Default::default() };
+    /// # let config = Config::new(account);
     /// # let stamp = Stamp { version: Version(7), digest: crank_engine::config::digest(&config) };
     /// use crank_engine::route::RoutingTable;
     /// let snapshot = Snapshot { stamp, config };
@@ -206,7 +206,7 @@
     /// ```
     /// # use crank_protocol::{Name, config::{Account, Config, Method, Snapshot, Stamp, Version}};
     /// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
-    /// # let config = Config { account, services: Default::default(), routes: Default::default() };
+    /// # let config = Config::new(account);
     /// # let stamp = Stamp { version: Version(7), digest: crank_engine::config::digest(&config) };
     /// # let table = crank_engine::route::RoutingTable::new(&Snapshot { stamp, config });
     /// use crank_protocol::call::Refusal;
--- a/crates/crank-engine/tests/admission.rs
+++ b/crates/crank-engine/tests/admission.rs
@@ -146,10 +146,11 @@
             deadline: Moment(self.now.0 + time_left),
             depth,
             expected_run_time: None,
+            account: None,
         };
         self.next_id += 1;
-        self.waiting.insert(request.id, request);
-        let decisions = self.admission.admit(self.now, request);
+        self.waiting.insert(request.id, request.clone());
+        let decisions = self.admission.admit(self.now, request.clone());
         for decision in &decisions {
             if let Decision::Refuse { id, .. } = decision
                 && *id != request.id
--- a/crates/crank-engine/tests/balancing.rs
+++ b/crates/crank-engine/tests/balancing.rs
@@ -54,6 +54,7 @@
             service: name("recipes"),
             stage,
             slots: SLOTS,
+            release: None,
         }),
     }
 }
--- a/crates/crank-engine/tests/late_heartbeats_never_make_a_server_ready.rs
+++ b/crates/crank-engine/tests/late_heartbeats_never_make_a_server_ready.rs
@@ -24,6 +24,7 @@
         server_id: Some("s1".into()),
         started_at_ms: Some(STARTED_AT_MS),
         sequence,
+        release: None,
     }
 }
 
--- a/crates/crank-engine/tests/membership.rs
+++ b/crates/crank-engine/tests/membership.rs
@@ -86,6 +86,7 @@
                     service: Name::new("recipes").unwrap(),
                     stage: Stage::Ready,
                     slots: *slots,
+                    release: None,
                 };
                 self.tables[*by].announce(Some(endpoint), self.now);
             }
--- a/crates/crank-engine/tests/nested_calls.rs
+++ b/crates/crank-engine/tests/nested_calls.rs
@@ -55,6 +55,7 @@
             deadline: now.after(Millis(kind.target)),
             depth: 0,
             expected_run_time: Some(Millis(kind.run)),
+            account: None,
         };
         Self::admit(self, now, request)
     }
--- a/crates/crank-engine/tests/notice_never_counts_silence_as_done.rs
+++ b/crates/crank-engine/tests/notice_never_counts_silence_as_done.rs
@@ -35,6 +35,7 @@
             service: name("recipes"),
             stage,
             slots: 6,
+            release: None,
         }),
     }
 }
--- a/crates/crank-engine/tests/routing.rs
+++ b/crates/crank-engine/tests/routing.rs
@@ -50,6 +50,7 @@
                 attempts: None,
                 importance: None,
                 latency: None,
+                public: false,
             };
             (name(&format!("r{number}")), route)
         })
@@ -62,6 +63,8 @@
         account,
         services: [(name("recipes"), service())].into(),
         routes,
+        clients: Default::default(),
+        limits: Default::default(),
     };
     let stamp = Stamp {
         version: Version(1),
@@ -151,6 +154,7 @@
         attempts: None,
         importance: None,
         latency: None,
+        public: false,
     }
 }
 
@@ -164,6 +168,8 @@
         },
         services: services.map(|id| (name(id), service())).into(),
         routes: routes.collect(),
+        clients: Default::default(),
+        limits: Default::default(),
     };
     let stamp = Stamp {
         version: Version(1),
--- a/crates/crank-engine/tests/spreading.rs
+++ b/crates/crank-engine/tests/spreading.rs
@@ -44,6 +44,7 @@
         attempts: None,
         importance: None,
         latency: None,
+        public: false,
     };
     let config = Config {
         account: Account {
@@ -52,6 +53,8 @@
         },
         services: [(name("recipes"), service)].into(),
         routes: [(name(&format!("route-{}", content % 3)), route)].into(),
+        clients: Default::default(),
+        limits: Default::default(),
     };
     let stamp = Stamp {
         version: Version(version),
--- a/crates/crank-mesh/examples/spreading/scene.rs
+++ b/crates/crank-mesh/examples/spreading/scene.rs
@@ -251,6 +251,7 @@
                     Stage::Draining
                 },
                 slots: 6 + u32::try_from(index).unwrap_or(0),
+                release: None,
             });
             let since = Instant::now();
             let _ = announcer.mesh.announce_endpoint(endpoint.clone()).await;
@@ -358,6 +359,7 @@
         attempts: None,
         importance: None,
         latency: None,
+        public: false,
     };
     let config = Config {
         account: Account {
@@ -370,6 +372,8 @@
         routes: (0..ROUTES)
             .map(|index| (name(&format!("route-{index}")), route(index)))
             .collect(),
+        clients: Default::default(),
+        limits: Default::default(),
     };
     let stamp = Stamp {
         version: Version(version),
--- a/crates/crank-mesh/src/actor.rs
+++ b/crates/crank-mesh/src/actor.rs
@@ -10,8 +10,8 @@
 
 pub(crate) use message::{
     AnnounceEndpoint, ApplySnapshot, Confirm, ConnectionClosed, ConnectionOpened, DatagramReceived,
-    DatagramRejected, DialTarget, EndQuery, FrameReceived, Leave, ReportHead, SendQueries,
-    SetSeeds, StartQuery, Stop, Tick,
+    DatagramRejected, DialTarget, EndQuery, FrameReceived, Leave, ReportHead, SendMessage,
+    SendQueries, SetSeeds, StartQuery, Stop, Tick,
 };
 pub(crate) use state::Mesh;
 
@@ -61,6 +61,7 @@
         should_follow_store: receivers.should_follow_store,
         store_check: receivers.store_check,
         confirmed_at: receivers.confirmed_at,
+        messages: receivers.messages,
         local_status: local_status.into(),
         traffic,
         error_counters,
--- a/crates/crank-mesh/src/actor/datagrams.rs
+++ b/crates/crank-mesh/src/actor/datagrams.rs
@@ -83,11 +83,16 @@
             }
         }
         self.compare_stamps(&from, datagram.stamp.as_ref(), now);
-        let is_status_message = matches!(datagram.probe, Probe::Ask { .. } | Probe::Told { .. });
-        if !is_status_message {
-            self.compare_tables(&from, datagram.table, reach, now);
+        match datagram.probe {
+            Probe::Message(message) => self.outputs.publish_message(from, message),
+            Probe::Ask { .. } | Probe::Told { .. } => {
+                self.handle_probe(address, &from, datagram.stamp, &datagram.probe);
+            }
+            Probe::Ping { .. } | Probe::Ack { .. } | Probe::PingFor { .. } => {
+                self.compare_tables(&from, datagram.table, reach, now);
+                self.handle_probe(address, &from, datagram.stamp, &datagram.probe);
+            }
         }
-        self.handle_probe(address, &from, datagram.stamp, &datagram.probe);
     }
 
     /// Answers a probe or a status query, or records the answer to one.
--- a/crates/crank-mesh/src/actor/message.rs
+++ b/crates/crank-mesh/src/actor/message.rs
@@ -8,7 +8,7 @@
 use crank_protocol::config::Snapshot;
 use crank_protocol::member::{Endpoint, Member};
 use crank_protocol::status::NodeStatus;
-use crank_protocol::wire::{Confirmation, Control, Datagram};
+use crank_protocol::wire::{Confirmation, Control, Datagram, PeerMessage};
 use tokio::sync::mpsc;
 
 use crate::Error;
@@ -110,6 +110,12 @@
     pub(crate) number: u64,
 }
 
+/// Sends a message to the same part of another node.
+pub(crate) struct SendMessage {
+    pub(crate) to: Name,
+    pub(crate) message: PeerMessage,
+}
+
 /// Announces to the other nodes that this node leaves.
 pub(crate) struct Leave;
 
--- a/crates/crank-mesh/src/actor/requests.rs
+++ b/crates/crank-mesh/src/actor/requests.rs
@@ -7,7 +7,7 @@
 
 use super::message::{
     AnnounceEndpoint, ApplySnapshot, Confirm, EndQuery, Leave, QueryStarted, ReportHead,
-    SendQueries, SetSeeds, StartQuery,
+    SendMessage, SendQueries, SetSeeds, StartQuery,
 };
 use super::state::Mesh;
 
@@ -110,6 +110,19 @@
     }
 }
 
+impl Handler<SendMessage> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, outgoing: SendMessage, _: &mut xtra::Context<Self>) {
+        let SendMessage { to, message } = outgoing;
+        if to == self.settings.id {
+            self.outputs.publish_message(to, message);
+        } else {
+            self.send_probe(&to, Probe::Message(message));
+        }
+    }
+}
+
 impl Handler<EndQuery> for Mesh {
     type Return = ();
 
--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -16,21 +16,25 @@
 use crank_protocol::config::{Snapshot, Stamp};
 use crank_protocol::member::{Member, State};
 use crank_protocol::status::NodeStatus;
-use crank_protocol::wire::{Control, Datagram, MAX_CONTROL_FRAME_BYTES, MAX_DATAGRAM_BYTES, Probe};
+use crank_protocol::wire::{
+    Control, Datagram, MAX_CONTROL_FRAME_BYTES, MAX_DATAGRAM_BYTES, PeerMessage, Probe,
+};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{broadcast, mpsc, watch};
 use xtra::{Actor, Handler, WeakAddress};
 
 use super::message::{DialTarget, FlushUpdates, Stop, Tick};
-use crate::handle::{ErrorCounters, LocalStatus};
+use crate::handle::{ErrorCounters, LocalStatus, ReceivedMessage};
 use crate::settings::Settings;
 use crate::traffic::{Direction, Reach, Traffic, TrafficKind};
 use crate::{Error, View, codec};
 
 /// The most membership updates in one datagram.
 const MAX_GOSSIP_UPDATES: usize = 6;
+/// How many messages of other nodes wait for a slow reader; older ones are dropped.
+const MAX_UNREAD_MESSAGES: usize = 256;
 /// How long membership updates are collected before they are sent on control connections.
 const UPDATE_BATCH_DELAY: Duration = Duration::from_millis(20);
 
@@ -63,6 +67,7 @@
     pub(crate) should_follow_store: watch::Sender<bool>,
     pub(crate) store_check: watch::Sender<Option<StoreCheck>>,
     pub(crate) confirmed_at: watch::Sender<Option<Instant>>,
+    pub(crate) messages: broadcast::Sender<ReceivedMessage>,
     pub(crate) traffic: Arc<Traffic>,
     pub(crate) error_counters: Arc<ErrorCounters>,
 }
@@ -75,6 +80,8 @@
     pub(crate) should_follow_store: watch::Receiver<bool>,
     pub(crate) store_check: watch::Receiver<Option<StoreCheck>>,
     pub(crate) confirmed_at: watch::Receiver<Option<Instant>>,
+    /// New receivers of messages subscribe here.
+    pub(crate) messages: broadcast::Sender<ReceivedMessage>,
 }
 
 impl Outputs {
@@ -86,6 +93,7 @@
         let (should_follow_store, should_follow_store_receiver) = watch::channel(true);
         let (store_check, store_check_receiver) = watch::channel(None);
         let (confirmed_at, confirmed_at_receiver) = watch::channel(None);
+        let messages = broadcast::Sender::new(MAX_UNREAD_MESSAGES);
         let outputs = Self {
             view,
             config,
@@ -93,6 +101,7 @@
             should_follow_store,
             store_check,
             confirmed_at,
+            messages: messages.clone(),
             traffic: Arc::default(),
             error_counters: Arc::default(),
         };
@@ -103,9 +112,15 @@
             should_follow_store: should_follow_store_receiver,
             store_check: store_check_receiver,
             confirmed_at: confirmed_at_receiver,
+            messages,
         };
         (outputs, receivers)
     }
+
+    /// Passes a message on to the part of this node that it is for, if that is listening.
+    pub(crate) fn publish_message(&self, from: Name, message: PeerMessage) {
+        let _ = self.messages.send(ReceivedMessage { from, message });
+    }
 }
 
 /// The actor: the membership, the configuration in force and the control connections of one node.
@@ -288,7 +303,7 @@
         }
         let now = self.now();
         let max_updates = match outgoing.probe {
-            Probe::Ask { .. } | Probe::Told { .. } => 0,
+            Probe::Ask { .. } | Probe::Told { .. } | Probe::Message(_) => 0,
             _ => MAX_GOSSIP_UPDATES,
         };
         let mut datagram = Datagram {
--- a/crates/crank-mesh/src/handle.rs
+++ b/crates/crank-mesh/src/handle.rs
@@ -1,5 +1,6 @@
 //! The interface of the mesh to the rest of the node.
 
+mod messages;
 mod store;
 
 use std::collections::BTreeMap;
@@ -13,13 +14,15 @@
 use crank_protocol::config::Snapshot;
 use crank_protocol::member::{Endpoint, Member, State};
 use crank_protocol::status::{NodeReport, NodeStatus};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{broadcast, mpsc, watch};
 use tokio::time::{Instant, timeout_at};
 use xtra::Address;
 
 use crate::actor::{AnnounceEndpoint, EndQuery, Leave, Mesh, SendQueries, SetSeeds, StartQuery};
 use crate::{Error, Traffic, View};
 
+pub use messages::ReceivedMessage;
+
 /// How long each of the two rounds of a status query waits for answers.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
 /// The number of nodes queried at once; the answers of more would overrun the receive buffer.
@@ -95,6 +98,7 @@
     pub(crate) should_follow_store: watch::Receiver<bool>,
     pub(crate) store_check: watch::Receiver<Option<StoreCheck>>,
     pub(crate) confirmed_at: watch::Receiver<Option<std::time::Instant>>,
+    pub(crate) messages: broadcast::Sender<ReceivedMessage>,
     pub(crate) local_status: Arc<watch::Sender<LocalStatus>>,
     pub(crate) traffic: Arc<Traffic>,
     pub(crate) error_counters: Arc<ErrorCounters>,
--- a/crates/crank-mesh/src/handle/store.rs
+++ b/crates/crank-mesh/src/handle/store.rs
@@ -33,7 +33,7 @@
     /// # let mesh = start(settings, calls).await?;
     /// use crank_protocol::config::{Account, Config, Snapshot, Stamp, Version};
     /// let account = Account { name: Name::new("lenha-viva")?, notice_ends: None };
-    /// let config = Config { account, services: Default::default(), routes: Default::default() };
+    /// let config = Config::new(account);
     /// let stamp = Stamp { version: Version(1), digest: crank_engine::config::digest(&config) };
     /// assert_eq!(mesh.apply_snapshot(Snapshot { stamp, config }).await?, Step::Applied);
     /// # Ok(())
--- a/crates/crank-mesh/tests/common/mod.rs
+++ b/crates/crank-mesh/tests/common/mod.rs
@@ -58,6 +58,7 @@
         idempotency_key: None,
         depth: 0,
         version: Version(1),
+        account: None,
     }
 }
 
--- a/crates/crank-mesh/tests/convergence.rs
+++ b/crates/crank-mesh/tests/convergence.rs
@@ -48,6 +48,7 @@
             service: name("recipes"),
             stage,
             slots: 6,
+            release: None,
         };
         let announced = Some(endpoint);
         nodes[0]
--- a/crates/crank-mesh/tests/failures.rs
+++ b/crates/crank-mesh/tests/failures.rs
@@ -23,6 +23,7 @@
         service: name("recipes"),
         stage: Stage::Draining,
         slots: 6,
+        release: None,
     }
 }
 
--- a/crates/crank-mesh/tests/frames.rs
+++ b/crates/crank-mesh/tests/frames.rs
@@ -5,12 +5,13 @@
 
 use crank_protocol::member::{Member, Place, State};
 use crank_protocol::wire::{
-    Control, Datagram, Hello, MAX_CONTROL_FRAME_BYTES, MAX_DATAGRAM_BYTES, Members,
-    PROTOCOL_VERSION, Probe,
+    Control, Datagram, Hello, MAX_CONTROL_FRAME_BYTES, MAX_DATAGRAM_BYTES, MAX_PEER_MESSAGE_BYTES,
+    Members, PROTOCOL_VERSION, PeerMessage, Probe, Topic,
 };
 use futures::{SinkExt, StreamExt};
 use support::{
-    Node, config_version, name, sees_reachable_members, snapshot, start_fleet, wait_until,
+    Node, WAIT_TIMEOUT, config_version, name, sees_reachable_members, snapshot, start_fleet,
+    wait_until,
 };
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::time::timeout;
@@ -111,6 +112,37 @@
     assert!(nodes.iter().all(|node| sees_reachable_members(node, 4)));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_message_reaches_the_same_part_of_the_named_node_alone() {
+    let nodes = start_fleet(3, 1).await;
+    wait_until("complete member tables", || {
+        nodes.iter().all(|node| sees_reachable_members(node, 3))
+    })
+    .await;
+    let mut received = nodes[1].mesh.messages();
+    let mut elsewhere = nodes[2].mesh.messages();
+    let message = PeerMessage {
+        topic: Topic::Rollout,
+        payload: vec![7; MAX_PEER_MESSAGE_BYTES].into(),
+    };
+    let to = nodes[1].settings.id.clone();
+    let sent = nodes[0]
+        .mesh
+        .send_message(to.clone(), message.clone())
+        .await;
+    sent.unwrap();
+    let arrived = timeout(WAIT_TIMEOUT, received.recv()).await.unwrap();
+    let arrived = arrived.unwrap();
+    assert_eq!(arrived.from, nodes[0].settings.id);
+    assert_eq!(arrived.message, message);
+    assert!(elsewhere.try_recv().is_err());
+
+    let payload = vec![7; MAX_PEER_MESSAGE_BYTES + 1].into();
+    let oversized = PeerMessage { payload, ..message };
+    let refused = nodes[0].mesh.send_message(to, oversized).await;
+    assert!(refused.is_err(), "an oversized payload is refused by name");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn another_content_under_a_held_number_is_an_alarm_and_never_applied() {
     let nodes = start_fleet(3, 1).await;
--- a/crates/crank-mesh/tests/support/mod.rs
+++ b/crates/crank-mesh/tests/support/mod.rs
@@ -114,6 +114,7 @@
         attempts: None,
         importance: None,
         latency: None,
+        public: false,
     };
     let routes: BTreeMap<Name, Route> = (0..version)
         .map(|index| (name(&format!("route-{index}")), route(index)))
@@ -125,6 +126,8 @@
         },
         services: [(name("recipes"), service)].into(),
         routes,
+        clients: Default::default(),
+        limits: Default::default(),
     };
     let stamp = Stamp {
         version: Version(version),
--- a/crates/crank-node/src/admission.rs
+++ b/crates/crank-node/src/admission.rs
@@ -7,17 +7,17 @@
 use crank_engine::admission::Admission;
 use crank_engine::drain::DrainProgress;
 use crank_engine::limit::{Capacity, Decision, PendingRequest};
-use crank_protocol::Millis;
 use crank_protocol::call::{Load, Refusal};
 use crank_protocol::config::Importance;
 use crank_protocol::member::Stage;
+use crank_protocol::{Millis, Name};
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
 
 /// A request for admission.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AdmissionRequest {
     /// The importance; the least important requests are refused first when there are too many.
     pub importance: Importance,
@@ -25,6 +25,8 @@
     pub deadline: Moment,
     /// The depth in the call chain; zero for a caller outside the mesh.
     pub depth: u32,
+    /// The client account that the request counts for, if any.
+    pub account: Option<Name>,
     /// How long the request is expected to run, if known.
     pub expected_run_time: Option<Millis>,
 }
@@ -43,6 +45,7 @@
             importance: Importance::default(),
             deadline,
             depth: 0,
+            account: None,
             expected_run_time: None,
         }
     }
@@ -52,6 +55,7 @@
             importance,
             deadline,
             depth,
+            account,
             expected_run_time,
         } = self;
         PendingRequest {
@@ -60,6 +64,7 @@
             deadline,
             depth,
             expected_run_time,
+            account,
         }
     }
 }
@@ -166,8 +171,9 @@
     /// # }
     /// ```
     pub async fn admit(&self, request: AdmissionRequest) -> Result<Permit, Refusal> {
+        let waits_until = self.clock.to_instant(request.deadline);
         let (permit, receiver) = self.submit(request, Admission::admit);
-        let decision = tokio::time::timeout_at(self.clock.to_instant(request.deadline), receiver);
+        let decision = tokio::time::timeout_at(waits_until, receiver);
         match decision.await {
             Ok(Ok(Ok(()))) => Ok(permit),
             Ok(Ok(Err(refusal))) => Err(refusal),
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -246,8 +246,9 @@
             deadline,
             depth,
             expected_run_time: None,
+            account: None,
         };
-        let service = bulkhead.admission().admit(request).await?;
+        let service = bulkhead.admission().admit(request.clone()).await?;
         let node_limit = &self.shared.node_limit;
         Ok(RequestPermits {
             _node: node_limit.admit(request).await?,
--- a/crates/crank-node/src/entry/options.rs
+++ b/crates/crank-node/src/entry/options.rs
@@ -67,6 +67,7 @@
             idempotency_key: self.idempotency_key,
             depth: self.depth,
             version,
+            account: None,
         }
     }
 }
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -259,6 +259,7 @@
             deadline: wait_until,
             depth: head.depth,
             expected_run_time: head.expected_run_time,
+            account: head.account.clone(),
         };
         let admitted = if head.may_queue {
             admission.admit(request).await
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -62,6 +62,7 @@
         attempts: None,
         importance: None,
         latency: None,
+        public: false,
     }
 }
 
@@ -95,6 +96,8 @@
             .iter()
             .map(|(text, route)| (name(text), route.clone()))
             .collect(),
+        clients: Default::default(),
+        limits: Default::default(),
     };
     let stamp = Stamp {
         version: Version(1),
@@ -119,6 +122,7 @@
         service: name(service),
         stage,
         slots: 2,
+        release: None,
     }
 }
 
@@ -340,6 +344,7 @@
         idempotency_key: idempotency_key.map(Arc::from),
         depth: 0,
         version: Version(1),
+        account: None,
     }
 }
 
--- a/crates/crank-platform-client/src/configs.rs
+++ b/crates/crank-platform-client/src/configs.rs
@@ -21,7 +21,7 @@
 /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
 /// # let account = Name::new("sutkent").unwrap();
 /// # let head = Account { name: account.clone(), notice_ends: None };
-/// # let config = Config { account: head, services: Default::default(), routes: Default::default() };
+/// # let config = Config::new(head);
 /// let platform = Memory::new();
 /// let digest = configs::write(&platform, &account, &config).await.unwrap();
 /// let stamp = Stamp { version: Version(1), digest };
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -75,6 +75,9 @@
     pub idempotency_key: Option<Arc<str>>,
     /// The depth in the call chain; zero for a caller outside the mesh.
     pub depth: u32,
+    /// The client account that the request counts for, if the configuration has client accounts.
+    #[serde(rename = "client", default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<Name>,
     /// The version of the configuration that routed the request.
     pub version: Version,
 }
--- a/crates/crank-protocol/src/compact.rs
+++ b/crates/crank-protocol/src/compact.rs
@@ -4,6 +4,7 @@
 //! of text.
 
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use serde_bytes::{ByteArray, ByteBuf};
@@ -17,6 +18,10 @@
 const PING_FOR: u8 = 2;
 const ASK: u8 = 3;
 const TOLD: u8 = 4;
+const MESSAGE: u8 = 5;
+
+const QUOTA_TOPIC: u64 = 0;
+const ROLLOUT_TOPIC: u64 = 1;
 
 /// The encoding of a [`wire::Datagram`]: account, sender, stamp, table, regions, probe, gossip.
 #[derive(Serialize, Deserialize)]
@@ -38,8 +43,8 @@
 #[derive(Serialize, Deserialize)]
 pub(crate) struct RegionAge(Name, u64);
 
-/// The encoding of a [`wire::Probe`]: kind, number, target, the flags `current` and `ready`,
-/// requests in flight, and the operator address, which most probes omit.
+/// The encoding of a [`wire::Probe`]: kind, number or topic, target, the flags `current` and
+/// `ready`, requests in flight, and the operator address or the payload, which most probes omit.
 #[derive(Serialize, Deserialize)]
 pub(crate) struct Probe(
     u8,
@@ -55,9 +60,14 @@
 #[derive(Serialize, Deserialize)]
 pub(crate) struct Member(Name, Name, Name, ByteBuf, u64, u8, Option<Endpoint>, u32);
 
-/// The encoding of a [`member::Endpoint`]: service, stage, slots.
+/// The encoding of a [`member::Endpoint`]: service, stage, slots, release.
 #[derive(Serialize, Deserialize)]
-pub(crate) struct Endpoint(Name, u8, u32);
+pub(crate) struct Endpoint(
+    Name,
+    u8,
+    u32,
+    #[serde(default, skip_serializing_if = "Option::is_none")] Option<Arc<str>>,
+);
 
 impl From<wire::Datagram> for Datagram {
     fn from(datagram: wire::Datagram) -> Self {
@@ -148,6 +158,14 @@
                     operators.map(encode_address),
                 )
             }
+            wire::Probe::Message(message) => Self(
+                MESSAGE,
+                encode_topic(message.topic),
+                None,
+                0,
+                0,
+                Some(message.payload),
+            ),
         }
     }
 }
@@ -156,8 +174,7 @@
     type Error = Error;
 
     fn try_from(compact: Probe) -> Result<Self, Error> {
-        let Probe(kind, number, target, flags, in_flight, operators) = compact;
-        let operators = operators.map(|bytes| decode_address(&bytes)).transpose()?;
+        let Probe(kind, number, target, flags, in_flight, bytes) = compact;
         match (kind, target) {
             (PING, None) => Ok(Self::Ping { number }),
             (ACK, None) => Ok(Self::Ack { number }),
@@ -168,13 +185,32 @@
                 current: flags & 1 != 0,
                 ready: flags & 2 != 0,
                 in_flight,
-                operators,
+                operators: bytes.map(|bytes| decode_address(&bytes)).transpose()?,
             }),
+            (MESSAGE, None) => Ok(Self::Message(wire::PeerMessage {
+                topic: decode_topic(number)?,
+                payload: bytes.ok_or(Error::BadProbe)?,
+            })),
             _ => Err(Error::BadProbe),
         }
     }
 }
 
+fn encode_topic(topic: wire::Topic) -> u64 {
+    match topic {
+        wire::Topic::Quota => QUOTA_TOPIC,
+        wire::Topic::Rollout => ROLLOUT_TOPIC,
+    }
+}
+
+fn decode_topic(number: u64) -> Result<wire::Topic, Error> {
+    match number {
+        QUOTA_TOPIC => Ok(wire::Topic::Quota),
+        ROLLOUT_TOPIC => Ok(wire::Topic::Rollout),
+        _ => Err(Error::BadProbe),
+    }
+}
+
 impl From<wire::Members> for Vec<Member> {
     fn from(members: wire::Members) -> Self {
         members.0.into_iter().map(Member::from).collect()
@@ -249,7 +285,7 @@
             Stage::Draining => 2,
             Stage::Gone => 3,
         };
-        Self(endpoint.service, stage, endpoint.slots)
+        Self(endpoint.service, stage, endpoint.slots, endpoint.release)
     }
 }
 
@@ -268,6 +304,7 @@
             service: compact.0,
             stage,
             slots: compact.2,
+            release: compact.3,
         })
     }
 }
--- a/crates/crank-protocol/src/config.rs
+++ b/crates/crank-protocol/src/config.rs
@@ -223,6 +223,9 @@
     /// The latency target of responses; if absent, that of the service's objective applies.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub latency: Option<Millis>,
+    /// Whether requests need no key, although the configuration has client accounts.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 /// A service with its weight in a traffic split.
@@ -235,6 +238,54 @@
     pub weight: u32,
 }
 
+/// A client account: the callers that hold one of its keys.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClientAccount {
+    /// The SHA-256 digests of the account's keys; the keys themselves are not kept.
+    pub keys: BTreeSet<Digest>,
+    /// The importance of the account's requests, which precedes that of the route.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub importance: Option<Importance>,
+    /// The rate limit over all nodes together, if there is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate: Option<RateLimit>,
+}
+
+/// The rate limit of a client account, as a token bucket that all nodes share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RateLimit {
+    /// How many requests a second the account may send.
+    pub per_second: u32,
+    /// How many requests the account may send at once after it was idle.
+    pub burst: u32,
+}
+
+/// What callers may send, and how long they may take; a limit that is absent is the node's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerLimits {
+    /// The maximum size of a request head, in bytes.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub header_bytes: Option<u64>,
+    /// The maximum size of a request body, in bytes.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub body_bytes: Option<u64>,
+    /// How long a caller may take to send a request head.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub header_timeout: Option<Millis>,
+    /// How long a connection may be idle between two requests.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub idle_timeout: Option<Millis>,
+}
+
+impl CallerLimits {
+    fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// A complete, merged and validated configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -245,6 +296,33 @@
     pub services: BTreeMap<Name, Service>,
     /// The routes by name.
     pub routes: BTreeMap<Name, Route>,
+    /// The client accounts by name; if there are none, callers need no key.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub clients: BTreeMap<Name, ClientAccount>,
+    /// What callers may send.
+    #[serde(default, skip_serializing_if = "CallerLimits::is_default")]
+    pub limits: CallerLimits,
+}
+
+impl Config {
+    /// Returns the configuration of an account without services, routes, client accounts or limits.
+    ///
+    /// ```
+    /// use crank_protocol::{Name, config::{Account, Config}};
+    /// let account = Account { name: Name::new("sutkent")?, notice_ends: None };
+    /// assert!(Config::new(account).routes.is_empty());
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    #[must_use]
+    pub fn new(account: Account) -> Self {
+        Self {
+            account,
+            services: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            clients: BTreeMap::new(),
+            limits: CallerLimits::default(),
+        }
+    }
 }
 
 /// An accepted configuration with its stamp.
@@ -271,6 +349,12 @@
     Route(Name, Route),
     /// The named route is removed.
     NoRoute(Name),
+    /// The named client account is added, or replaced by this one.
+    Client(Name, ClientAccount),
+    /// The named client account is removed.
+    NoClient(Name),
+    /// The limits of callers are replaced by these.
+    Limits(CallerLimits),
 }
 
 /// The changes that turn one accepted configuration into a later one.
--- a/crates/crank-protocol/src/heartbeat.rs
+++ b/crates/crank-protocol/src/heartbeat.rs
@@ -37,6 +37,8 @@
     pub started_at_ms: Option<u64>,
     /// The sequence number, which increases with each heartbeat of the process.
     pub sequence: Option<u64>,
+    /// The release of the software that the process runs.
+    pub release: Option<Arc<str>>,
 }
 
 /// The state of the backend server beside a node, as far as the node knows it.
--- a/crates/crank-protocol/src/member.rs
+++ b/crates/crank-protocol/src/member.rs
@@ -1,6 +1,7 @@
 //! The nodes of the mesh and their backend servers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -54,6 +55,9 @@
     pub stage: Stage,
     /// How many requests the server runs at once.
     pub slots: u32,
+    /// The release of the software that the server runs, if it reports one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub release: Option<Arc<str>>,
 }
 
 /// The membership entry of a node.
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -11,9 +11,11 @@
 use crate::{Millis, Name, compact};
 
 /// The version of the protocol between nodes.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 /// The maximum size of a datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
+/// The maximum size of the payload of a [`PeerMessage`], in bytes.
+pub const MAX_PEER_MESSAGE_BYTES: usize = 900;
 /// The maximum size of a frame on a control connection, in bytes.
 pub const MAX_CONTROL_FRAME_BYTES: usize = 4 * 1_048_576;
 /// The maximum size of a frame on a call connection, in bytes.
@@ -88,6 +90,31 @@
         /// The address at which the sender answers operators.
         operators: Option<SocketAddr>,
     },
+    /// Carries a message between the same part of two nodes.
+    Message(PeerMessage),
+}
+
+/// A message from one part of a node to the same part of another node.
+///
+/// Messages travel in datagrams: they may be lost, repeated or reordered. A sender repeats what
+/// still holds, and a receiver ignores what it has already taken into account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerMessage {
+    /// The part of the node that sends and receives the message.
+    pub topic: Topic,
+    /// The encoded message, at most [`MAX_PEER_MESSAGE_BYTES`] long.
+    pub payload: ByteBuf,
+}
+
+/// The part of a node that a [`PeerMessage`] belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Topic {
+    /// The shares of the client accounts' rate limits.
+    Quota,
+    /// The evidence about a version that is being rolled out.
+    Rollout,
 }
 
 /// A list of members in the compact encoding.
--- a/crates/crank-server/tests/faulty_servers.rs
+++ b/crates/crank-server/tests/faulty_servers.rs
@@ -59,6 +59,7 @@
         idempotency_key: None,
         depth: 2,
         version: Version(1),
+        account: None,
     }
 }
 
--- a/crates/crank-server/tests/forwarding.rs
+++ b/crates/crank-server/tests/forwarding.rs
@@ -53,6 +53,7 @@
         idempotency_key: None,
         depth: 2,
         version: Version(1),
+        account: None,
     }
 }
 
--- a/crates/crank-server/tests/heartbeats_after_a_node_restart.rs
+++ b/crates/crank-server/tests/heartbeats_after_a_node_restart.rs
@@ -17,6 +17,7 @@
             server_id: Some("s1".into()),
             started_at_ms: Some(7),
             sequence: Some(sequence),
+            release: None,
         },
     }
 }
@@ -80,6 +81,7 @@
         server_id: Some("s1".into()),
         started_at_ms,
         sequence: None,
+        release: None,
     }
 }
 
