--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod publish;
 pub mod registration;
 pub mod retry;
+pub mod rollout;
 pub mod route;
 pub mod spread;
 pub mod status;
--- a/crates/crank-mesh/src/actor.rs
+++ b/crates/crank-mesh/src/actor.rs
@@ -6,12 +6,13 @@
 mod links;
 mod message;
 mod requests;
+mod rollouts;
 mod state;
 
 pub(crate) use message::{
     AnnounceEndpoint, ApplySnapshot, Confirm, ConnectionClosed, ConnectionOpened, DatagramReceived,
-    DatagramRejected, DialTarget, EndQuery, FrameReceived, Leave, ReportHead, SendMessage,
-    SendQueries, SetSeeds, StartQuery, Stop, Tick,
+    DatagramRejected, DialTarget, EndQuery, FrameReceived, Leave, OfferRollout, ReportHead,
+    SendMessage, SendQueries, SetSeeds, StartQuery, Stop, Tick,
 };
 pub(crate) use state::Mesh;
 
@@ -61,6 +62,7 @@
         should_follow_store: receivers.should_follow_store,
         store_check: receivers.store_check,
         confirmed_at: receivers.confirmed_at,
+        rollouts: receivers.rollouts,
         messages: receivers.messages,
         local_status: local_status.into(),
         traffic,
--- a/crates/crank-mesh/src/actor/frames.rs
+++ b/crates/crank-mesh/src/actor/frames.rs
@@ -106,6 +106,7 @@
         self.record_receipt(&node, now);
         let stamp = self.replica.stamp().cloned();
         self.send_frame(connection_id, &Control::Holds(stamp));
+        self.tell_rollouts(connection_id, now);
         if !self.joined {
             self.send_frame(connection_id, &Control::WantMembers);
         }
@@ -148,6 +149,7 @@
             Control::Confirmed(confirmation) => {
                 self.record_confirmation(&confirmation, Some(connection_id), now);
             }
+            Control::Rollout(state) => self.learn_rollout(*state, Some(connection_id), now),
             Control::Busy { retry_after } => {
                 self.pull_deadline = None;
                 self.pull_backoff.postpone(retry_after, now, &mut self.rng);
--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use crank_engine::Moment;
 use crank_engine::member::{MemberTable, OutgoingProbe, Prober, RegionTracker};
+use crank_engine::rollout::Ledger;
 use crank_engine::spread::{
     Backoff, ConfigReplica, Freshness, StartupCheck, Step, StoreCheck, TransferLimiter,
 };
@@ -26,7 +27,7 @@
 use xtra::{Actor, Handler, WeakAddress};
 
 use super::message::{DialTarget, FlushUpdates, Stop, Tick};
-use crate::handle::{ErrorCounters, LocalStatus, ReceivedMessage};
+use crate::handle::{ErrorCounters, LocalStatus, ReceivedMessage, Rollout};
 use crate::settings::Settings;
 use crate::traffic::{Direction, Reach, Traffic, TrafficKind};
 use crate::{Error, View, codec};
@@ -67,6 +68,7 @@
     pub(crate) should_follow_store: watch::Sender<bool>,
     pub(crate) store_check: watch::Sender<Option<StoreCheck>>,
     pub(crate) confirmed_at: watch::Sender<Option<Instant>>,
+    pub(crate) rollouts: watch::Sender<Arc<[Rollout]>>,
     pub(crate) messages: broadcast::Sender<ReceivedMessage>,
     pub(crate) traffic: Arc<Traffic>,
     pub(crate) error_counters: Arc<ErrorCounters>,
@@ -80,6 +82,7 @@
     pub(crate) should_follow_store: watch::Receiver<bool>,
     pub(crate) store_check: watch::Receiver<Option<StoreCheck>>,
     pub(crate) confirmed_at: watch::Receiver<Option<Instant>>,
+    pub(crate) rollouts: watch::Receiver<Arc<[Rollout]>>,
     /// New receivers of messages subscribe here.
     pub(crate) messages: broadcast::Sender<ReceivedMessage>,
 }
@@ -93,6 +96,7 @@
         let (should_follow_store, should_follow_store_receiver) = watch::channel(true);
         let (store_check, store_check_receiver) = watch::channel(None);
         let (confirmed_at, confirmed_at_receiver) = watch::channel(None);
+        let (rollouts, rollouts_receiver) = watch::channel(Arc::from(Vec::new()));
         let messages = broadcast::Sender::new(MAX_UNREAD_MESSAGES);
         let outputs = Self {
             view,
@@ -101,6 +105,7 @@
             should_follow_store,
             store_check,
             confirmed_at,
+            rollouts,
             messages: messages.clone(),
             traffic: Arc::default(),
             error_counters: Arc::default(),
@@ -112,6 +117,7 @@
             should_follow_store: should_follow_store_receiver,
             store_check: store_check_receiver,
             confirmed_at: confirmed_at_receiver,
+            rollouts: rollouts_receiver,
             messages,
         };
         (outputs, receivers)
@@ -150,6 +156,7 @@
     /// The newest configuration of another node that this node lacks.
     pub(crate) newer_config: Option<NewerConfig>,
     pub(crate) freshness: Freshness,
+    pub(crate) rollouts: Ledger,
     /// The deadline of the outstanding request for a configuration.
     pub(crate) pull_deadline: Option<Moment>,
     pub(crate) pull_backoff: Backoff,
@@ -254,6 +261,7 @@
             transfer_limiter: TransferLimiter::default(),
             newer_config: None,
             freshness: Freshness::default(),
+            rollouts: Ledger::default(),
             pull_deadline: None,
             pull_backoff: Backoff::default(),
             connections: BTreeMap::new(),
--- a/crates/crank-mesh/src/handle.rs
+++ b/crates/crank-mesh/src/handle.rs
@@ -1,6 +1,7 @@
 //! The interface of the mesh to the rest of the node.
 
 mod messages;
+mod rollouts;
 mod store;
 
 use std::collections::BTreeMap;
@@ -22,6 +23,7 @@
 use crate::{Error, Traffic, View};
 
 pub use messages::ReceivedMessage;
+pub use rollouts::Rollout;
 
 /// How long each of the two rounds of a status query waits for answers.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -98,6 +100,7 @@
     pub(crate) should_follow_store: watch::Receiver<bool>,
     pub(crate) store_check: watch::Receiver<Option<StoreCheck>>,
     pub(crate) confirmed_at: watch::Receiver<Option<std::time::Instant>>,
+    pub(crate) rollouts: watch::Receiver<Arc<[Rollout]>>,
     pub(crate) messages: broadcast::Sender<ReceivedMessage>,
     pub(crate) local_status: Arc<watch::Sender<LocalStatus>>,
     pub(crate) traffic: Arc<Traffic>,
--- a/crates/crank-mesh/src/lib.rs
+++ b/crates/crank-mesh/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use crank_engine::spread::{Step, StoreCheck, StoreHead};
 pub use error::Error;
-pub use handle::{ErrorCounters, Handle, LocalStatus, ReceivedMessage};
+pub use handle::{ErrorCounters, Handle, LocalStatus, ReceivedMessage, Rollout};
 pub use listen::{CALL_PATH, CONTROL_PATH, Socket};
 pub use settings::{BlockedAddresses, Settings};
 pub use traffic::{ByteCount, Direction, Reach, Traffic, TrafficKind};
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -31,6 +31,7 @@
 
 use crate::admission::{AdmissionController, AdmissionRequest, Permit};
 use crate::clock::Clock;
+use crate::rollout::Rollouts;
 use bulkhead::Bulkhead;
 use options::RequestOptions;
 use routed::RoutedRequest;
@@ -106,6 +107,7 @@
     table: ArcSwapOption<RoutingTable>,
     bulkheads: Mutex<BTreeMap<Name, Arc<Bulkhead>>>,
     drain: Mutex<Drain>,
+    rollouts: Rollouts,
     /// Cancelled when all attempts must end, because the node does.
     ending: CancellationToken,
 }
@@ -151,6 +153,8 @@
     pub fn with_node_limit(dependencies: Dependencies<T>, capacity: Capacity) -> Self {
         let node_limit = AdmissionController::new(dependencies.clock, capacity);
         node_limit.set_stage(Stage::Ready, Millis(0));
+        let limit = dependencies.conventions.exposure;
+        let rollouts = Rollouts::new(dependencies.clock, limit);
         let mut drain = Drain::new();
         drain.set_stage(dependencies.clock.now(), Stage::Ready, Millis(0));
         Self {
@@ -160,11 +164,25 @@
                 table: ArcSwapOption::empty(),
                 bulkheads: Mutex::new(BTreeMap::new()),
                 drain: Mutex::new(drain),
+                rollouts,
                 ending: CancellationToken::new(),
             }),
         }
     }
 
+    /// Returns the roll-outs that decide which servers of a service get requests.
+    ///
+    /// ```
+    /// # use crank_node::entry::{EntryProxy, Transport};
+    /// fn has_evidence<T: Transport>(entry: &EntryProxy<T>) -> bool {
+    ///     !entry.rollouts().evidence().is_empty()
+    /// }
+    /// ```
+    #[must_use]
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.shared.rollouts
+    }
+
     /// Sends a request to a backend server that can serve it, and returns the response.
     ///
     /// # Errors
@@ -266,8 +284,16 @@
         routed.bulkhead.record_request();
         loop {
             self.refresh(&routed.bulkhead, routed.head.version, &routed.rule);
-            let Some(candidate) = search.next(&routed.bulkhead, self.now(), routed.head.depth)
-            else {
+            let view = self.shared.dependencies.view.borrow().clone();
+            let barred = self
+                .shared
+                .rollouts
+                .barred(&routed.rule.route.service, &view);
+            let (now, depth) = (self.now(), routed.head.depth);
+            let candidate = barred
+                .iter()
+                .find_map(|barred| search.next(&routed.bulkhead, now, depth, barred));
+            let Some(candidate) = candidate else {
                 break;
             };
             let result = self.attempt(routed, &candidate).await;
@@ -332,6 +358,11 @@
             choice,
             started_at,
         );
+        let counted = self.shared.rollouts.start_attempt(
+            &routed.rule.route.service,
+            &routed.rule.name,
+            &choice.id,
+        );
         let call = self
             .shared
             .dependencies
@@ -343,6 +374,7 @@
             () = self.shared.ending.cancelled() => None,
         };
         let result = result.unwrap_or_else(|| Err(retry::refused(Refusal::TimedOut, None)));
+        counted.finish(&result);
         let took = attempt.finish(&result);
         // An attempt that could not queue spent nearly all of its time running.
         if let (Some(took), false) = (took, candidate.may_queue) {
--- a/crates/crank-node/src/entry/conventions.rs
+++ b/crates/crank-node/src/entry/conventions.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crank_protocol::rollout::ExposureLimit;
 use crank_protocol::{HttpDialect, Name, Permille};
 
 /// The conventions of a platform at the entry; the default is the project's own platform.
@@ -13,6 +14,9 @@
     pub calling_service: Option<Name>,
     /// The limit on requests that reach backend servers more than once, if there is one.
     pub repeat_limit: Option<RepeatLimit>,
+    /// The bounds on the requests that an unproven release gets; `None` if the platform has no
+    /// roll-outs, so that a release that appears without an order is not held back.
+    pub exposure: Option<ExposureLimit>,
 }
 
 /// The limit that all nodes together keep on requests that reach a service's backend servers more
--- a/crates/crank-node/src/entry/search.rs
+++ b/crates/crank-node/src/entry/search.rs
@@ -29,16 +29,24 @@
     /// Returns the next target to try, if there is one.
     ///
     /// A node's view of the load elsewhere is out of date in a large fleet: asking a few targets
-    /// for a free slot finds one sooner than queueing at the one that appears best.
-    pub(super) fn next(&self, bulkhead: &Bulkhead, now: Moment, depth: u32) -> Option<Candidate> {
+    /// for a free slot finds one sooner than queueing at the one that appears best. The targets in
+    /// `barred` are left out.
+    pub(super) fn next(
+        &self,
+        bulkhead: &Bulkhead,
+        now: Moment,
+        depth: u32,
+        barred: &[Name],
+    ) -> Option<Candidate> {
         if depth == 0 && self.full.len() < MAX_FREE_SLOT_PROBES {
-            let asked = [self.tried.as_slice(), self.full.as_slice()].concat();
+            let asked = [self.tried.as_slice(), self.full.as_slice(), barred].concat();
             if let Some(choice) = bulkhead.choose_with_free_slot(now, &asked) {
                 let may_queue = false;
                 return Some(Candidate { choice, may_queue });
             }
         }
-        let choice = bulkhead.choose(now, &self.tried)?;
+        let excluded = [self.tried.as_slice(), barred].concat();
+        let choice = bulkhead.choose(now, &excluded)?;
         Some(Candidate {
             choice,
             may_queue: true,
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod publisher;
 pub mod recall;
+pub mod rollout;
 pub mod source;
 pub mod target;
 pub mod transport;
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -27,7 +27,7 @@
 use crate::source::RefusedConfig;
 use crate::target::{self, Target};
 use crate::transport::MeshTransport;
-use crate::{Error, follow, handover};
+use crate::{Error, follow, handover, rollout};
 
 const CALL_SOCKET_QUEUE: usize = 64;
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -133,6 +133,7 @@
             burn: burn.clone(),
             conventions: options.conventions,
         });
+        tokio::spawn(rollout::report(entry.rollouts().clone(), mesh.clone()));
         let uplink = SharedUplink::new(options.link_mbits);
         let call_connections = TaskTracker::new();
         let server = CallServer {
@@ -249,6 +250,28 @@
         self.refused_config.clone()
     }
 
+    /// Starts to take part in the decisions about roll-outs.
+    ///
+    /// ```
+    /// # use crank_node::node::Node;
+    /// # use crank_node::rollout::RolloutBoard;
+    /// # use crank_platform_client::Rows;
+    /// fn example<P: Rows, B: RolloutBoard>(node: &Node<P>, platform: P, board: B) {
+    ///     node.start_deciding(crank_protocol::Name::new("sutkent").unwrap(), platform, board);
+    /// }
+    /// ```
+    pub fn start_deciding<B: rollout::RolloutBoard>(&self, account: Name, platform: P, board: B) {
+        let deciding = rollout::DecidingNode {
+            account,
+            node: self.name.clone(),
+            clock: self.clock,
+            platform,
+            board,
+            mesh: self.mesh.clone(),
+        };
+        tokio::spawn(rollout::decide(deciding));
+    }
+
     /// Returns a token that is cancelled when the node closes its connections.
     pub(crate) fn closing(&self) -> CancellationToken {
         self.closing.clone()
--- a/crates/crank-node/src/source.rs
+++ b/crates/crank-node/src/source.rs
@@ -11,6 +11,7 @@
 use crank_mesh::{Handle, StoreCheck, StoreHead};
 use crank_protocol::Millis;
 use crank_protocol::config::{Config, Revision, Snapshot, Stamp, Version};
+use crank_protocol::rollout::{Phase, RolloutOrder};
 use crank_protocol::wire::Confirmation;
 use thiserror::Error as ThisError;
 use tokio::time::Instant;
@@ -51,6 +52,8 @@
     /// The newest configuration, if it has changed since the previous revision, or why this node
     /// cannot use it.
     pub config: Option<Result<AcceptedConfig, ConfigFault>>,
+    /// The orders to roll out a release that have changed since the previous revision.
+    pub rollouts: Vec<RolloutOrder>,
 }
 
 /// The reasons why a store gave no answer that can be used.
@@ -134,6 +137,7 @@
             Ok(update) => {
                 outage.end();
                 let has_changed = update.config.is_some();
+                offer_rollouts(&update, &mesh).await;
                 let update = usable_update(update, &refused);
                 position = Some(apply_update(update, position, started, &mesh).await);
                 if has_changed {
@@ -196,6 +200,7 @@
         match result {
             Ok(update) => {
                 outage.end();
+                offer_rollouts(&update, &mesh).await;
                 let update = usable_update(update, &refused);
                 log_check(&update, &mesh);
                 apply_update(update, known, started, &mesh).await;
@@ -209,6 +214,15 @@
     }
 }
 
+/// Tells the mesh of the orders in an update.
+async fn offer_rollouts(update: &SourceUpdate, mesh: &Handle) {
+    for order in &update.rollouts {
+        if let Err(error) = mesh.offer_rollout(order.clone(), Phase::Trial).await {
+            log::error!(error:% = error; "an order could not be told to the mesh");
+        }
+    }
+}
+
 /// An update without what this node cannot use.
 struct UsableUpdate {
     revision: Revision,
@@ -218,7 +232,9 @@
 
 /// Records whether the configuration of an update can be used.
 fn usable_update(update: SourceUpdate, refused: &RefusedConfig) -> UsableUpdate {
-    let SourceUpdate { revision, config } = update;
+    let SourceUpdate {
+        revision, config, ..
+    } = update;
     let (accepted, is_refused) = match config {
         None => (None, false),
         Some(Ok(accepted)) => {
--- a/crates/crank-platform-client/src/lib.rs
+++ b/crates/crank-platform-client/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod folder;
 pub mod head;
 pub mod lease;
+pub mod rollouts;
 pub mod verdict;
 
 mod error;
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -8,6 +8,7 @@
 use crate::call::{Load, Outcome, Refusal, RequestHead, ResponseHead};
 use crate::config::{Delta, Revision, Snapshot, Stamp, Version};
 use crate::member::Member;
+use crate::rollout::RolloutState;
 use crate::{Millis, Name, compact};
 
 /// The version of the protocol between nodes.
@@ -166,6 +167,8 @@
     },
     /// States what the store's newest configuration was a short time ago.
     Confirmed(Confirmation),
+    /// States how far the roll-out of a service has come.
+    Rollout(Box<RolloutState>),
 }
 
 /// States that a configuration was the newest in the store.
