--- /dev/null
+++ b/crates/crank-engine/tests/rollouts.rs
@@ -0,0 +1,439 @@
+//! Roll-outs: the verdict on replays of good and bad releases, the share, and the merged news.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use crank_engine::Moment;
+use crank_engine::rollout::{
+    Evidence, Finding, Ledger, Monitor, Newcomers, Releases, ShareBudget, completes_at,
+    latency_class, trial_servers, trial_share, trial_window,
+};
+use crank_protocol::config::Revision;
+use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
+use crank_protocol::rollout::{
+    self, ExposureLimit, Phase, RolloutOrder, RolloutState, Subject, Tally,
+};
+use crank_protocol::{Millis, Name, Permille};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const DURATION: Millis = Millis(14_000);
+const TICK: Millis = Millis(250);
+const SERVERS: usize = 20;
+/// The replays of each kind.
+const SEEDS: u64 = 300;
+/// How many of them may end with the wrong verdict.
+const MAX_ERRORS: usize = 3;
+/// A bad release must be found by this many bad answers plus five seconds.
+const BAD_ANSWERS: u32 = 50;
+const ROLLBACK: Millis = Millis(5_000);
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn order(revision: u64) -> RolloutOrder {
+    RolloutOrder {
+        service: name("vat"),
+        target: "v2".into(),
+        duration: DURATION,
+        revision: Revision(revision),
+    }
+}
+
+fn state(revision: u64, phase: Phase) -> RolloutState {
+    RolloutState {
+        order: order(revision),
+        phase,
+        age: Millis(0),
+    }
+}
+
+/// How the servers behave.
+#[derive(Debug, Clone, Copy)]
+struct Replay {
+    /// Requests a second for the service, on two routes.
+    rate: f64,
+    /// The share of bad answers of the new release.
+    bad: f64,
+    /// Whether they are slow instead of failures.
+    slow: bool,
+    /// Whether only the first route is bad.
+    one_route: bool,
+    /// When the release turns bad.
+    from: Millis,
+    /// The share of servers of both releases that fail, or are slow, for reasons of their own.
+    grey: f64,
+    grey_slow: bool,
+    /// The share of lost answers, on all servers.
+    lossy: f64,
+}
+
+const GOOD: Replay = Replay {
+    rate: 500.0,
+    bad: 0.0,
+    slow: false,
+    one_route: false,
+    from: Millis(0),
+    grey: 0.0,
+    grey_slow: false,
+    lossy: 0.0,
+};
+
+/// How a replay ended.
+#[derive(Debug)]
+struct End {
+    found_at: Option<Millis>,
+    fiftieth_bad_at: Option<Millis>,
+    trusted: bool,
+}
+
+/// Sends the requests of a trial, and tests the answers every tick.
+fn replay(replay: Replay, seed: u64) -> End {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let servers: Vec<Name> = (0..SERVERS).map(|n| name(&format!("n{n}"))).collect();
+    let grey_new: Vec<bool> = servers
+        .iter()
+        .map(|_| rng.random_bool(replay.grey))
+        .collect();
+    let mut tallies: BTreeMap<Subject, Tally> = BTreeMap::new();
+    let mut monitor = Monitor::default();
+    let mut bad_answers = 0;
+    let mut end = End {
+        found_at: None,
+        fiftieth_bad_at: None,
+        trusted: false,
+    };
+    let mut age = Millis(1_000);
+    while age < completes_at(DURATION) {
+        let share = trial_share(age, DURATION, ExposureLimit::default(), SERVERS);
+        let window = trial_window(&servers, trial_servers(share, SERVERS), age);
+        for _ in 0..(replay.rate * TICK.0 as f64 / 1_000.0) as usize {
+            let route = rng.random_range(0..2);
+            let is_new = rng.random_bool(f64::from(share.0) / 1_000.0);
+            let server = is_new.then(|| window[rng.random_range(0..window.len())]);
+            let is_grey = match server {
+                Some(server) => grey_new[servers.iter().position(|one| one == server).unwrap()],
+                None => rng.random_bool(replay.grey),
+            };
+            let is_bad = is_new
+                && age >= replay.from
+                && (route == 0 || !replay.one_route)
+                && rng.random_bool(replay.bad);
+            let is_ill = is_grey && rng.random_bool(0.4);
+            let fails = (is_bad && !replay.slow)
+                || (is_ill && !replay.grey_slow)
+                || rng.random_bool(replay.lossy);
+            let is_slow = (is_bad && replay.slow) || (is_grey && replay.grey_slow);
+            let work = 60_000.0 * (0.7 + 0.9 * rng.random::<f64>());
+            let micros = (work * if is_slow { 6.0 } else { 1.0 }) as u64;
+            count(&mut tallies, route, server, fails, micros);
+            bad_answers += u32::from(is_bad);
+        }
+        if bad_answers >= BAD_ANSWERS && end.fiftieth_bad_at.is_none() {
+            end.fiftieth_bad_at = Some(age);
+        }
+        monitor.update(Moment(age.0 * 1_000), &tallies);
+        if monitor.finding() == Finding::Bad {
+            end.found_at = Some(age);
+            return end;
+        }
+        age = Millis(age.0 + TICK.0);
+    }
+    end.trusted = monitor.finding() == Finding::Clear;
+    end
+}
+
+fn count(
+    tallies: &mut BTreeMap<Subject, Tally>,
+    route: usize,
+    server: Option<&Name>,
+    fails: bool,
+    micros: u64,
+) {
+    let subject = Subject {
+        route: name(&format!("r{route}")),
+        server: server.cloned(),
+    };
+    let tally = tallies.entry(subject.clone()).or_insert(Tally {
+        subject,
+        answered: 0,
+        failed: 0,
+        latencies: vec![0; 32],
+    });
+    if fails {
+        tally.failed += 1;
+    } else {
+        tally.answered += 1;
+        tally.latencies[latency_class(micros)] += 1;
+    }
+}
+
+fn wrong_verdicts(kind: Replay) -> usize {
+    let ends = (0..SEEDS).map(|seed| replay(kind, seed));
+    ends.filter(|end| end.found_at.is_some()).count()
+}
+
+/// Asserts that a bad release is nearly always found, and in time.
+fn assert_found(kind: Replay) {
+    let ends: Vec<End> = (0..SEEDS).map(|seed| replay(kind, seed)).collect();
+    let missed = ends.iter().filter(|end| end.trusted).count();
+    let late = ends.iter().filter(|end| match end.fiftieth_bad_at {
+        Some(at) => end.found_at.is_none_or(|found| found.0 > at.0 + ROLLBACK.0),
+        None => false,
+    });
+    let late = late.count();
+    assert!(
+        missed <= MAX_ERRORS,
+        "{missed} of {SEEDS} trusted: {kind:?}"
+    );
+    assert!(late <= MAX_ERRORS, "{late} of {SEEDS} found late: {kind:?}");
+}
+
+#[test]
+fn a_good_release_is_not_blamed() {
+    for rate in [100.0, 500.0, 2_000.0] {
+        let wrong = wrong_verdicts(Replay { rate, ..GOOD });
+        assert!(
+            wrong <= MAX_ERRORS,
+            "{wrong} of {SEEDS} at {rate} requests a second"
+        );
+    }
+}
+
+#[test]
+fn ill_servers_of_either_release_do_not_make_it_bad() {
+    for grey_slow in [false, true] {
+        let kind = Replay {
+            grey: 0.15,
+            grey_slow,
+            ..GOOD
+        };
+        let wrong = wrong_verdicts(kind);
+        assert!(wrong <= MAX_ERRORS, "{wrong} of {SEEDS}: {kind:?}");
+    }
+}
+
+#[test]
+fn losses_on_the_links_do_not_make_it_bad() {
+    let wrong = wrong_verdicts(Replay { lossy: 0.1, ..GOOD });
+    assert!(wrong <= MAX_ERRORS, "{wrong} of {SEEDS}");
+}
+
+#[test]
+fn a_release_with_a_third_of_failures_is_found() {
+    for rate in [300.0, 1_000.0] {
+        assert_found(Replay {
+            rate,
+            bad: 0.33,
+            ..GOOD
+        });
+    }
+}
+
+#[test]
+fn a_slow_release_is_found() {
+    assert_found(Replay {
+        bad: 0.33,
+        slow: true,
+        ..GOOD
+    });
+    assert_found(Replay {
+        bad: 1.0,
+        slow: true,
+        ..GOOD
+    });
+}
+
+#[test]
+fn a_release_that_is_bad_on_one_route_is_found() {
+    assert_found(Replay {
+        bad: 0.33,
+        one_route: true,
+        ..GOOD
+    });
+}
+
+#[test]
+fn a_release_that_turns_bad_late_is_found() {
+    let from = Millis(5_000);
+    assert_found(Replay {
+        bad: 0.33,
+        from,
+        ..GOOD
+    });
+}
+
+#[test]
+fn a_bad_release_among_ill_servers_is_found() {
+    assert_found(Replay {
+        bad: 0.4,
+        grey: 0.15,
+        ..GOOD
+    });
+}
+
+#[test]
+fn the_share_holds_over_all_nodes_without_coordination() {
+    let limit = ExposureLimit::default();
+    let (nodes, requests) = (76, 120);
+    let mut exposed = 0;
+    for node in 0..nodes {
+        let mut budget = ShareBudget::new(node * 7_919);
+        for request in 0..requests {
+            let age = Millis(DURATION.0 * request / requests);
+            if budget.allows() {
+                budget.spend();
+                exposed += 1;
+            }
+            budget.earn(trial_share(age, DURATION, limit, SERVERS));
+        }
+    }
+    let total = nodes * requests;
+    assert!(exposed > total * 3 / 100, "{exposed} of {total}");
+    assert!(exposed < total / 10, "{exposed} of {total}");
+}
+
+#[test]
+fn after_the_deadline_the_share_is_nothing() {
+    let limit = ExposureLimit::default();
+    assert_eq!(trial_share(DURATION, DURATION, limit, SERVERS), Permille(0));
+}
+
+#[test]
+fn a_trial_server_gets_no_more_than_an_old_one() {
+    for old in 1..80 {
+        for age in [0, 9_000] {
+            let limit = ExposureLimit::default();
+            let share = trial_share(Millis(age), DURATION, limit, old);
+            let servers = trial_servers(share, old);
+            assert!(
+                share.0 as usize * old <= servers * 1_000,
+                "{old} old servers"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_verdict_stays_whatever_arrives_later() {
+    let mut ledger = Ledger::default();
+    assert!(ledger.merge(state(7, Phase::RolledBack), Moment(0)));
+    assert!(!ledger.merge(state(7, Phase::Trial), Moment(1)));
+    assert!(!ledger.merge(state(6, Phase::Completed), Moment(2)));
+    assert!(
+        ledger.merge(state(8, Phase::Trial), Moment(3)),
+        "a later order counts"
+    );
+}
+
+#[test]
+fn a_repeated_order_keeps_its_time() {
+    let mut ledger = Ledger::default();
+    let later = Moment(0).after(Millis(4_000));
+    ledger.merge(state(7, Phase::Trial), Moment(0));
+    ledger.merge(state(8, Phase::Trial), later);
+    let known = ledger.rollouts().next().unwrap();
+    assert_eq!(known.ordered_at, Moment(0));
+}
+
+#[test]
+fn an_order_known_through_others_keeps_its_age() {
+    let mut ledger = Ledger::default();
+    let now = Moment(0).after(Millis(9_000));
+    let age = Millis(3_000);
+    ledger.merge(
+        RolloutState {
+            age,
+            ..state(7, Phase::Trial)
+        },
+        now,
+    );
+    assert_eq!(ledger.states(now.after(Millis(500)))[0].age, Millis(3_500));
+}
+
+fn evidence(process: u64, failed: u32, phase: Phase, in_flight: u32) -> rollout::Evidence {
+    let subject = Subject {
+        route: name("r0"),
+        server: Some(name("n1")),
+    };
+    rollout::Evidence {
+        service: name("vat"),
+        order: Revision(7),
+        process,
+        phase,
+        in_flight,
+        tallies: vec![Tally {
+            subject,
+            answered: 0,
+            failed,
+            latencies: Vec::new(),
+        }],
+    }
+}
+
+#[test]
+fn repeated_and_late_messages_count_once_and_a_restart_adds() {
+    let mut merged = Evidence::default();
+    for (process, failed) in [(1, 5), (1, 5), (1, 3), (2, 4)] {
+        merged.merge(&name("n9"), evidence(process, failed, Phase::Trial, 0));
+    }
+    let failed: u32 = merged.totals().values().map(|tally| tally.failed).sum();
+    assert_eq!(failed, 9);
+}
+
+#[test]
+fn a_node_has_moved_once_its_last_request_at_an_old_server_ended() {
+    let mut merged = Evidence::default();
+    let node = name("n9");
+    merged.merge(&node, evidence(1, 0, Phase::Trial, 0));
+    assert!(!merged.has_moved(&node, Phase::Completed));
+    merged.merge(&node, evidence(1, 0, Phase::Completed, 2));
+    assert!(!merged.has_moved(&node, Phase::Completed));
+    merged.merge(&node, evidence(1, 0, Phase::Completed, 0));
+    merged.merge(&node, evidence(1, 0, Phase::Trial, 3));
+    assert!(merged.has_moved(&node, Phase::Completed));
+}
+
+fn member(id: &str, release: &str) -> Member {
+    let place = Place {
+        region: name("almaty"),
+        data_centre: name("almaty-a"),
+    };
+    Member {
+        id: name(id),
+        place,
+        address: ([127, 0, 0, 1], 9).into(),
+        incarnation: 1,
+        link: 0,
+        state: State::Alive,
+        endpoint: Some(Endpoint {
+            service: name("vat"),
+            stage: Stage::Ready,
+            slots: 9,
+            release: Some(release.into()),
+        }),
+    }
+}
+
+#[test]
+fn members_are_sorted_by_release() {
+    let members = [member("a", "v1"), member("b", "v2"), member("c", "v1")];
+    let releases = Releases::new(&order(7), &members);
+    assert_eq!(releases.old, [name("a"), name("c")]);
+    assert_eq!(releases.new, [name("b")]);
+}
+
+#[test]
+fn a_release_that_appears_without_an_order_is_held_for_a_while() {
+    let mut newcomers = Newcomers::default();
+    let old = member("a", "v1");
+    let new = member("b", "v2");
+    let at = |millis| Moment(0).after(Millis(millis));
+    newcomers.update(at(1_000), &name("vat"), [&old]);
+    newcomers.update(at(9_000), &name("vat"), [&old, &new]);
+    assert_eq!(newcomers.held(), [name("b")]);
+    newcomers.update(at(12_500), &name("vat"), [&old, &new]);
+    assert!(newcomers.held().is_empty());
+}
