--- a/crates/crank-engine/src/rollout/monitor.rs
+++ b/crates/crank-engine/src/rollout/monitor.rs
@@ -20,7 +20,7 @@
 /// From this part of the threshold on, a release is not trusted yet.
 const SUSPICION: f64 = THRESHOLD / 3.0;
 /// How many servers must add evidence against the release, if it has that many.
-const MIN_SERVERS: usize = 3;
+const MIN_SERVERS: usize = 4;
 /// The time in which a server may again add its part of the threshold.
 const ALLOWANCE_TIME: Millis = Millis(3_000);
 /// The time in which an answer of the old release loses half of its weight.
@@ -59,7 +59,7 @@
 /// ```
 /// use crank_engine::{Moment, rollout::{Finding, Monitor}};
 /// let mut monitor = Monitor::default();
-/// monitor.update(Moment(0), &Default::default());
+/// monitor.update(Moment(0), 3, &Default::default());
 /// assert_eq!(monitor.finding(), Finding::Unknown);
 /// ```
 #[derive(Debug, Clone, Default)]
@@ -108,17 +108,15 @@
 
 impl Monitor {
     /// Takes in what was counted since the last update.
-    pub fn update(&mut self, now: Moment, totals: &BTreeMap<Subject, Tally>) {
+    ///
+    /// `servers` is the number of servers of the new release.
+    pub fn update(&mut self, now: Moment, servers: usize, totals: &BTreeMap<Subject, Tally>) {
         let fade = fade(now.since(self.updated_at));
         self.updated_at = now;
         for route in self.routes.values_mut() {
             route.old.fade(fade);
         }
-        let servers: std::collections::BTreeSet<&Name> = totals
-            .keys()
-            .filter_map(|subject| subject.server.as_ref())
-            .collect();
-        let parts = servers.len().clamp(1, MIN_SERVERS) as f64;
+        let parts = servers.clamp(1, MIN_SERVERS) as f64;
         // The old release's answers first, so that the new one is compared with the latest.
         let (old, new): (Vec<_>, Vec<_>) = totals
             .iter()
--- a/crates/crank-engine/tests/rollouts.rs
+++ b/crates/crank-engine/tests/rollouts.rs
@@ -134,7 +134,7 @@
         if bad_answers >= BAD_ANSWERS && end.fiftieth_bad_at.is_none() {
             end.fiftieth_bad_at = Some(age);
         }
-        monitor.update(Moment(age.0 * 1_000), &tallies);
+        monitor.update(Moment(age.0 * 1_000), SERVERS, &tallies);
         if monitor.finding() == Finding::Bad {
             end.found_at = Some(age);
             return end;
--- a/crates/crank-node/src/rollout/decide.rs
+++ b/crates/crank-node/src/rollout/decide.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use crank_engine::Moment;
-use crank_engine::rollout::{self, Finding, MOVE_TIME, Monitor, completes_at, is_settled};
+use crank_engine::rollout::{
+    self, Finding, MOVE_TIME, Monitor, Releases, completes_at, is_settled,
+};
 use crank_mesh::{Handle, ReceivedMessage, Rollout, View};
 use crank_platform_client::rollouts::{self as rows, Decision};
 use crank_platform_client::{Error as StoreError, Rows};
@@ -144,7 +146,8 @@
             self.conclude(rollout, case, rank as u64, &view, now).await;
             return;
         }
-        case.monitor.update(now, &case.evidence.totals());
+        let servers = Releases::new(&rollout.order, view.members()).new.len();
+        case.monitor.update(now, servers, &case.evidence.totals());
         log_finding(rollout, case);
         let age = Millis::from(rollout.ordered_at.elapsed());
         let verdict = verdict(case.monitor.finding(), age, rollout.order.duration);
