--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -18,6 +18,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::rollout::{RolloutCollector, Rollouts};
 use crate::source::RefusedConfig;
 
 /// The outcome of a request as reported to its caller.
@@ -178,6 +179,20 @@
             .register_collector(Box::new(RefusedConfigCollector(refused)));
     }
 
+    /// Registers the metrics of roll-outs, which appear with the first order.
+    ///
+    /// ```
+    /// use crank_node::{clock::Clock, metrics::Metrics, rollout::Rollouts};
+    /// let metrics = Metrics::new();
+    /// metrics.add_rollouts(Rollouts::new(Clock::new(), None));
+    /// assert!(!metrics.encode().contains("crank_rollout"));
+    /// ```
+    pub fn add_rollouts(&self, rollouts: Rollouts) {
+        self.registry
+            .lock()
+            .register_collector(Box::new(RolloutCollector(rollouts)));
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     ///
     /// ```
--- a/crates/crank-node/src/rollout.rs
+++ b/crates/crank-node/src/rollout.rs
@@ -1,6 +1,7 @@
 //! Roll-outs on a node: which servers its entry may choose, what it counts, and the verdict.
 
 mod account;
+mod collector;
 mod decide;
 mod report;
 
@@ -8,6 +9,7 @@
 use crank_protocol::rollout::RolloutReport;
 
 pub use account::{Attempt, Rollouts};
+pub(crate) use collector::RolloutCollector;
 pub use decide::{DecidingNode, decide};
 pub use report::report;
 
--- a/crates/crank-node/src/rollout/account.rs
+++ b/crates/crank-node/src/rollout/account.rs
@@ -18,7 +18,7 @@
 use crate::clock::Clock;
 
 /// A server is slow at its start: its latencies count from this time after it appeared.
-const COLD_TIME: Millis = Millis(4_000);
+const COLD_TIME: Millis = Millis(3_000);
 /// How long after the deadline of a completed roll-out servers of other releases get no requests.
 const BARRED_TIME: Millis = Millis(60_000);
 const MIN_SERVER_ERROR_STATUS: u16 = 500;
