Let an idle link take a large response, whatever is expected of it

The expectation comes from the last successful responses; once every request was refused before it ran, none could correct it.

Now a link that has nothing booked and nothing to send takes one, and the rest still go by the expectation and are told when to come back.

--- a/crates/crank-engine/src/uplink.rs
+++ b/crates/crank-engine/src/uplink.rs
@@ -5,6 +5,10 @@
 //! backend servers make, miss their deadlines; the callers of these servers then fail as well.
 //! Here small responses go at once, the parts of large ones take turns in what these leave, and a
 //! large one that could not end in time is refused before its request runs.
+//!
+//! Load pattern: a route whose responses were too large for the link once. What is expected of a
+//! response comes from those before it; if all of them were refused, nothing would ever correct an
+//! expectation that no longer holds. So an idle link takes one, whatever is expected of it.
 
 use crank_protocol::Millis;
 use serde::{Deserialize, Serialize};
@@ -97,7 +101,8 @@
         turn
     }
 
-    /// Books a large response, if it can be sent by `latest` along with those booked before.
+    /// Books a large response, if it can be sent by `latest` along with those booked before, or if
+    /// the link is idle.
     ///
     /// Booked bytes stay booked until [`Uplink::release`].
     ///
@@ -108,13 +113,14 @@
     /// # use crank_engine::{Moment, uplink::Uplink};
     /// # use crank_protocol::Millis;
     /// let mut uplink = Uplink::new(8);
-    /// assert_eq!(uplink.book(Moment(0), 850_000, Moment(400_000)), Err(Millis(1_350)));
+    /// assert_eq!(uplink.book(Moment(0), 850_000, Moment(400_000)), Ok(()));
+    /// assert_eq!(uplink.book(Moment(0), 850_000, Moment(400_000)), Err(Millis(3_100)));
     /// ```
     pub fn book(&mut self, now: Moment, bytes: u64, latest: Moment) -> Result<(), Millis> {
         let waiting = self.booked_bytes.saturating_add(bytes);
         let sending = self.micros(waiting).saturating_mul(SHARING_PERCENT) / PERCENT;
         let end = Moment(self.free_at.max(now).0.saturating_add(sending));
-        if end > latest {
+        if end > latest && !self.is_idle(now) {
             return Err(Millis(
                 end.0.saturating_sub(latest.0).div_ceil(MICROS_PER_MILLI),
             ));
@@ -123,6 +129,10 @@
         Ok(())
     }
 
+    fn is_idle(&self, now: Moment) -> bool {
+        self.booked_bytes == 0 && self.free_at <= now
+    }
+
     /// Books bytes of a response that runs already, or is larger than expected.
     ///
     /// ```
--- a/crates/crank-engine/tests/uplink.rs
+++ b/crates/crank-engine/tests/uplink.rs
@@ -162,3 +162,27 @@
         }
     }
 }
+
+// Guards against a route that is refused for ever: its responses were too large for their target
+// once, and no later one is sent that could show otherwise.
+#[test]
+fn an_idle_link_takes_a_response_that_is_expected_to_be_too_large() {
+    let (now, latest) = (Moment(SECOND), Moment(2 * SECOND));
+    for link_mbits in [7, 20, 140] {
+        let mut uplink = Uplink::new(link_mbits);
+        for expected in [200_000, 16 << 20, 1 << 40] {
+            uplink.book(now, expected, latest).unwrap();
+            let waits = uplink.book(now, 16 << 20, latest).unwrap_err();
+            assert!(
+                waits > Millis(0),
+                "beside it, another one is told when to come back"
+            );
+            uplink.release(expected);
+        }
+        uplink.send_now(now, 16 << 20);
+        assert!(
+            uplink.book(now, 16 << 20, latest).is_err(),
+            "a busy link does not take it"
+        );
+    }
+}
