Calls of safe requests that were sent ahead start before their turn

What callers saw: requests that are sent on one connection before the first answer ran one after the other, while their time limits ran. Cause: hyper reads a request only after the previous answer is written. Change: a stream between socket and hyper reads ahead and starts the calls of GET and HEAD requests whose routes are idempotent; the service takes a started call over if hyper reads the very same request in its turn. hyper alone decides framing and order. A caller that leaves is now seen also while bytes of a further request wait.

--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -8,17 +8,17 @@
 
 use crank_protocol::HttpDialect;
 use crank_stream::FairStream;
-use http::header::{CONNECTION, HeaderMap, HeaderValue};
+use http::HeaderMap;
 use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
+use hyper_util::rt::TokioTimer;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use warp::Filter;
 
+use crate::ahead::{self, AheadServer};
 use crate::{Error, Gateway, reply, request};
 
 const MAX_CONNECTIONS: usize = 4_096;
@@ -37,6 +37,7 @@
     address: SocketAddr,
     dialect: Arc<HttpDialect>,
     close_delay: Duration,
+    max_requests_ahead: usize,
 }
 
 impl Edge {
@@ -64,6 +65,7 @@
             address,
             dialect: Arc::default(),
             close_delay: DEFAULT_CLOSE_DELAY,
+            max_requests_ahead: 0,
         })
     }
 
@@ -97,6 +99,23 @@
         }
     }
 
+    /// Sets how many requests that were sent ahead on a connection may run before their turn; none
+    /// by default. Only requests that the gateway allows to start ahead do.
+    ///
+    /// ```
+    /// # use crank_caller::{Edge, MAX_REQUESTS_AHEAD};
+    /// fn with_requests_ahead(edge: Edge) -> Edge {
+    ///     edge.with_requests_ahead(MAX_REQUESTS_AHEAD)
+    /// }
+    /// ```
+    #[must_use]
+    pub fn with_requests_ahead(self, max_requests_ahead: usize) -> Self {
+        Self {
+            max_requests_ahead,
+            ..self
+        }
+    }
+
     /// Returns the address that callers connect to.
     ///
     /// ```
@@ -125,16 +144,23 @@
         let is_leaving = Arc::new(AtomicBool::new(false));
         let connections = Connections {
             permits: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
-            shutdown: GracefulShutdown::new(),
+            closing: CancellationToken::new(),
+            tasks: TaskTracker::new(),
         };
-        let service = warp::service(filter(gateway, self.dialect, is_leaving.clone()));
-        let accept = connections.accept_all(&self.listener, service);
+        let service = warp::service(filter(gateway.clone(), self.dialect));
+        let server = AheadServer::new(
+            service,
+            gateway,
+            self.max_requests_ahead,
+            is_leaving.clone(),
+        );
+        let accept = connections.accept_all(&self.listener, server);
         tokio::select! {
             () = accept => {}
             () = wait_for_close(&leaving, &is_leaving, self.close_delay) => {}
         }
         drop(self.listener);
-        connections.shutdown.shutdown().await;
+        connections.close().await;
     }
 }
 
@@ -154,37 +180,40 @@
 
 struct Connections {
     permits: Arc<Semaphore>,
-    shutdown: GracefulShutdown,
+    /// Cancelled when connections close as soon as they have answered what was started.
+    closing: CancellationToken,
+    tasks: TaskTracker,
 }
 
 impl Connections {
-    async fn accept_all<S>(&self, listener: &TcpListener, service: S)
+    async fn accept_all<S, G>(&self, listener: &TcpListener, server: AheadServer<S, G>)
     where
-        S: tower_service::Service<
-                http::Request<hyper::body::Incoming>,
-                Response = warp::reply::Response,
-                Error = Infallible,
-            > + Clone
-            + Send
-            + 'static,
-        S::Future: Send,
+        S: ahead::Service,
+        G: Gateway,
     {
         while let Ok(permit) = self.permits.clone().acquire_owned().await {
-            let stream = accept(listener).await;
-            let service = TowerToHyperService::new(service.clone());
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEADER_READ_TIMEOUT)
-                .serve_connection(TokioIo::new(FairStream::new(stream)), service);
-            let connection = self.shutdown.watch(connection);
-            tokio::spawn(async move {
-                if let Err(error) = connection.await {
+            let stream = FairStream::new(accept(listener).await);
+            let server = server.clone();
+            let closing = self.closing.clone();
+            self.tasks.spawn(async move {
+                let mut builder = http1::Builder::new();
+                builder
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(HEADER_READ_TIMEOUT);
+                if let Err(error) = server.serve(&builder, stream, closing).await {
                     log::debug!(error:% = error; "caller connection closed");
                 }
                 drop(permit);
             });
         }
     }
+
+    /// Closes all connections and waits for their ends.
+    async fn close(self) {
+        self.closing.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
 }
 
 async fn accept(listener: &TcpListener) -> TcpStream {
@@ -205,7 +234,6 @@
 fn filter<G: Gateway>(
     gateway: G,
     dialect: Arc<HttpDialect>,
-    is_leaving: Arc<AtomicBool>,
 ) -> impl Filter<Extract = (warp::reply::Response,), Error = Infallible> + Clone {
     let body_budget = request::BodyBudget::new();
     let fallback_dialect = dialect.clone();
@@ -221,7 +249,6 @@
         .then(
             move |method, path: warp::path::FullPath, query, headers, body| {
                 let gateway = gateway.clone();
-                let is_leaving = is_leaving.clone();
                 let dialect = dialect.clone();
                 let body_budget = body_budget.clone();
                 async move {
@@ -232,12 +259,7 @@
                         headers,
                         body,
                     };
-                    let mut response = answer(&gateway, &body_budget, &dialect, incoming).await;
-                    if is_leaving.load(Ordering::Relaxed) {
-                        let close = HeaderValue::from_static("close");
-                        response.headers_mut().insert(CONNECTION, close);
-                    }
-                    response
+                    answer(&gateway, &body_budget, &dialect, incoming).await
                 }
             },
         )
--- a/crates/crank-caller/src/request.rs
+++ b/crates/crank-caller/src/request.rs
@@ -8,7 +8,7 @@
 use crank_protocol::call::{Header, Outcome, Refusal, RefusedRequest, Request};
 use crank_protocol::config::Method;
 use futures::{Stream, StreamExt};
-use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
@@ -93,7 +93,7 @@
     }
     let read = timeout(BODY_READ_TIMEOUT, read_body(body, budget));
     let (body, permit) = read.await.map_err(|_| InvalidRequest::Body)??;
-    let host = parse_host(&headers);
+    let host = parse_host(headers.get(HOST));
     let headers = forwarded_headers(&headers);
     let request = Request {
         method,
@@ -127,8 +127,8 @@
 }
 
 /// Returns the host in lower case and without the port, the form in which routes state hosts.
-fn parse_host(headers: &HeaderMap) -> Arc<str> {
-    let text = headers.get(HOST).and_then(|value| value.to_str().ok());
+pub(crate) fn parse_host(header: Option<&HeaderValue>) -> Arc<str> {
+    let text = header.and_then(|value| value.to_str().ok());
     let text = text.unwrap_or_default();
     let name = match text.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -22,7 +22,7 @@
 use crank_engine::{Moment, burn, retry};
 use crank_mesh::View;
 use crank_protocol::call::{Outcome, Refusal, RefusedRequest, Request, RequestHead, Response};
-use crank_protocol::config::{Snapshot, Version};
+use crank_protocol::config::{Method, Snapshot, Version};
 use crank_protocol::member::{Place, Stage};
 use crank_protocol::{Millis, Name};
 use parking_lot::Mutex;
@@ -120,6 +120,15 @@
     async fn call(&self, request: Request) -> Result<Response, RefusedRequest> {
         Self::call(self, request).await
     }
+
+    fn may_start_ahead(&self, method: Method, host: &str, path: &str) -> bool {
+        // The services that a route is split to share its `idempotent`: any draw will do.
+        let is_idempotent = |table: Arc<RoutingTable>| {
+            let route = table.find_for_host(host, method, path, 0);
+            route.is_ok_and(|route| route.route.idempotent)
+        };
+        self.table().is_ok_and(is_idempotent)
+    }
 }
 
 impl<T: Transport> EntryProxy<T> {
--- a/crates/crank-node/src/gateway.rs
+++ b/crates/crank-node/src/gateway.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crank_caller::Gateway;
+use crank_caller::{AheadEvent, Gateway};
 use crank_protocol::call::{Outcome, RefusedRequest, Request, Response};
+use crank_protocol::config::Method;
 
 use crate::entry::{EntryProxy, Transport};
 use crate::metrics::{Metrics, RequestOutcome};
@@ -59,4 +60,12 @@
         }
         result
     }
+
+    fn may_start_ahead(&self, method: Method, host: &str, path: &str) -> bool {
+        Gateway::may_start_ahead(&self.entry, method, host, path)
+    }
+
+    fn count_ahead(&self, event: AheadEvent) {
+        self.metrics.count_ahead(event);
+    }
 }
--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use crank_caller::AheadEvent;
 use crank_mesh::{Direction, Handle, Reach, TrafficKind};
 use crank_protocol::call::Refusal;
 use crank_protocol::member::State;
@@ -50,6 +51,11 @@
     outcome: RequestOutcome,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AheadLabels {
+    event: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RefusalLabels {
     refusal: &'static str,
@@ -69,6 +75,7 @@
     registry: Mutex<Registry>,
     requests: Family<OutcomeLabels, Counter>,
     refusals: Family<RefusalLabels, Counter>,
+    requests_ahead: Family<AheadLabels, Counter>,
     durations: Family<OutcomeLabels, Histogram>,
 }
 
@@ -99,6 +106,9 @@
         let refusals = Family::<RefusalLabels, Counter>::default();
         let help = "Callers' requests that got no answer of a backend server, by why";
         registry.register("refusals", help, refusals.clone());
+        let requests_ahead = Family::<AheadLabels, Counter>::default();
+        let help = "Requests sent ahead on their connection whose calls started before their turn";
+        registry.register("requests_ahead", help, requests_ahead.clone());
         let durations = Family::<OutcomeLabels, Histogram>::new_with_constructor(latency_histogram);
         let help = "From a request's arrival to the start of its answer";
         registry.register_with_unit("request", help, Unit::Seconds, durations.clone());
@@ -106,6 +116,7 @@
             registry: Mutex::new(registry),
             requests,
             refusals,
+            requests_ahead,
             durations,
         }
     }
@@ -136,6 +147,25 @@
             .inc();
     }
 
+    /// Counts what became of a request that was sent ahead on its connection.
+    ///
+    /// ```
+    /// # use crank_node::metrics::Metrics;
+    /// let metrics = Metrics::new();
+    /// metrics.count_ahead(crank_caller::AheadEvent::Started);
+    /// assert!(metrics.encode().contains("crank_requests_ahead_total{event=\"started\"} 1"));
+    /// ```
+    pub fn count_ahead(&self, event: AheadEvent) {
+        let event = match event {
+            AheadEvent::Started => "started",
+            AheadEvent::TakenOver => "taken-over",
+            AheadEvent::Cancelled => "cancelled",
+        };
+        self.requests_ahead
+            .get_or_create(&AheadLabels { event })
+            .inc();
+    }
+
     /// Records the time from a request's arrival to the start of its response.
     ///
     /// ```
