A request without a path is refused instead of ending its connection's task

What callers saw: CONNECT a:80 closed the connection without an answer, and the process logged a panic of warp's path filter (found by drawn requests). Change: a target without a path counts as /, so the method is refused with 405. The new test failed before (no answer).

--- a/crates/crank-caller/src/ahead/service.rs
+++ b/crates/crank-caller/src/ahead/service.rs
@@ -15,7 +15,7 @@
 use super::exchange::Exchange;
 use super::start::Starter;
 use super::target::Target;
-use crate::Gateway;
+use crate::{Gateway, request};
 
 /// The service of one connection.
 pub(crate) struct AheadService<S, G> {
@@ -35,6 +35,7 @@
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, JoinError>> + Send>>;
 
     fn call(&self, request: Request<Incoming>) -> Self::Future {
+        let request = request::with_path(request);
         let (early, guard) = self.exchange.begin(Target::new(&request));
         let early = early.filter(|early| request.body().is_end_stream() && early.is_for(&request));
         let starter = self.starter.clone();
--- a/crates/crank-caller/src/request.rs
+++ b/crates/crank-caller/src/request.rs
@@ -8,6 +8,7 @@
 use crank_protocol::call::{Header, Outcome, Refusal, RefusedRequest, Request};
 use crank_protocol::config::Method;
 use futures::{Stream, StreamExt};
+use http::Uri;
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
@@ -63,6 +64,15 @@
     }
 }
 
+/// Gives a request whose target has no path, as that of `CONNECT`, the path `/`: warp's filters
+/// panic without one.
+pub(crate) fn with_path<B>(mut request: http::Request<B>) -> http::Request<B> {
+    if request.uri().path_and_query().is_none() {
+        *request.uri_mut() = Uri::default();
+    }
+    request
+}
+
 pub(crate) fn parse_method(method: &http::Method) -> Result<Method, InvalidRequest> {
     match method.as_str() {
         "GET" => Ok(Method::Get),
--- a/crates/crank-caller/tests/responses_to_callers.rs
+++ b/crates/crank-caller/tests/responses_to_callers.rs
@@ -270,6 +270,15 @@
     assert!(was_dropped.is_ok());
 }
 
+// A request without a path made the connection's task panic: its caller got no answer.
+#[tokio::test]
+async fn a_request_without_a_path_is_refused_by_its_method() {
+    let edge = RunningEdge::start().await;
+    let request = b"CONNECT a:80 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    let response = edge.send_raw(request).await;
+    assert!(response.starts_with("HTTP/1.1 405 "), "{response}");
+}
+
 #[tokio::test]
 async fn a_leaving_edge_completes_the_responses_in_flight() {
     let edge = RunningEdge::start().await;
