--- a/crates/crank-caller/src/reply.rs
+++ b/crates/crank-caller/src/reply.rs
@@ -11,7 +11,9 @@
 use crank_protocol::config::Method;
 use crank_protocol::{HttpDialect, Millis};
 use futures::Stream;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use http::header::{
+    CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
+};
 use http::{Response as HttpResponse, StatusCode};
 use serde::Serialize;
 use thiserror::Error as ThisError;
@@ -75,6 +77,12 @@
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     headers.insert(OUTCOME_HEADER, outcome_value(refused.outcome));
     headers.insert(REFUSAL_HEADER, HeaderValue::from_static(refusal));
+    if status == StatusCode::UNAUTHORIZED
+        && let Some(scheme) = dialect.key_scheme.as_deref()
+        && let Ok(challenge) = HeaderValue::try_from(scheme)
+    {
+        headers.insert(WWW_AUTHENTICATE, challenge);
+    }
     if let Some(wait) = retry_after {
         headers.insert(RETRY_AFTER, retry_after_value(wait, dialect));
     }
@@ -94,7 +102,9 @@
 
 fn retry_after_of(refusal: &Refusal) -> Option<Millis> {
     match refusal {
-        Refusal::Overloaded { retry_after } => Some(*retry_after),
+        Refusal::Overloaded { retry_after } | Refusal::OverRate { retry_after } => {
+            Some(*retry_after)
+        }
         Refusal::NotReady | Refusal::NoServer | Refusal::Leaving | Refusal::StoreDown => {
             Some(DEFAULT_RETRY_AFTER)
         }
@@ -123,6 +133,8 @@
         | Refusal::NotSent
         | Refusal::Cancelled => StatusCode::SERVICE_UNAVAILABLE,
         Refusal::NoRoute => StatusCode::NOT_FOUND,
+        Refusal::Unauthorized => StatusCode::UNAUTHORIZED,
+        Refusal::OverRate { .. } => StatusCode::TOO_MANY_REQUESTS,
         Refusal::BadRequest { .. } => StatusCode::BAD_REQUEST,
         Refusal::TooLate | Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         Refusal::Lost | Refusal::ConnectionLost | Refusal::Cut => StatusCode::BAD_GATEWAY,
@@ -130,9 +142,10 @@
         Refusal::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
     };
     match (status, refused.outcome) {
-        (StatusCode::SERVICE_UNAVAILABLE, Outcome::Unknown | Outcome::Ran) => {
-            StatusCode::BAD_GATEWAY
-        }
+        (
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS,
+            Outcome::Unknown | Outcome::Ran,
+        ) => StatusCode::BAD_GATEWAY,
         (status, _) => status,
     }
 }
@@ -141,6 +154,10 @@
     match refusal {
         Refusal::NotReady => "this node has no configuration yet: try again, or another node",
         Refusal::NoRoute => "no route claims this path and method: check them",
+        Refusal::Unauthorized => "no valid key came with the request: send a key of an account",
+        Refusal::OverRate { .. } => {
+            "the account has used up its rate limit: try again after the stated time"
+        }
         Refusal::BadRequest { detail } => detail,
         Refusal::NoServer => "no backend server of the service is ready: try again later",
         Refusal::Leaving => "the backend server is leaving: try again",
--- a/crates/crank-engine/src/folder.rs
+++ b/crates/crank-engine/src/folder.rs
@@ -1,6 +1,7 @@
 //! The operators' folder: merging its files into a configuration and checking it.
 
 mod account;
+mod client;
 mod compare;
 mod file;
 mod merge;
--- a/crates/crank-engine/src/folder/merge.rs
+++ b/crates/crank-engine/src/folder/merge.rs
@@ -3,16 +3,16 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crank_protocol::config::{Account, Config, Method, Route, Service};
+use crank_protocol::config::{Account, ClientAccount, Config, Method, Route, Service};
 use crank_protocol::{Name, status};
 
-use super::{File, Problem, account, is_ignored_file, route, service};
+use super::{File, Problem, account, client, is_ignored_file, route, service};
 use crate::ini::{self, Document, Fault, Section, value};
 
 pub(crate) const MAX_FILES: usize = 256;
 pub(crate) const MAX_FILE_BYTES: usize = 64 * 1024;
 pub(crate) const MAX_FOLDER_BYTES: usize = 1024 * 1024;
-const KNOWN_SECTIONS: &str = "[account], [service NAME] or [route NAME]";
+const KNOWN_SECTIONS: &str = "[account], [client NAME], [service NAME] or [route NAME]";
 
 /// The result of merging a valid folder.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -134,11 +134,12 @@
     }
     builder.check_services(document, faults);
     builder.check_duplicate_routes(document, faults);
+    client::check_shared_keys(&builder.clients, document, faults);
     Some(Config {
         account: builder.account?,
         services: builder.services,
         routes: builder.routes,
-        clients: Default::default(),
+        clients: builder.clients,
         limits: Default::default(),
     })
 }
@@ -148,12 +149,20 @@
     account: Option<Account>,
     services: BTreeMap<Name, Service>,
     routes: BTreeMap<Name, Route>,
+    clients: BTreeMap<Name, ClientAccount>,
 }
 
 impl ConfigBuilder {
     fn read(&mut self, section: &Section, faults: &mut Vec<Fault>) {
         match section.kind_and_name() {
             ("account", None) => self.account = account::read(section, faults),
+            ("client", name) => {
+                if let Some(name) = section_name(section, "client", name, faults)
+                    && let Some(client) = client::read(section, faults)
+                {
+                    self.clients.insert(name, client);
+                }
+            }
             ("service", name) => {
                 if let Some(name) = section_name(section, "service", name, faults)
                     && let Some(service) = service::read(section, faults)
--- a/crates/crank-engine/src/folder/problem.rs
+++ b/crates/crank-engine/src/folder/problem.rs
@@ -61,6 +61,29 @@
     /// A route has two keys that contradict each other.
     #[error("the route has both 'once = yes' and 'idempotent = yes': set one of them to no")]
     OnceAndIdempotent,
+    /// A client account has no key.
+    #[error("the account has no key: add 'keys = ...' or 'key_digests = ...'")]
+    NoKeys,
+    /// A key, or the digest of one, does not have the required form. The message does not show it.
+    #[error(
+        "a key does not fit: write keys of 16 to 256 visible ASCII characters, or SHA-256 digests of \
+         64 lower-case hexadecimal digits, separated by spaces"
+    )]
+    InvalidKey,
+    /// Two client accounts have a key in common.
+    #[error("the account '{other}' has one of these keys too: remove it from one of the two")]
+    SharedKey {
+        /// The name of the other account.
+        other: Arc<str>,
+    },
+    /// A rate limit has only one of its two keys.
+    #[error("'{present}' requires '{missing}': add it or remove '{present}'")]
+    IncompleteRate {
+        /// The key that is present.
+        present: &'static str,
+        /// The key that is missing.
+        missing: &'static str,
+    },
     /// An objective has only one of its two keys.
     #[error("'{present}' requires '{missing}': add it or remove '{present}'")]
     IncompleteObjective {
@@ -85,7 +108,10 @@
     pub fn is_missing_item(&self) -> bool {
         matches!(
             self,
-            Self::UnknownService { .. } | Self::IncompleteObjective { .. }
+            Self::UnknownService { .. }
+                | Self::IncompleteObjective { .. }
+                | Self::IncompleteRate { .. }
+                | Self::NoKeys
         )
     }
 }
--- a/crates/crank-engine/src/folder/route.rs
+++ b/crates/crank-engine/src/folder/route.rs
@@ -37,6 +37,7 @@
         .optional("idempotent", value::boolean)
         .unwrap_or(false);
     let once = reader.optional("once", value::boolean).unwrap_or(false);
+    let public = reader.optional("public", value::boolean).unwrap_or(false);
     let host = reader.optional("host", host);
     let attempts = reader.optional("attempts", |text| value::count(text, 1, MAX_ATTEMPTS));
     let importance = reader.optional("importance", importance);
@@ -59,7 +60,7 @@
         attempts,
         importance,
         latency,
-        public: false,
+        public,
     })
 }
 
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -4,6 +4,7 @@
 //! makes a random choice takes a seeded random number generator. The processes only carry out the
 //! decisions that this crate makes.
 
+pub mod account;
 pub mod admission;
 pub mod backoff;
 pub mod balance;
--- a/crates/crank-engine/src/retry.rs
+++ b/crates/crank-engine/src/retry.rs
@@ -28,6 +28,8 @@
     match refusal {
         Refusal::NotReady
         | Refusal::NoRoute
+        | Refusal::Unauthorized
+        | Refusal::OverRate { .. }
         | Refusal::BadRequest { .. }
         | Refusal::NoServer
         | Refusal::Leaving
@@ -349,6 +351,8 @@
         | Refusal::Lost
         | Refusal::ConnectionLost => true,
         Refusal::NoRoute
+        | Refusal::Unauthorized
+        | Refusal::OverRate { .. }
         | Refusal::StoreDown
         | Refusal::BadRequest { .. }
         | Refusal::NoServer
--- a/crates/crank-engine/src/route.rs
+++ b/crates/crank-engine/src/route.rs
@@ -9,6 +9,8 @@
 };
 use crank_protocol::{Millis, Name, Permille};
 
+use crate::account::AccountTable;
+
 /// The share of good answers that a route with a latency objective requires if its service has no
 /// objective of its own.
 const DEFAULT_GOOD_SHARE: Permille = Permille(990);
@@ -84,6 +86,7 @@
     version: Version,
     any_host: PathMap,
     hosts: BTreeMap<Box<str>, PathMap>,
+    accounts: AccountTable,
 }
 
 /// Routes by path prefix and method; the prefix of `/` is empty.
@@ -158,6 +161,7 @@
             version: snapshot.stamp.version,
             any_host: PathMap::new(),
             hosts: BTreeMap::new(),
+            accounts: AccountTable::new(&snapshot.config.clients),
         };
         for (name, route) in &snapshot.config.routes {
             table.add(name, route, &snapshot.config);
@@ -193,6 +197,19 @@
         self.version
     }
 
+    /// Returns the client accounts of the configuration.
+    ///
+    /// ```
+    /// # use crank_engine::route::RoutingTable;
+    /// fn is_open(table: &RoutingTable) -> bool {
+    ///     !table.accounts().requires_keys()
+    /// }
+    /// ```
+    #[must_use]
+    pub fn accounts(&self) -> &AccountTable {
+        &self.accounts
+    }
+
     /// Finds the route for a method and path, without regard to routes of particular hosts.
     ///
     /// The route with the longest path prefix that ends at a segment boundary wins. A query in the
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry of the mesh: routes callers' requests, chooses targets and retries where that is safe.
 
 mod bulkhead;
+mod caller;
 mod conventions;
 mod drain;
 mod lines;
@@ -32,6 +33,7 @@
 use crate::admission::{AdmissionController, AdmissionRequest, Permit};
 use crate::clock::Clock;
 use bulkhead::Bulkhead;
+use caller::{Caller, Rejected};
 use options::RequestOptions;
 use routed::RoutedRequest;
 use search::{Candidate, TargetSearch};
@@ -184,9 +186,9 @@
             &self.shared.dependencies.conventions.dialect,
         );
         let prepared = self.prepare(request, started_at).await;
-        let (routed, permits) = prepared.map_err(|refusal| {
-            lines::not_routed(&label, &refusal);
-            retry::refused(refusal, None)
+        let (routed, permits) = prepared.map_err(|rejected| {
+            lines::not_routed(&label, &rejected);
+            retry::refused(rejected.refusal, None)
         })?;
         let result = self.try_targets(&routed).await;
         match result {
@@ -202,12 +204,13 @@
         &self,
         request: Request,
         started_at: Moment,
-    ) -> Result<(RoutedRequest, RequestPermits), Refusal> {
+    ) -> Result<(RoutedRequest, RequestPermits), Rejected> {
         let table = self.table()?;
         let rule = table
             .find_for_host(&request.host, request.method, &request.path, rand::random())?
             .clone();
         let conventions = &self.shared.dependencies.conventions;
+        let caller = Caller::identify(&request, &rule, &table, &conventions.dialect)?;
         let options = RequestOptions::parse(&request, &rule, &conventions.dialect)?;
         if options.depth == 0 {
             self.shared.drain.lock().admit(started_at, options.depth)?;
@@ -217,16 +220,20 @@
         let bulkhead = self.bulkhead(&rule);
         self.refresh(&bulkhead, table.version(), &rule);
         let permits = self
-            .acquire_permits(&bulkhead, &rule, deadline, options.depth)
+            .acquire_permits(&bulkhead, &rule, &caller, deadline, options.depth)
             .await;
-        let permits = permits.inspect_err(|_| self.record(&rule, false, started_at))?;
+        let permits = permits.map_err(|refusal| {
+            self.record(&rule, false, started_at);
+            caller.rejected(refusal)
+        })?;
         let routed = RoutedRequest {
             caller_gives_up_at: started_at.after(options.caller_timeout),
             label: lines::request_label(&request.headers, &conventions.dialect),
-            head: options.head(&request, &rule, table.version(), conventions),
+            head: options.head(&request, &rule, table.version(), &caller, conventions),
             body: request.body,
             rule,
             bulkhead,
+            caller,
             started_at,
             deadline,
         };
@@ -238,15 +245,16 @@
         &self,
         bulkhead: &Bulkhead,
         rule: &ResolvedRoute,
+        caller: &Caller,
         deadline: Moment,
         depth: u32,
     ) -> Result<RequestPermits, Refusal> {
         let request = AdmissionRequest {
-            importance: rule.importance(),
+            importance: caller.importance(rule),
             deadline,
             depth,
             expected_run_time: None,
-            account: None,
+            account: caller.name().cloned(),
         };
         let service = bulkhead.admission().admit(request.clone()).await?;
         let node_limit = &self.shared.node_limit;
@@ -270,6 +278,12 @@
             else {
                 break;
             };
+            if let Err(refusal) = self.check_caller(routed) {
+                if outcome == Outcome::NotRun {
+                    last_refusal = refusal;
+                }
+                break;
+            }
             let result = self.attempt(routed, &candidate).await;
             if search.record(&candidate, result.as_ref().err()) {
                 continue;
@@ -380,6 +394,16 @@
         if !*self.shared.dependencies.ready.borrow() {
             return Err(Refusal::NotReady);
         }
+        self.latest_table()
+    }
+
+    /// Checks the key of a request against the configuration in force, which may be newer than the
+    /// one that routed the request.
+    fn check_caller(&self, routed: &RoutedRequest) -> Result<(), Refusal> {
+        routed.caller.check(&routed.rule, &*self.latest_table()?)
+    }
+
+    fn latest_table(&self) -> Result<Arc<RoutingTable>, Refusal> {
         let snapshot = self.shared.dependencies.config.borrow().clone();
         let snapshot = snapshot.ok_or(Refusal::NotReady)?;
         let current = self.shared.table.load_full();
--- a/crates/crank-node/src/entry/bulkhead.rs
+++ b/crates/crank-node/src/entry/bulkhead.rs
@@ -259,6 +259,8 @@
         Refusal::NotSent | Refusal::Lost | Refusal::Cut => AttemptResult::Failed,
         Refusal::TimedOut => AttemptResult::Slow { micros },
         Refusal::NoRoute
+        | Refusal::Unauthorized
+        | Refusal::OverRate { .. }
         | Refusal::BadRequest { .. }
         | Refusal::ConnectionLost
         | Refusal::TooLate
--- a/crates/crank-node/src/entry/lines.rs
+++ b/crates/crank-node/src/entry/lines.rs
@@ -5,8 +5,9 @@
 use crank_engine::Moment;
 use crank_protocol::HttpDialect;
 use crank_protocol::Name;
-use crank_protocol::call::{Header, Refusal, RefusedRequest};
+use crank_protocol::call::{Header, RefusedRequest};
 
+use super::caller::Rejected;
 use super::routed::RoutedRequest;
 use super::search::TargetSearch;
 
@@ -18,8 +19,13 @@
     Arc::from(text.unwrap_or_default())
 }
 
-pub(super) fn not_routed(label: &str, refusal: &Refusal) {
-    log::info!(request = label, refusal:? = refusal; "request not routed");
+pub(super) fn not_routed(label: &str, rejected: &Rejected) {
+    log::info!(
+        request = label,
+        account:? = rejected.account,
+        refusal:? = rejected.refusal;
+        "request not routed"
+    );
 }
 
 /// Logs a response that took more than one attempt; other responses get no line.
@@ -27,7 +33,8 @@
     if tried.len() > 1 {
         log::info!(
             request = *routed.label,
-            service:% = routed.head.service,
+            account:? = routed.head.account,
+        service:% = routed.head.service,
             tried:? = tried,
             took_ms = now.since(routed.started_at).0;
             "request answered after more than one attempt"
@@ -38,6 +45,7 @@
 pub(super) fn failed(routed: &RoutedRequest, tried: &[Name], status: u16, retry: bool) {
     log::info!(
         request = *routed.label,
+        account:? = routed.head.account,
         service:% = routed.head.service,
         version = routed.head.version.0,
         target:? = tried.last(),
@@ -55,6 +63,7 @@
 ) {
     log::info!(
         request = *routed.label,
+        account:? = routed.head.account,
         service:% = routed.head.service,
         version = routed.head.version.0,
         target:? = tried.last(),
@@ -75,6 +84,7 @@
 ) {
     log::info!(
         request = *routed.label,
+        account:? = routed.head.account,
         service:% = routed.head.service,
         route:% = routed.rule.name,
         importance:? = routed.head.importance,
--- a/crates/crank-node/src/entry/options.rs
+++ b/crates/crank-node/src/entry/options.rs
@@ -10,6 +10,7 @@
 use crank_protocol::{HttpDialect, Millis};
 
 use super::Conventions;
+use super::caller::Caller;
 
 const HOST_HEADER: &str = "host";
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
@@ -49,6 +50,7 @@
         request: &Request,
         rule: &ResolvedRoute,
         version: Version,
+        caller: &Caller,
         conventions: &Conventions,
     ) -> RequestHead {
         RequestHead {
@@ -56,18 +58,18 @@
             service: rule.route.service.clone(),
             method: request.method,
             path: request.path.clone(),
-            headers: forwarded_headers(request, rule, conventions),
+            headers: forwarded_headers(request, rule, caller, conventions),
             time_left: self.timeout,
             latency_target: rule.objective().map(|objective| objective.latency),
             may_queue: true,
             expected_run_time: None,
             expected_response_bytes: None,
-            importance: rule.importance(),
+            importance: caller.importance(rule),
             idempotent: rule.route.idempotent,
             idempotency_key: self.idempotency_key,
             depth: self.depth,
             version,
-            account: None,
+            account: caller.name().cloned(),
         }
     }
 }
@@ -76,6 +78,7 @@
 fn forwarded_headers(
     request: &Request,
     rule: &ResolvedRoute,
+    caller: &Caller,
     conventions: &Conventions,
 ) -> Vec<Header> {
     let header = |name: &Arc<str>, value: &str| Header {
@@ -84,9 +87,11 @@
     };
     let dialect = &conventions.dialect;
     let reserved = [
-        &dialect.calling_service_header,
-        &dialect.expected_instance_header,
-        &dialect.not_run_header,
+        dialect.calling_service_header.as_ref(),
+        dialect.expected_instance_header.as_ref(),
+        dialect.not_run_header.as_ref(),
+        caller.has_accounts.then_some(&dialect.key_header),
+        caller.has_accounts.then_some(&dialect.account_header),
     ];
     let is_reserved = |name: &str| {
         let mut names = reserved.into_iter().flatten();
@@ -103,6 +108,9 @@
     ) {
         headers.push(header(name, service.as_str()));
     }
+    if let Some(account) = caller.name() {
+        headers.push(header(&dialect.account_header, account.as_str()));
+    }
     if rule.route.host.is_some() {
         headers.push(header(&Arc::from(HOST_HEADER), &request.host));
     }
--- a/crates/crank-node/src/entry/routed.rs
+++ b/crates/crank-node/src/entry/routed.rs
@@ -9,6 +9,7 @@
 use crank_protocol::{Millis, Name};
 
 use super::bulkhead::Bulkhead;
+use super::caller::Caller;
 
 /// When a caller that still waits may retry a request that ran out of the route's time.
 const LATE_RETRY_AFTER: Millis = Millis(100);
@@ -17,6 +18,7 @@
 pub(super) struct RoutedRequest {
     pub(super) rule: Arc<ResolvedRoute>,
     pub(super) bulkhead: Arc<Bulkhead>,
+    pub(super) caller: Caller,
     pub(super) head: RequestHead,
     pub(super) body: Bytes,
     pub(super) started_at: Moment,
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -25,6 +25,11 @@
 /// The request header with the caller's idempotency key.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
+/// The request header with the key of the caller's client account.
+pub const KEY_HEADER: &str = "crank-key";
+/// The request header with which a node names the caller's client account to backend servers.
+pub const ACCOUNT_HEADER: &str = "crank-client";
+
 /// An HTTP header.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -102,6 +107,13 @@
     NotReady,
     /// No route matches the path and method.
     NoRoute,
+    /// The request has no key of a client account, or one that is not in the configuration.
+    Unauthorized,
+    /// The client account has used up its rate limit.
+    OverRate {
+        /// When the account may send its next request.
+        retry_after: Millis,
+    },
     /// The request is malformed, too large, or lacks a required header.
     BadRequest {
         /// What is wrong and what to do.
@@ -150,6 +162,8 @@
         match self {
             Self::NotReady => "not_ready",
             Self::NoRoute => "no_route",
+            Self::Unauthorized => "unauthorized",
+            Self::OverRate { .. } => "over_rate",
             Self::BadRequest { .. } => "bad_request",
             Self::NoServer => "no_server",
             Self::Leaving => "leaving",
--- a/crates/crank-protocol/src/dialect.rs
+++ b/crates/crank-protocol/src/dialect.rs
@@ -28,6 +28,12 @@
     /// The header that every successful response of a backend server must carry; a response
     /// without it did not come from the backend server.
     pub signature_header: Option<Arc<str>>,
+    /// The header with the key of the caller's client account.
+    pub key_header: Arc<str>,
+    /// The authentication scheme that precedes the key in its header, if there is one.
+    pub key_scheme: Option<Arc<str>>,
+    /// The header with the name of the caller's client account, which only nodes may set.
+    pub account_header: Arc<str>,
     /// Whether the request id is passed on as the caller wrote it and responses must echo it.
     pub echoes_request_id: bool,
     /// Whether closing the connection may end a response that has neither a length nor chunks.
@@ -47,6 +53,9 @@
             load_header: None,
             not_run_header: None,
             signature_header: None,
+            key_header: Arc::from(call::KEY_HEADER),
+            key_scheme: None,
+            account_header: Arc::from(call::ACCOUNT_HEADER),
             echoes_request_id: false,
             allows_close_delimited: false,
             fractional_retry_after: false,
--- a/crates/crank-protocol/src/lib.rs
+++ b/crates/crank-protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod heartbeat;
 pub mod member;
+pub mod quota;
 pub mod status;
 pub mod wire;
 
