--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod notice;
 pub mod overlay;
 pub mod publish;
+pub mod quota;
 pub mod registration;
 pub mod retry;
 pub mod route;
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -32,6 +32,7 @@
 
 use crate::admission::{AdmissionController, AdmissionRequest, Permit};
 use crate::clock::Clock;
+use crate::quota::RateLimiter;
 use bulkhead::Bulkhead;
 use caller::{Caller, Rejected};
 use options::RequestOptions;
@@ -108,6 +109,7 @@
     table: ArcSwapOption<RoutingTable>,
     bulkheads: Mutex<BTreeMap<Name, Arc<Bulkhead>>>,
     drain: Mutex<Drain>,
+    rate_limiter: RateLimiter,
     /// Cancelled when all attempts must end, because the node does.
     ending: CancellationToken,
 }
@@ -157,6 +159,7 @@
         drain.set_stage(dependencies.clock.now(), Stage::Ready, Millis(0));
         Self {
             shared: Arc::new(Shared {
+                rate_limiter: RateLimiter::new(dependencies.clock),
                 dependencies,
                 node_limit,
                 table: ArcSwapOption::empty(),
@@ -194,6 +197,7 @@
         match result {
             Ok(response) => Ok(self.finish(routed, permits, response)),
             Err(refused) => {
+                routed.return_token(&refused);
                 self.count_refusal(&routed.rule, &refused, started_at);
                 Err(refused)
             }
@@ -215,6 +219,11 @@
         if options.depth == 0 {
             self.shared.drain.lock().admit(started_at, options.depth)?;
         }
+        let token = caller
+            .name()
+            .map(|account| self.shared.rate_limiter.admit(account))
+            .transpose()
+            .map_err(|refusal| caller.rejected(refusal))?;
         let deadline = started_at.after(options.timeout);
         let deadline = self.shared.drain.lock().latest_end(deadline);
         let bulkhead = self.bulkhead(&rule);
@@ -234,6 +243,7 @@
             rule,
             bulkhead,
             caller,
+            token,
             started_at,
             deadline,
         };
@@ -340,6 +350,7 @@
         head.latency_target = head
             .latency_target
             .map(|target| Millis(target.0.saturating_sub(spent.0)));
+        routed.spend_token();
         let attempt = bulkhead::InFlightAttempt::new(
             &routed.bulkhead,
             self.shared.dependencies.clock,
@@ -411,12 +422,18 @@
             Some(table) if table.version() >= snapshot.stamp.version => Ok(table),
             Some(_) | None => {
                 let table = Arc::new(RoutingTable::new(&snapshot));
+                self.shared.rate_limiter.apply(&snapshot);
                 self.shared.table.store(Some(table.clone()));
                 Ok(table)
             }
         }
     }
 
+    /// Returns the limiter of the client accounts' requests.
+    pub(crate) fn rate_limiter(&self) -> RateLimiter {
+        self.shared.rate_limiter.clone()
+    }
+
     fn bulkhead(&self, rule: &ResolvedRoute) -> Arc<Bulkhead> {
         let name = &rule.route.service;
         let mut bulkheads = self.shared.bulkheads.lock();
--- a/crates/crank-node/src/entry/routed.rs
+++ b/crates/crank-node/src/entry/routed.rs
@@ -10,6 +10,7 @@
 
 use super::bulkhead::Bulkhead;
 use super::caller::Caller;
+use crate::quota::Token;
 
 /// When a caller that still waits may retry a request that ran out of the route's time.
 const LATE_RETRY_AFTER: Millis = Millis(100);
@@ -19,6 +20,8 @@
     pub(super) rule: Arc<ResolvedRoute>,
     pub(super) bulkhead: Arc<Bulkhead>,
     pub(super) caller: Caller,
+    /// The account's token for this request, if it has an account.
+    pub(super) token: Option<Token>,
     pub(super) head: RequestHead,
     pub(super) body: Bytes,
     pub(super) started_at: Moment,
@@ -31,6 +34,18 @@
 }
 
 impl RoutedRequest {
+    /// Records that the request is sent to a target.
+    pub(super) fn spend_token(&self) {
+        self.token.iter().for_each(Token::spend);
+    }
+
+    /// Gives the account's token back if the request has certainly not run.
+    pub(super) fn return_token(&self, refused: &RefusedRequest) {
+        if refused.outcome == Outcome::NotRun {
+            self.token.iter().for_each(Token::return_unused);
+        }
+    }
+
     pub(super) fn retry_context(&self, tried: &[Name], reached: u32) -> retry::RetryContext {
         retry::RetryContext {
             idempotent: self.head.idempotent,
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 pub mod node;
 pub mod publisher;
+pub mod quota;
 pub mod recall;
 pub mod source;
 pub mod target;
--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -18,6 +18,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::quota::RateLimiter;
+use crate::quota::accounts::AccountCollector;
 use crate::source::RefusedConfig;
 
 /// The outcome of a request as reported to its caller.
@@ -178,6 +180,20 @@
             .register_collector(Box::new(RefusedConfigCollector(refused)));
     }
 
+    /// Registers the counts of client accounts.
+    ///
+    /// ```
+    /// use crank_node::{clock::Clock, metrics::Metrics, quota::RateLimiter};
+    /// # let _runtime = tokio::runtime::Runtime::new().unwrap();
+    /// let metrics = Metrics::new();
+    /// metrics.add_accounts(RateLimiter::new(Clock::new()));
+    /// assert!(!metrics.encode().contains("crank_account_requests"));
+    /// ```
+    pub fn add_accounts(&self, limiter: RateLimiter) {
+        let collector = Box::new(AccountCollector(limiter));
+        self.registry.lock().register_collector(collector);
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     ///
     /// ```
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -133,6 +133,7 @@
             burn: burn.clone(),
             conventions: options.conventions,
         });
+        tokio::spawn(entry.rate_limiter().run(mesh.clone()));
         let uplink = SharedUplink::new(options.link_mbits);
         let call_connections = TaskTracker::new();
         let server = CallServer {
@@ -147,6 +148,7 @@
         metrics.add_mesh(mesh.clone());
         let refused_config = RefusedConfig::default();
         metrics.add_refused_config(refused_config.clone());
+        metrics.add_accounts(entry.rate_limiter());
         let gateway = MeteredGateway::new(entry.clone(), metrics.clone());
         let edge = options.caller_listener.with_dialect(dialect);
         let edge = edge.with_close_delay(MIN_CLOSE_DELAY.max(options.linger.into()));
--- a/crates/crank-protocol/src/quota.rs
+++ b/crates/crank-protocol/src/quota.rs
@@ -48,6 +48,9 @@
     pub number: ReportNumber,
     /// Identifies the process that reports.
     pub start: u64,
+    /// Whether the entry reports to another home from now on.
+    #[serde(rename = "last")]
+    pub is_last: bool,
     /// The accounts whose counters have changed since the last report that the home answered.
     pub usage: Vec<Usage>,
 }
@@ -110,21 +113,25 @@
     pub account: AccountHash,
     /// The rate, in thousandths of a request a second.
     pub millis_per_second: u64,
+    /// The part of the requests that may be admitted anywhere, in ten-thousandths; it holds in
+    /// place of a rate that is too small to wait for.
+    pub chance: u16,
 }
 
-type EncodedShare = (AccountHash, u64);
+type EncodedShare = (AccountHash, u64, u16);
 
 impl From<EncodedShare> for Share {
-    fn from((account, millis_per_second): EncodedShare) -> Self {
+    fn from((account, millis_per_second, chance): EncodedShare) -> Self {
         Self {
             account,
             millis_per_second,
+            chance,
         }
     }
 }
 
 impl From<Share> for EncodedShare {
     fn from(share: Share) -> Self {
-        (share.account, share.millis_per_second)
+        (share.account, share.millis_per_second, share.chance)
     }
 }
