--- a/crates/crank-node/src/entry/lines.rs
+++ b/crates/crank-node/src/entry/lines.rs
@@ -19,10 +19,15 @@
     Arc::from(text.unwrap_or_default())
 }
 
+/// Returns the name of the client account, or an empty text if the request has none.
+fn account_label(account: Option<&Name>) -> &str {
+    account.map_or("", Name::as_str)
+}
+
 pub(super) fn not_routed(label: &str, rejected: &Rejected) {
     log::info!(
         request = label,
-        account:? = rejected.account,
+        account = account_label(rejected.account.as_ref()),
         refusal:? = rejected.refusal;
         "request not routed"
     );
@@ -33,7 +38,7 @@
     if tried.len() > 1 {
         log::info!(
             request = *routed.label,
-            account:? = routed.head.account,
+            account = account_label(routed.head.account.as_ref()),
         service:% = routed.head.service,
             tried:? = tried,
             took_ms = now.since(routed.started_at).0;
@@ -45,7 +50,7 @@
 pub(super) fn failed(routed: &RoutedRequest, tried: &[Name], status: u16, retry: bool) {
     log::info!(
         request = *routed.label,
-        account:? = routed.head.account,
+        account = account_label(routed.head.account.as_ref()),
         service:% = routed.head.service,
         version = routed.head.version.0,
         target:? = tried.last(),
@@ -63,7 +68,7 @@
 ) {
     log::info!(
         request = *routed.label,
-        account:? = routed.head.account,
+        account = account_label(routed.head.account.as_ref()),
         service:% = routed.head.service,
         version = routed.head.version.0,
         target:? = tried.last(),
@@ -84,7 +89,7 @@
 ) {
     log::info!(
         request = *routed.label,
-        account:? = routed.head.account,
+        account = account_label(routed.head.account.as_ref()),
         service:% = routed.head.service,
         route:% = routed.rule.name,
         importance:? = routed.head.importance,
