--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -57,7 +57,9 @@
         settings.listen.operators = operators.local_addr().unwrap_or(address);
         Ok(Self {
             announcements: AnnouncementListener::new(settings.listen.servers).await?,
-            edge: crank_caller::Edge::new(settings.listen.callers).await?,
+            edge: crank_caller::Edge::new(settings.listen.callers)
+                .await?
+                .with_requests_ahead(settings.listen.requests_ahead),
             operators,
         })
     }
--- a/crates/crank-node/src/settings.rs
+++ b/crates/crank-node/src/settings.rs
@@ -10,6 +10,8 @@
 use crate::Error;
 
 const MAX_GRACE_MS: u64 = 600_000;
+/// The highest number of requests of one connection that may be set to run before their turn.
+const MAX_REQUESTS_AHEAD: u32 = 64;
 const DEFAULT_DRAIN_GRACE: Millis = Millis(10_000);
 const EXPECTED_LEVELS: &str = "error, warn, info, debug or trace";
 const EXPECTED_SEEDS: &str = "IP addresses with ports, separated by commas";
@@ -31,6 +33,8 @@
     pub servers: SocketAddr,
     /// The HTTP listener for operators' queries and metrics.
     pub operators: SocketAddr,
+    /// How many requests that a caller sends ahead on a connection may run before their turn.
+    pub requests_ahead: usize,
 }
 
 /// The settings of one node.
@@ -126,11 +130,15 @@
     let mesh = reader.required("mesh", EXPECTED_ADDRESS, value::address);
     let servers = reader.required("servers", EXPECTED_ADDRESS, value::address);
     let operators = reader.required("operators", EXPECTED_ADDRESS, value::address);
+    let requests_ahead = reader.optional("requests_ahead", |text| {
+        value::count(text, 0, MAX_REQUESTS_AHEAD)
+    });
     Some(ListenAddresses {
         callers: callers?,
         mesh: mesh?,
         servers: servers?,
         operators: operators?,
+        requests_ahead: requests_ahead.unwrap_or(0) as usize,
     })
 }
 
