mergeable: an answer that breaks off doesn't lose the requests that ran behind it

While calls are started behind it, the first 32 KiB of an answer are held; if they break off, the caller gets 502 cut and those behind are answered.

--- a/crates/crank-caller/src/ahead/body.rs
+++ b/crates/crank-caller/src/ahead/body.rs
@@ -6,17 +6,19 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::OwnedSemaphorePermit;
 
 use super::exchange::ExchangeGuard;
 
-type BoxError = Box<dyn StdError + Send + Sync>;
+/// Why a body cannot be completed.
+pub(super) type BoxError = Box<dyn StdError + Send + Sync>;
 
 /// The body of a response, and with it the duration of its exchange.
 pub(crate) struct AnswerBody {
-    held: VecDeque<Result<Frame<Bytes>, BoxError>>,
+    held: VecDeque<Frame<Bytes>>,
     rest: UnsyncBoxBody<Bytes, BoxError>,
     /// The permit for what is held.
     permit: Option<OwnedSemaphorePermit>,
@@ -27,7 +29,7 @@
 impl AnswerBody {
     /// Creates a body from its beginning, which was held under a permit, and its rest.
     pub(super) fn new(
-        held: VecDeque<Result<Frame<Bytes>, BoxError>>,
+        held: VecDeque<Frame<Bytes>>,
         rest: UnsyncBoxBody<Bytes, BoxError>,
         permit: Option<OwnedSemaphorePermit>,
     ) -> Self {
@@ -39,6 +41,15 @@
         }
     }
 
+    /// Creates a body of which nothing was held.
+    pub(super) fn whole<B>(body: B) -> Self
+    where
+        B: Body<Data = Bytes, Error: Into<BoxError>> + Send + 'static,
+    {
+        let rest = body.map_err(Into::into).boxed_unsync();
+        Self::new(VecDeque::new(), rest, None)
+    }
+
     /// Makes the exchange last as long as this body.
     pub(super) fn with_exchange(self, exchange: ExchangeGuard) -> Self {
         Self {
@@ -48,7 +59,7 @@
     }
 
     fn held_bytes(&self) -> u64 {
-        let frames = self.held.iter().flatten();
+        let frames = self.held.iter();
         frames
             .filter_map(Frame::data_ref)
             .map(|data| data.len() as u64)
@@ -65,7 +76,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         if let Some(frame) = self.held.pop_front() {
-            return Poll::Ready(Some(frame));
+            return Poll::Ready(Some(Ok(frame)));
         }
         self.permit = None;
         Pin::new(&mut self.rest).poll_frame(context)
--- a/crates/crank-caller/src/ahead/early.rs
+++ b/crates/crank-caller/src/ahead/early.rs
@@ -1,20 +1,19 @@
 //! A call that was started before its turn on its connection.
 
 use std::collections::VecDeque;
-use std::error::Error as StdError;
 use std::future::Future;
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame};
+use hyper::body::Body;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::JoinError;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::body::AnswerBody;
-use crate::{AheadEvent, Gateway};
+use super::body::{AnswerBody, BoxError};
+use crate::{AheadEvent, Gateway, reply};
 
 /// The maximum size of the part of a response body that is held until its turn, in bytes. The rest
 /// waits where it is: bodies are pulled. A body that fits leaves its backend server's slot and its
@@ -40,13 +39,13 @@
         permit: OwnedSemaphorePermit,
     ) -> Self
     where
-        B: Body<Data = Bytes, Error: Into<Box<dyn StdError + Send + Sync>>> + Send + 'static,
+        B: Body<Data = Bytes, Error: Into<BoxError>> + Send + 'static,
     {
         let turn = CancellationToken::new();
         let is_turn = turn.clone();
         let task = tokio::spawn(async move {
             let response = call.await;
-            hold(response, is_turn, permit).await
+            hold(response, is_turn, Some(permit)).await
         });
         let counting = gateway.clone();
         gateway.count_ahead(AheadEvent::Started);
@@ -99,13 +98,16 @@
 }
 
 /// Reads the beginning of a response body until the response's turn comes.
-async fn hold<B>(
+///
+/// A response whose body is found to be cut short becomes a failure that says so: its connection
+/// need not be closed, and requests behind it are answered.
+pub(super) async fn hold<B>(
     response: Response<B>,
     is_turn: CancellationToken,
-    permit: OwnedSemaphorePermit,
+    permit: Option<OwnedSemaphorePermit>,
 ) -> Response<AnswerBody>
 where
-    B: Body<Data = Bytes, Error: Into<Box<dyn StdError + Send + Sync>>> + Send + 'static,
+    B: Body<Data = Bytes, Error: Into<BoxError>> + Send + 'static,
 {
     let (head, body) = response.into_parts();
     let mut body = body.map_err(Into::into).boxed_unsync();
@@ -117,17 +119,17 @@
             () = is_turn.cancelled() => break,
             frame = body.frame() => frame,
         };
-        let Some(frame) = frame else { break };
-        held_bytes += frame
-            .as_ref()
-            .ok()
-            .and_then(Frame::data_ref)
-            .map_or(0, Bytes::len);
-        let is_last = frame.is_err();
-        held.push_back(frame);
-        if is_last {
-            break;
+        match frame {
+            Some(Ok(frame)) => {
+                held_bytes += frame.data_ref().map_or(0, Bytes::len);
+                held.push_back(frame);
+            }
+            Some(Err(error)) => {
+                log::debug!(error:% = error; "answer cut short before its turn");
+                return reply::cut_short().map(AnswerBody::whole);
+            }
+            None => break,
         }
     }
-    Response::from_parts(head, AnswerBody::new(held, body, Some(permit)))
+    Response::from_parts(head, AnswerBody::new(held, body, permit))
 }
--- a/crates/crank-caller/src/ahead/service.rs
+++ b/crates/crank-caller/src/ahead/service.rs
@@ -6,12 +6,14 @@
 
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Either};
+use http_body_util::Either;
 use hyper::body::{Body, Incoming};
 use tokio::task::JoinError;
+use tokio_util::sync::CancellationToken;
 
 use super::Service;
 use super::body::AnswerBody;
+use super::early::hold;
 use super::exchange::Exchange;
 use super::start::Starter;
 use super::target::Target;
@@ -45,6 +47,10 @@
                 Some(early) => early.finish().await?,
                 None => call(starter.service(), request).await,
             };
+            if !exchange.has_none_started() {
+                // An answer that breaks off would close the connection before theirs.
+                response = hold(response, CancellationToken::new(), None).await;
+            }
             if starter.is_leaving() {
                 mark_last(&mut response, exchange.has_none_started());
             }
@@ -55,10 +61,7 @@
 
 async fn call<S: Service>(mut service: S, request: Request<Incoming>) -> Response<AnswerBody> {
     match service.call(request.map(Either::Left)).await {
-        Ok(response) => response.map(|body| {
-            let body = body.map_err(Into::into).boxed_unsync();
-            AnswerBody::new(Default::default(), body, None)
-        }),
+        Ok(response) => response.map(AnswerBody::whole),
         Err(never) => match never {},
     }
 }
--- a/crates/crank-caller/src/reply.rs
+++ b/crates/crank-caller/src/reply.rs
@@ -53,6 +53,17 @@
     refusal_response(refused, status_of(refused), dialect)
 }
 
+/// Returns the response in place of one whose body was cut short before any of it was passed on.
+pub(crate) fn cut_short() -> warp::reply::Response {
+    let refused = RefusedRequest {
+        refusal: Refusal::Cut,
+        outcome: Outcome::Unknown,
+        load: None,
+        reached: true,
+    };
+    refused_request(&refused, &HttpDialect::default())
+}
+
 fn refusal_response(
     refused: &RefusedRequest,
     status: StatusCode,
