--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -194,7 +194,7 @@
         while let Ok(permit) = self.permits.clone().acquire_owned().await {
             let stream = FairStream::new(accept(listener).await);
             let server = server.clone();
-            let closing = self.closing.clone();
+            let closing = self.closing.child_token();
             self.tasks.spawn(async move {
                 let mut builder = http1::Builder::new();
                 builder
