--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -32,11 +32,8 @@
 
 use crate::admission::{AdmissionController, AdmissionRequest, Permit};
 use crate::clock::Clock;
-<<<<<<< HEAD
-use crate::rollout::Rollouts;
-=======
 use crate::quota::RateLimiter;
->>>>>>> p-accounts
+use crate::rollout::Rollouts;
 use bulkhead::Bulkhead;
 use caller::{Caller, Rejected};
 use options::RequestOptions;
@@ -113,11 +110,8 @@
     table: ArcSwapOption<RoutingTable>,
     bulkheads: Mutex<BTreeMap<Name, Arc<Bulkhead>>>,
     drain: Mutex<Drain>,
-<<<<<<< HEAD
     rollouts: Rollouts,
-=======
     rate_limiter: RateLimiter,
->>>>>>> p-accounts
     /// Cancelled when all attempts must end, because the node does.
     ending: CancellationToken,
 }
--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -19,12 +19,9 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
-<<<<<<< HEAD
-use crate::rollout::{RolloutCollector, Rollouts};
-=======
 use crate::quota::RateLimiter;
 use crate::quota::accounts::AccountCollector;
->>>>>>> p-accounts
+use crate::rollout::{RolloutCollector, Rollouts};
 use crate::source::RefusedConfig;
 
 /// The outcome of a request as reported to its caller.
@@ -214,7 +211,6 @@
             .register_collector(Box::new(RefusedConfigCollector(refused)));
     }
 
-<<<<<<< HEAD
     /// Registers the metrics of roll-outs, which appear with the first order.
     ///
     /// ```
@@ -227,7 +223,8 @@
         self.registry
             .lock()
             .register_collector(Box::new(RolloutCollector(rollouts)));
-=======
+    }
+
     /// Registers the counts of client accounts.
     ///
     /// ```
@@ -240,7 +237,6 @@
     pub fn add_accounts(&self, limiter: RateLimiter) {
         let collector = Box::new(AccountCollector(limiter));
         self.registry.lock().register_collector(collector);
->>>>>>> p-accounts
     }
 
     /// Encodes all metrics in the OpenMetrics text format.
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -133,11 +133,8 @@
             burn: burn.clone(),
             conventions: options.conventions,
         });
-<<<<<<< HEAD
         tokio::spawn(rollout::report(entry.rollouts().clone(), mesh.clone()));
-=======
         tokio::spawn(entry.rate_limiter().run(mesh.clone()));
->>>>>>> p-accounts
         let uplink = SharedUplink::new(options.link_mbits);
         let call_connections = TaskTracker::new();
         let server = CallServer {
@@ -152,11 +149,8 @@
         metrics.add_mesh(mesh.clone());
         let refused_config = RefusedConfig::default();
         metrics.add_refused_config(refused_config.clone());
-<<<<<<< HEAD
         metrics.add_rollouts(entry.rollouts().clone());
-=======
         metrics.add_accounts(entry.rate_limiter());
->>>>>>> p-accounts
         let gateway = MeteredGateway::new(entry.clone(), metrics.clone());
         let edge = options.caller_listener.with_dialect(dialect);
         let edge = edge.with_close_delay(MIN_CLOSE_DELAY.max(options.linger.into()));
