--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backoff;
 pub mod balance;
 pub mod burn;
+pub mod caller_budget;
 pub mod claim;
 pub mod config;
 pub mod drain;
