--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -6,28 +6,24 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use crank_engine::caller_budget::{Bounds, MachineLimits};
 use crank_protocol::HttpDialect;
-use crank_stream::FairStream;
+use crank_protocol::config::Snapshot;
+use crank_stream::{Connection, Door, FairStream, accept};
 use http::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
+use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use warp::Filter;
 
+use crate::limits::Limits;
 use crate::{Error, Gateway, reply, request};
 
-const MAX_CONNECTIONS: usize = 4_096;
-/// The timeout for reading request headers, which is also the idle timeout of connections. It is
-/// above the usual 90 s of HTTP clients, so that the client closes an idle connection first and no
-/// request is sent on a connection that is being closed.
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(100);
-/// The pause after an error of `accept`.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long a leaving edge still accepts connections before it closes the idle ones.
 const DEFAULT_CLOSE_DELAY: Duration = Duration::from_secs(1);
 
@@ -37,6 +33,8 @@
     address: SocketAddr,
     dialect: Arc<HttpDialect>,
     close_delay: Duration,
+    machine: MachineLimits,
+    limits: Limits,
 }
 
 impl Edge {
@@ -64,6 +62,8 @@
             address,
             dialect: Arc::default(),
             close_delay: DEFAULT_CLOSE_DELAY,
+            machine: MachineLimits::default(),
+            limits: Limits::default(),
         })
     }
 
@@ -97,6 +97,37 @@
         }
     }
 
+    /// Sets the limits of the machine, within which connections and requests are held.
+    ///
+    /// ```
+    /// # use crank_caller::Edge;
+    /// # use crank_engine::caller_budget::MachineLimits;
+    /// fn on_small_machine(edge: Edge) -> Edge {
+    ///     edge.with_machine(MachineLimits { memory_bytes: Some(160 << 20), descriptors: Some(4_100) })
+    /// }
+    /// ```
+    #[must_use]
+    pub fn with_machine(self, machine: MachineLimits) -> Self {
+        Self { machine, ..self }
+    }
+
+    /// Sets the configuration whose limits for callers are in force.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use crank_caller::Edge;
+    /// # use crank_protocol::config::Snapshot;
+    /// # use tokio::sync::watch;
+    /// fn limit(edge: Edge, config: watch::Receiver<Option<Arc<Snapshot>>>) -> Edge {
+    ///     edge.with_config(config)
+    /// }
+    /// ```
+    #[must_use]
+    pub fn with_config(self, config: watch::Receiver<Option<Arc<Snapshot>>>) -> Self {
+        let limits = Limits::new(config);
+        Self { limits, ..self }
+    }
+
     /// Returns the address that callers connect to.
     ///
     /// ```
@@ -124,13 +155,21 @@
     pub async fn run(self, gateway: impl Gateway, leaving: CancellationToken) {
         let is_leaving = Arc::new(AtomicBool::new(false));
         let connections = Connections {
-            permits: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            door: Door::new(Bounds::for_callers(self.machine)),
+            limits: self.limits.clone(),
             shutdown: GracefulShutdown::new(),
         };
-        let service = warp::service(filter(gateway, self.dialect, is_leaving.clone()));
-        let accept = connections.accept_all(&self.listener, service);
+        let filter = filter(
+            gateway,
+            self.dialect,
+            is_leaving.clone(),
+            self.limits.clone(),
+        );
+        let service = warp::service(filter);
         tokio::select! {
-            () = accept => {}
+            () = connections.accept_all(&self.listener, service) => {}
+            () = connections.door.sweep() => {}
+            () = self.limits.follow(&connections.door) => {}
             () = wait_for_close(&leaving, &is_leaving, self.close_delay) => {}
         }
         drop(self.listener);
@@ -153,7 +192,8 @@
 }
 
 struct Connections {
-    permits: Arc<Semaphore>,
+    door: Door,
+    limits: Limits,
     shutdown: GracefulShutdown,
 }
 
@@ -169,36 +209,40 @@
             + 'static,
         S::Future: Send,
     {
-        while let Ok(permit) = self.permits.clone().acquire_owned().await {
+        loop {
             let stream = accept(listener).await;
-            let service = TowerToHyperService::new(service.clone());
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEADER_READ_TIMEOUT)
-                .serve_connection(TokioIo::new(FairStream::new(stream)), service);
-            let connection = self.shutdown.watch(connection);
-            tokio::spawn(async move {
-                if let Err(error) = connection.await {
+            let connection = self.door.enter().await;
+            let requests = connection.clone();
+            let service = service.clone();
+            let service = service_fn(move |mut request: http::Request<hyper::body::Incoming>| {
+                request.extensions_mut().insert(requests.clone());
+                service.clone().call(request)
+            });
+            let stream = connection.guard(FairStream::new(stream));
+            let serving = self.http().serve_connection(TokioIo::new(stream), service);
+            let serving = self.shutdown.watch(serving);
+            let task = tokio::spawn(async move {
+                if let Err(error) = serving.await {
                     log::debug!(error:% = error; "caller connection closed");
                 }
-                drop(permit);
             });
+            connection.set_task(task.abort_handle());
         }
     }
-}
 
-async fn accept(listener: &TcpListener) -> TcpStream {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let _ = stream.set_nodelay(true);
-                return stream;
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "cannot accept a connection: retrying");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
+    /// Returns the HTTP library's settings for a new connection.
+    fn http(&self) -> http1::Builder {
+        let mut http = http1::Builder::new();
+        http.timer(TokioTimer::new())
+            .header_read_timeout(self.limits.head_wait())
+            .max_buf_size(self.limits.buffer_bytes());
+        if let Some(bytes) = self.limits.head_bytes() {
+            http.max_header_size(bytes);
         }
+        if let Some(fields) = self.limits.fields() {
+            http.max_headers(fields);
+        }
+        http
     }
 }
 
@@ -206,8 +250,8 @@
     gateway: G,
     dialect: Arc<HttpDialect>,
     is_leaving: Arc<AtomicBool>,
+    limits: Limits,
 ) -> impl Filter<Extract = (warp::reply::Response,), Error = Infallible> + Clone {
-    let body_budget = request::BodyBudget::new();
     let fallback_dialect = dialect.clone();
     let query = warp::query::raw()
         .map(Some)
@@ -218,12 +262,13 @@
         .and(query)
         .and(warp::header::headers_cloned())
         .and(warp::body::stream())
+        .and(warp::ext::get())
         .then(
-            move |method, path: warp::path::FullPath, query, headers, body| {
+            move |method, path: warp::path::FullPath, query, headers, body, connection| {
                 let gateway = gateway.clone();
                 let is_leaving = is_leaving.clone();
                 let dialect = dialect.clone();
-                let body_budget = body_budget.clone();
+                let limits = limits.clone();
                 async move {
                     let path = path_and_query(path.as_str(), query);
                     let incoming = IncomingRequest {
@@ -231,8 +276,9 @@
                         path,
                         headers,
                         body,
+                        connection,
                     };
-                    let mut response = answer(&gateway, &body_budget, &dialect, incoming).await;
+                    let mut response = answer(&gateway, &limits, &dialect, incoming).await;
                     if is_leaving.load(Ordering::Relaxed) {
                         let close = HeaderValue::from_static("close");
                         response.headers_mut().insert(CONNECTION, close);
@@ -266,11 +312,12 @@
     path: Arc<str>,
     headers: HeaderMap,
     body: S,
+    connection: Connection,
 }
 
 async fn answer<G, S, B, E>(
     gateway: &G,
-    body_budget: &request::BodyBudget,
+    limits: &Limits,
     dialect: &HttpDialect,
     incoming: IncomingRequest<S>,
 ) -> warp::reply::Response
@@ -284,16 +331,21 @@
         path,
         headers,
         body,
+        connection,
     } = incoming;
-    // The permit for the body is held until the gateway has finished with the request.
-    let (request, _body_permit) =
-        match request::read_request(method, path, headers, body, body_budget).await {
-            Ok(read) => read,
-            Err(error) => return reply::invalid_request(&error, dialect),
-        };
+    // What the request holds is counted until the gateway has finished with it.
+    let mut hold = connection.begin_request();
+    let read = request::read_request(method, path, headers, body, limits, &mut hold);
+    let request = match read.await {
+        Ok(request) => request,
+        Err(error) => return reply::invalid_request(&error, dialect),
+    };
+    hold.record_received();
     let method = request.method;
-    match gateway.call(request).await {
-        Ok(response) => reply::response(response, method),
+    let result = gateway.call(request).await;
+    hold.release();
+    match result {
+        Ok(response) => reply::response(response, method, hold),
         Err(refused) => reply::refused_request(&refused, dialect),
     }
 }
--- a/crates/crank-caller/src/lib.rs
+++ b/crates/crank-caller/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod edge;
 mod error;
+mod limits;
 mod reply;
 mod request;
 
@@ -12,9 +13,10 @@
 pub use edge::Edge;
 pub use error::Error;
 
-/// The maximum size of a request body, in bytes.
+/// The maximum size of a request body that the node keeps in hand, in bytes.
 pub const MAX_BODY_BYTES: usize = 1_048_576;
-/// The maximum total size of the bodies of all requests in flight, in bytes.
+/// The maximum total size of the bodies of all requests in flight, in bytes, where the memory of the
+/// machine is not known; see [`crank_engine::caller_budget::Bounds`].
 pub const MAX_BUFFERED_BODY_BYTES: usize = 16 * MAX_BODY_BYTES;
 
 /// Answers the requests that callers send.
--- a/crates/crank-caller/src/reply.rs
+++ b/crates/crank-caller/src/reply.rs
@@ -10,6 +10,7 @@
 };
 use crank_protocol::config::Method;
 use crank_protocol::{HttpDialect, Millis};
+use crank_stream::RequestHold;
 use futures::Stream;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Response as HttpResponse, StatusCode};
@@ -39,7 +40,9 @@
 ) -> warp::reply::Response {
     let status = match error {
         InvalidRequest::Method => StatusCode::METHOD_NOT_ALLOWED,
-        InvalidRequest::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        InvalidRequest::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        InvalidRequest::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        InvalidRequest::TooSlow => StatusCode::REQUEST_TIMEOUT,
         InvalidRequest::Body => StatusCode::BAD_REQUEST,
         InvalidRequest::OverBudget => StatusCode::SERVICE_UNAVAILABLE,
     };
@@ -165,14 +168,23 @@
     }
 }
 
-pub(crate) fn response(response: Response, method: Method) -> warp::reply::Response {
+/// Returns the HTTP response; `hold` keeps the request counted until its body has ended.
+pub(crate) fn response(
+    response: Response,
+    method: Method,
+    hold: RequestHold,
+) -> warp::reply::Response {
     let ResponseHead {
         status,
         headers,
         length,
         ..
     } = response.head;
-    let body = CheckedBody::new(response.body, length.filter(|_| has_body(method, status)));
+    let body = CheckedBody::new(
+        response.body,
+        length.filter(|_| has_body(method, status)),
+        hold,
+    );
     let mut http_response = warp::reply::stream(body).into_response();
     *http_response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let target_headers = http_response.headers_mut();
@@ -215,15 +227,17 @@
     remaining_bytes: Option<u64>,
     held_back: Option<Bytes>,
     is_ended: bool,
+    _hold: RequestHold,
 }
 
 impl CheckedBody {
-    fn new(body: Body, length: Option<u64>) -> Self {
+    fn new(body: Body, length: Option<u64>, hold: RequestHold) -> Self {
         Self {
             body: Mutex::new(body),
             remaining_bytes: length,
             held_back: None,
             is_ended: false,
+            _hold: hold,
         }
     }
 
--- a/crates/crank-caller/src/request.rs
+++ b/crates/crank-caller/src/request.rs
@@ -1,20 +1,24 @@
 //! Converts HTTP requests to [`Request`]s.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use crank_engine::caller_budget::Timeouts;
 use crank_protocol::Millis;
 use crank_protocol::call::{Header, Outcome, Refusal, RefusedRequest, Request};
 use crank_protocol::config::Method;
+use crank_stream::RequestHold;
 use futures::{Stream, StreamExt};
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
-use crate::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
+use crate::MAX_BODY_BYTES;
+use crate::limits::Limits;
 
-const BODY_READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// What a field takes in the process besides its own bytes.
+const FIELD_BYTES: usize = 300;
+/// The least room that is taken for a body.
+const MIN_BODY_CAPACITY: usize = 1_024;
 /// The `Retry-After` of a request that was refused because the body budget is used up.
 const OVER_BUDGET_RETRY_AFTER: Millis = Millis(1_000);
 
@@ -33,9 +37,14 @@
 /// Why an HTTP request cannot be converted to a [`Request`].
 pub(crate) enum InvalidRequest {
     Method,
-    TooLarge,
+    /// The body is larger than the stated number of bytes, the operator's limit.
+    TooLarge(u64),
+    /// The head is larger than the operator's limit.
+    HeadTooLarge,
     Body,
-    /// The bodies of all requests in flight would exceed [`MAX_BUFFERED_BODY_BYTES`].
+    /// The body came too slowly.
+    TooSlow,
+    /// There is no room for the request beside those in flight.
     OverBudget,
 }
 
@@ -48,7 +57,11 @@
             Self::Method => {
                 detail("the method is not one of GET, HEAD, POST, PUT, PATCH and DELETE")
             }
-            Self::TooLarge => detail("the body is larger than 1048576 bytes: send less at once"),
+            Self::TooLarge(limit) => detail(&format!(
+                "the body is larger than {limit} bytes: send less at once"
+            )),
+            Self::HeadTooLarge => detail("the head is larger than allowed: send fewer fields"),
+            Self::TooSlow => detail("the body came too slowly: send the request again"),
             Self::Body => detail("the body broke off: send the request again"),
             Self::OverBudget => Refusal::Overloaded {
                 retry_after: OVER_BUDGET_RETRY_AFTER,
@@ -80,49 +93,81 @@
     path: Arc<str>,
     headers: HeaderMap,
     body: S,
-    budget: &BodyBudget,
-) -> Result<(Request, BodyPermit), InvalidRequest>
+    limits: &Limits,
+    hold: &mut RequestHold,
+) -> Result<Request, InvalidRequest>
 where
     S: Stream<Item = Result<B, E>>,
     B: Buf,
 {
     let method = parse_method(&method)?;
-    let length = content_length(&headers);
-    if length.is_some_and(|length| length > MAX_BODY_BYTES as u64) {
-        return Err(InvalidRequest::TooLarge);
+    let head_bytes = head_bytes(&path, &headers);
+    if limits.head_bytes().is_some_and(|limit| head_bytes > limit) {
+        return Err(InvalidRequest::HeadTooLarge);
     }
-    let read = timeout(BODY_READ_TIMEOUT, read_body(body, budget));
-    let (body, permit) = read.await.map_err(|_| InvalidRequest::Body)??;
+    reserve(hold, head_bytes + headers.len() * FIELD_BYTES)?;
+    let max = MaxBody::new(limits, content_length(&headers))?;
+    let body = read_body(body, max, hold).await?;
     let host = parse_host(&headers);
     let headers = forwarded_headers(&headers);
-    let request = Request {
+    Ok(Request {
         method,
         host,
         path,
         headers,
         body,
-    };
-    Ok((request, permit))
+    })
 }
 
-/// Limits the total size of the bodies of all requests in flight to [`MAX_BUFFERED_BODY_BYTES`].
-#[derive(Clone)]
-pub(crate) struct BodyBudget(Arc<Semaphore>);
+/// Returns the least number of bytes that the head took on the wire.
+fn head_bytes(path: &str, headers: &HeaderMap) -> usize {
+    const FIELD_END_BYTES: usize = ":\r\n".len();
+    let fields = headers.iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_END_BYTES);
+    path.len() + fields.sum::<usize>()
+}
 
-/// A permit for the bytes of one body, which are returned to the budget when it is dropped.
-pub(crate) struct BodyPermit(OwnedSemaphorePermit);
+fn reserve(hold: &mut RequestHold, bytes: usize) -> Result<(), InvalidRequest> {
+    match hold.reserve(bytes as u64) {
+        true => Ok(()),
+        false => Err(InvalidRequest::OverBudget),
+    }
+}
 
-impl BodyBudget {
-    pub(crate) fn new() -> Self {
-        Self(Arc::new(Semaphore::new(MAX_BUFFERED_BODY_BYTES)))
+/// How large a body may be.
+#[derive(Clone, Copy)]
+struct MaxBody {
+    /// The operator's limit, in bytes.
+    limit: u64,
+    /// The most bytes that this one can have and the node keeps in hand.
+    in_hand: usize,
+}
+
+impl MaxBody {
+    /// Returns the limits for a body of a stated length, unless it is beyond them.
+    fn new(limits: &Limits, length: Option<u64>) -> Result<Self, InvalidRequest> {
+        let limit = limits.body_bytes();
+        let most = limit
+            .min(MAX_BODY_BYTES as u64)
+            .min(length.unwrap_or(limit));
+        let max = Self {
+            limit,
+            in_hand: usize::try_from(most).unwrap_or(MAX_BODY_BYTES),
+        };
+        match length {
+            Some(length) if length > most => Err(max.exceeded(length)),
+            _ => Ok(max),
+        }
     }
 
-    fn acquire(&self, bytes: usize) -> Result<BodyPermit, InvalidRequest> {
-        let bytes = u32::try_from(bytes).map_err(|_| InvalidRequest::TooLarge)?;
-        let permit = self.0.clone().try_acquire_many_owned(bytes);
-        permit
-            .map(BodyPermit)
-            .map_err(|_| InvalidRequest::OverBudget)
+    /// Returns the refusal of a body of at least `bytes`.
+    ///
+    /// One within the operator's limit is not the caller's fault, but there is no room for it.
+    fn exceeded(self, bytes: u64) -> InvalidRequest {
+        match bytes > self.limit {
+            true => InvalidRequest::TooLarge(self.limit),
+            false => InvalidRequest::OverBudget,
+        }
     }
 }
 
@@ -141,26 +186,54 @@
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
+/// Reads a body whole; it is not sent to anyone before its end is here.
 async fn read_body<S, B, E>(
     body: S,
-    budget: &BodyBudget,
-) -> Result<(Bytes, BodyPermit), InvalidRequest>
+    max: MaxBody,
+    hold: &mut RequestHold,
+) -> Result<Bytes, InvalidRequest>
 where
     S: Stream<Item = Result<B, E>>,
     B: Buf,
 {
     let mut body = std::pin::pin!(body);
     let mut buffer = BytesMut::new();
-    let mut permit = budget.acquire(0)?;
-    while let Some(chunk) = body.next().await {
+    let started_at = Instant::now();
+    let pace = Timeouts::default().body;
+    loop {
+        let allowed = pace.time_allowed(buffer.len() as u64);
+        let next = timeout_at(started_at + allowed.into(), body.next()).await;
+        let Some(chunk) = next.map_err(|_| InvalidRequest::TooSlow)? else {
+            return Ok(buffer.freeze());
+        };
         let mut chunk = chunk.map_err(|_| InvalidRequest::Body)?;
-        if buffer.len() + chunk.remaining() > MAX_BODY_BYTES {
-            return Err(InvalidRequest::TooLarge);
+        let length = buffer.len() + chunk.remaining();
+        if length > max.in_hand {
+            return Err(max.exceeded(length as u64));
         }
-        permit.0.merge(budget.acquire(chunk.remaining())?.0);
+        make_room(&mut buffer, length, max.in_hand, hold)?;
         buffer.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
     }
-    Ok((buffer.freeze(), permit))
+}
+
+/// Makes a buffer large enough for `length` bytes, and takes the room from the budget.
+fn make_room(
+    buffer: &mut BytesMut,
+    length: usize,
+    most: usize,
+    hold: &mut RequestHold,
+) -> Result<(), InvalidRequest> {
+    let capacity = buffer.capacity();
+    if length <= capacity {
+        return Ok(());
+    }
+    let doubled = (2 * capacity).max(MIN_BODY_CAPACITY).min(most);
+    let wanted = doubled.max(length);
+    reserve(hold, wanted - capacity)?;
+    let mut larger = BytesMut::with_capacity(wanted);
+    larger.extend_from_slice(buffer);
+    *buffer = larger;
+    Ok(())
 }
 
 fn forwarded_headers(headers: &HeaderMap) -> Vec<Header> {
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crank_engine::burn::BurnCounter;
+use crank_engine::caller_budget::Bounds;
 use crank_engine::drain::DrainProgress;
 use crank_mesh::call::{self, Pool, SharedUplink};
 use crank_mesh::{Handle, Socket};
@@ -149,6 +150,7 @@
         metrics.add_refused_config(refused_config.clone());
         let gateway = MeteredGateway::new(entry.clone(), metrics.clone());
         let edge = options.caller_listener.with_dialect(dialect);
+        let edge = edge.with_config(mesh.config());
         let edge = edge.with_close_delay(MIN_CLOSE_DELAY.max(options.linger.into()));
         let caller_task = tokio::spawn(edge.run(gateway, closing.clone()));
         Ok(Self {
@@ -265,14 +267,15 @@
     /// ```no_run
     /// # use crank_node::node::Node;
     /// # use crank_platform_client::Rows;
-    /// async fn example<P: Rows>(node: &Node<P>, listener: tokio::net::TcpListener) {
-    ///     node.serve_metrics(listener);
+    /// # use crank_engine::caller_budget::Bounds;
+    /// async fn example<P: Rows>(node: &Node<P>, listener: tokio::net::TcpListener, bounds: Bounds) {
+    ///     node.serve_metrics(listener, bounds);
     /// }
     /// ```
-    pub fn serve_metrics(&self, listener: TcpListener) {
+    pub fn serve_metrics(&self, listener: TcpListener, bounds: Bounds) {
         let metrics = self.metrics.clone();
         let text = warp::any().map(move || metrics.encode());
-        tokio::spawn(warp::serve(text).incoming(listener).run());
+        tokio::spawn(crank_stream::serve(listener, warp::service(text), bounds));
     }
 
     /// Shuts the node down: keeps accepting requests for the linger period, then refuses new ones,
--- /dev/null
+++ b/crates/crank-stream/src/connection.rs
@@ -0,0 +1,297 @@
+//! One connection of a [`crate::Door`]: what it does, and what its requests hold.
+
+use std::sync::Arc;
+
+use crank_engine::Moment;
+use crank_engine::caller_budget::{Activity, ConnectionUse, Wish};
+use parking_lot::Mutex;
+use tokio::task::AbortHandle;
+
+use crate::GuardedStream;
+use crate::door::Table;
+
+/// What a connection is charged while its peer does not take an answer: the bytes that wait for it
+/// between the backend server and the peer.
+const BLOCKED_BYTES: u64 = 256 * 1_024;
+
+/// The state of a connection, shared by its table, its stream and its requests.
+pub(crate) struct Shared {
+    id: u64,
+    state: Mutex<State>,
+}
+
+struct State {
+    is_closed: bool,
+    /// The requests that are whole or partly in hand and not yet answered.
+    requests: u32,
+    /// Whether the last of them is still being received.
+    is_receiving: bool,
+    is_in_head: bool,
+    since: Moment,
+    bytes: u64,
+    blocked: Option<Blocked>,
+    held: u64,
+}
+
+/// A peer that does not take what waits for it.
+#[derive(Clone, Copy)]
+struct Blocked {
+    since: Moment,
+    bytes: u64,
+    /// What the connection is charged for the wait.
+    held: u64,
+}
+
+impl Shared {
+    pub(crate) fn new(id: u64, now: Moment) -> Self {
+        let state = State {
+            is_closed: false,
+            requests: 0,
+            is_receiving: false,
+            is_in_head: false,
+            since: now,
+            bytes: 0,
+            blocked: None,
+            held: 0,
+        };
+        Self {
+            id,
+            state: Mutex::new(state),
+        }
+    }
+
+    pub(crate) fn current(&self) -> ConnectionUse {
+        let state = self.state.lock();
+        let activity = match *state {
+            State {
+                blocked: Some(_), ..
+            } => Activity::Blocked,
+            State {
+                is_receiving: true, ..
+            } => Activity::Body,
+            State { requests: 1.., .. } => Activity::Answering,
+            State {
+                is_in_head: true, ..
+            } => Activity::Head,
+            _ => Activity::Idle,
+        };
+        let progress = state.blocked.unwrap_or(Blocked {
+            since: state.since,
+            bytes: state.bytes,
+            held: 0,
+        });
+        ConnectionUse {
+            id: self.id,
+            activity,
+            since: progress.since,
+            bytes: progress.bytes,
+            held: state.held,
+        }
+    }
+
+    /// Ends the account of the connection; returns what it held, in bytes.
+    pub(crate) fn close(&self) -> u64 {
+        let mut state = self.state.lock();
+        state.is_closed = true;
+        std::mem::take(&mut state.held)
+    }
+}
+
+/// A connection that has entered; it leaves its table when the last clone is dropped.
+#[derive(Clone)]
+pub struct Connection {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    shared: Arc<Shared>,
+    table: Arc<Table>,
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        self.table.remove(self.shared.id);
+    }
+}
+
+impl Connection {
+    pub(crate) fn new(shared: Arc<Shared>, table: Arc<Table>) -> Self {
+        let inner = Arc::new(Inner { shared, table });
+        Self { inner }
+    }
+
+    /// Counts what passes through a stream as the connection's.
+    ///
+    /// ```
+    /// # use crank_stream::{Connection, GuardedStream};
+    /// fn guard<S>(connection: &Connection, stream: S) -> GuardedStream<S> {
+    ///     connection.guard(stream)
+    /// }
+    /// ```
+    #[must_use]
+    pub fn guard<S>(&self, stream: S) -> GuardedStream<S> {
+        GuardedStream::new(stream, self.clone())
+    }
+
+    /// Sets the task that is aborted when the connection has to give way.
+    ///
+    /// ```
+    /// # use crank_stream::Connection;
+    /// fn start(connection: &Connection, serve: impl Future<Output = ()> + Send + 'static) {
+    ///     connection.set_task(tokio::spawn(serve).abort_handle());
+    /// }
+    /// ```
+    pub fn set_task(&self, task: AbortHandle) {
+        self.inner.table.set_task(self.inner.shared.id, task);
+    }
+
+    /// Records that the head of a request has been received.
+    ///
+    /// ```
+    /// # use crank_stream::{Connection, RequestHold};
+    /// fn begin(connection: &Connection) -> RequestHold {
+    ///     connection.begin_request()
+    /// }
+    /// ```
+    #[must_use]
+    pub fn begin_request(&self) -> RequestHold {
+        let now = self.inner.table.now();
+        let mut state = self.inner.shared.state.lock();
+        state.requests += 1;
+        state.is_receiving = true;
+        state.is_in_head = false;
+        (state.since, state.bytes) = (now, 0);
+        drop(state);
+        RequestHold {
+            connection: self.clone(),
+            held: 0,
+        }
+    }
+
+    pub(crate) fn record_read(&self, bytes: usize) {
+        let mut state = self.inner.shared.state.lock();
+        if state.requests == 0 && !state.is_in_head {
+            state.is_in_head = true;
+            (state.since, state.bytes) = (self.inner.table.now(), 0);
+        }
+        state.bytes += bytes as u64;
+    }
+
+    pub(crate) fn record_blocked(&self) {
+        let mut state = self.inner.shared.state.lock();
+        if state.blocked.is_none() {
+            let since = self.inner.table.now();
+            state.blocked = Some(Blocked {
+                since,
+                bytes: 0,
+                held: 0,
+            });
+            drop(state);
+            self.charge_blocked();
+        }
+    }
+
+    /// Charges the bytes that wait for the peer, for which others that are behind give way. Without
+    /// room the answer goes on, because its request has run.
+    fn charge_blocked(&self) {
+        if self.reserve(BLOCKED_BYTES)
+            && let Some(blocked) = &mut self.inner.shared.state.lock().blocked
+        {
+            blocked.held = BLOCKED_BYTES;
+        }
+    }
+
+    pub(crate) fn record_written(&self, bytes: usize) {
+        if let Some(blocked) = &mut self.inner.shared.state.lock().blocked {
+            blocked.bytes += bytes as u64;
+        }
+    }
+
+    /// Records that nothing waits for the peer any more.
+    pub(crate) fn record_flushed(&self) {
+        let blocked = self.inner.shared.state.lock().blocked.take();
+        if let Some(blocked) = blocked {
+            self.release(blocked.held);
+        }
+    }
+
+    fn reserve(&self, bytes: u64) -> bool {
+        let held = self.inner.shared.state.lock().held;
+        let id = self.inner.shared.id;
+        if !self.inner.table.reserve(Wish { id, held, bytes }) {
+            return false;
+        }
+        self.inner.shared.state.lock().held += bytes;
+        true
+    }
+
+    fn release(&self, bytes: u64) {
+        let mut state = self.inner.shared.state.lock();
+        if !state.is_closed {
+            state.held -= bytes;
+            self.inner.table.release(bytes);
+        }
+    }
+}
+
+/// A request of a connection and the bytes that it holds, which are given back when it is dropped.
+pub struct RequestHold {
+    connection: Connection,
+    held: u64,
+}
+
+impl RequestHold {
+    /// Takes bytes for the request; false if there is no room, so that it must be refused.
+    ///
+    /// ```
+    /// # use crank_stream::RequestHold;
+    /// fn keep(request: &mut RequestHold, chunk: &[u8]) -> bool {
+    ///     request.reserve(chunk.len() as u64)
+    /// }
+    /// ```
+    #[must_use]
+    pub fn reserve(&mut self, bytes: u64) -> bool {
+        let is_granted = self.connection.reserve(bytes);
+        if is_granted {
+            self.held += bytes;
+        }
+        is_granted
+    }
+
+    /// Records that the request is whole in hand.
+    ///
+    /// ```
+    /// # use crank_stream::RequestHold;
+    /// fn run(request: &RequestHold) {
+    ///     request.record_received();
+    /// }
+    /// ```
+    pub fn record_received(&self) {
+        let shared = &self.connection.inner.shared;
+        shared.state.lock().is_receiving = false;
+    }
+
+    /// Gives the bytes back: the request is answered, or can no longer be sent again.
+    ///
+    /// ```
+    /// # use crank_stream::RequestHold;
+    /// fn end(request: &mut RequestHold) {
+    ///     request.release();
+    /// }
+    /// ```
+    pub fn release(&mut self) {
+        self.connection.release(std::mem::take(&mut self.held));
+    }
+}
+
+impl Drop for RequestHold {
+    fn drop(&mut self) {
+        let now = self.connection.inner.table.now();
+        let mut state = self.connection.inner.shared.state.lock();
+        state.requests -= 1;
+        state.is_receiving = false;
+        (state.since, state.bytes) = (now, 0);
+        drop(state);
+        self.release();
+    }
+}
--- a/crates/crank-stream/src/lib.rs
+++ b/crates/crank-stream/src/lib.rs
@@ -1,7 +1,15 @@
-//! Byte streams that leave time for other tasks, whatever the other end sends.
+//! Byte streams and connections that leave room and time for others, whatever the other end sends.
 
+mod connection;
+mod door;
 mod fair_stream;
+mod guarded_stream;
 mod progress;
+mod serve;
 
+pub use connection::{Connection, RequestHold};
+pub use door::Door;
 pub use fair_stream::{FairStream, MAX_TURN_BYTES};
+pub use guarded_stream::GuardedStream;
 pub use progress::Progress;
+pub use serve::{accept, serve};
