--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use crank_engine::caller_budget::{Bounds, MachineLimits};
+use crank_engine::caller_budget::MachineLimits;
 use crank_protocol::HttpDialect;
 use crank_protocol::config::Snapshot;
 use crank_stream::{Connection, Door, FairStream, accept};
@@ -33,7 +33,6 @@
     address: SocketAddr,
     dialect: Arc<HttpDialect>,
     close_delay: Duration,
-    machine: MachineLimits,
     limits: Limits,
 }
 
@@ -62,7 +61,6 @@
             address,
             dialect: Arc::default(),
             close_delay: DEFAULT_CLOSE_DELAY,
-            machine: MachineLimits::default(),
             limits: Limits::default(),
         })
     }
@@ -108,7 +106,8 @@
     /// ```
     #[must_use]
     pub fn with_machine(self, machine: MachineLimits) -> Self {
-        Self { machine, ..self }
+        let limits = self.limits.with_machine(machine);
+        Self { limits, ..self }
     }
 
     /// Sets the configuration whose limits for callers are in force.
@@ -124,7 +123,7 @@
     /// ```
     #[must_use]
     pub fn with_config(self, config: watch::Receiver<Option<Arc<Snapshot>>>) -> Self {
-        let limits = Limits::new(config);
+        let limits = self.limits.with_config(config);
         Self { limits, ..self }
     }
 
@@ -155,7 +154,7 @@
     pub async fn run(self, gateway: impl Gateway, leaving: CancellationToken) {
         let is_leaving = Arc::new(AtomicBool::new(false));
         let connections = Connections {
-            door: Door::new(Bounds::for_callers(self.machine)),
+            door: Door::new(self.limits.bounds()),
             limits: self.limits.clone(),
             shutdown: GracefulShutdown::new(),
         };
@@ -276,10 +275,10 @@
                         path,
                         headers,
                         body,
-                        connection,
+                        connection: Connection::clone(&connection),
                     };
                     let mut response = answer(&gateway, &limits, &dialect, incoming).await;
-                    if is_leaving.load(Ordering::Relaxed) {
+                    if is_leaving.load(Ordering::Relaxed) || connection.is_leaving() {
                         let close = HeaderValue::from_static("close");
                         response.headers_mut().insert(CONNECTION, close);
                     }
--- a/crates/crank-caller/src/limits.rs
+++ b/crates/crank-caller/src/limits.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crank_engine::caller_budget::Timeouts;
+use crank_engine::caller_budget::{Bounds, MachineLimits, Timeouts};
 use crank_protocol::Millis;
 use crank_protocol::config::{CallerLimits, Snapshot};
 use crank_stream::Door;
@@ -13,6 +13,8 @@
 
 /// The most bytes of a head where the operator sets no limit.
 const DEFAULT_HEAD_BYTES: usize = 8_192 + 4_096 * 100;
+/// The same on a machine whose memory is known.
+const SMALL_HEAD_BYTES: usize = MIN_BUFFER_BYTES;
 /// What a head may be late by on the way.
 const HEAD_SLACK: Millis = Millis(1_000);
 /// The least buffer of a connection.
@@ -26,13 +28,22 @@
 #[derive(Clone, Default)]
 pub(crate) struct Limits {
     config: Option<watch::Receiver<Option<Arc<Snapshot>>>>,
+    machine: MachineLimits,
 }
 
 impl Limits {
-    pub(crate) fn new(config: watch::Receiver<Option<Arc<Snapshot>>>) -> Self {
-        Self {
-            config: Some(config),
-        }
+    pub(crate) fn with_config(self, config: watch::Receiver<Option<Arc<Snapshot>>>) -> Self {
+        let config = Some(config);
+        Self { config, ..self }
+    }
+
+    pub(crate) fn with_machine(self, machine: MachineLimits) -> Self {
+        Self { machine, ..self }
+    }
+
+    /// Returns the bounds that the machine sets.
+    pub(crate) fn bounds(&self) -> Bounds {
+        Bounds::for_callers(self.machine)
     }
 
     fn current(&self) -> CallerLimits {
@@ -64,7 +75,11 @@
 
     /// Returns the size of the buffers of a connection, in bytes.
     pub(crate) fn buffer_bytes(&self) -> usize {
-        let head_bytes = self.head_bytes().unwrap_or(DEFAULT_HEAD_BYTES);
+        let default = match self.machine.memory_bytes {
+            Some(_) => SMALL_HEAD_BYTES,
+            None => DEFAULT_HEAD_BYTES,
+        };
+        let head_bytes = self.head_bytes().unwrap_or(default);
         head_bytes.clamp(MIN_BUFFER_BYTES, DEFAULT_HEAD_BYTES)
     }
 
--- a/crates/crank-engine/src/caller_budget.rs
+++ b/crates/crank-engine/src/caller_budget.rs
@@ -119,6 +119,8 @@
     pub since: Moment,
     /// The bytes that have passed since then.
     pub bytes: u64,
+    /// When the last of them passed.
+    pub last_byte_at: Moment,
     /// The bytes that its unfinished requests hold.
     pub held: u64,
 }
@@ -188,7 +190,8 @@
     ///
     /// ```
     /// use crank_engine::{Moment, caller_budget::{Activity, ConnectionUse, Timeouts}};
-    /// let head = ConnectionUse { id: 1, activity: Activity::Head, since: Moment(0), bytes: 9, held: 0 };
+    /// let head = ConnectionUse { id: 1, activity: Activity::Head, since: Moment(0), bytes: 9,
+    ///     last_byte_at: Moment(0), held: 0 };
     /// assert!(!Timeouts::default().is_over(&head, Moment(99_000_000)));
     /// assert!(Timeouts::default().is_over(&head, Moment(101_000_000)));
     /// ```
@@ -214,8 +217,10 @@
 
 fn is_behind(connection: &ConnectionUse, now: Moment) -> bool {
     match connection.activity {
-        Activity::Head | Activity::Body | Activity::Blocked => {
-            SHORTAGE_PACE.is_missed(connection, now)
+        Activity::Head => now > connection.since.after(SHORTAGE_PACE.grace),
+        Activity::Body | Activity::Blocked => {
+            now > connection.last_byte_at.after(SHORTAGE_PACE.grace)
+                || SHORTAGE_PACE.is_missed(connection, now)
         }
         Activity::Idle | Activity::Answering => false,
     }
@@ -226,7 +231,8 @@
 ///
 /// ```
 /// use crank_engine::{Moment, caller_budget::{Activity, ConnectionUse, connection_to_close}};
-/// let at = |id, activity, since| ConnectionUse { id, activity, since: Moment(since), bytes: 0, held: 0 };
+/// let at = |id, activity, since| ConnectionUse {
+///     id, activity, since: Moment(since), bytes: 0, last_byte_at: Moment(since), held: 0 };
 /// let connections = [at(1, Activity::Idle, 0), at(2, Activity::Head, 5), at(3, Activity::Answering, 0)];
 /// assert_eq!(connection_to_close(Moment(2_000_000), &connections), Some(2));
 /// ```
--- a/crates/crank-engine/tests/callers_share_a_budget.rs
+++ b/crates/crank-engine/tests/callers_share_a_budget.rs
@@ -22,6 +22,7 @@
         activity,
         since: Moment(NOW.0 - age_ms * 1_000),
         bytes: 0,
+        last_byte_at: Moment(NOW.0 - age_ms * 1_000),
         held,
     }
 }
@@ -38,7 +39,9 @@
 #[test]
 fn bodies_that_stall_give_way_to_an_ordinary_one() {
     let bounds = Bounds::for_callers(SMALL_MACHINE);
-    let crowd: Vec<_> = (0..8).map(|id| holder(id, Activity::Body, 5_000, MIB)).collect();
+    let crowd: Vec<_> = (0..8)
+        .map(|id| holder(id, Activity::Body, 5_000, MIB))
+        .collect();
     let verdict = decide(NOW, bounds, wish(MIB), &crowd);
     assert!(matches!(verdict, Verdict::Granted { closing } if closing.len() == 2));
 }
@@ -46,7 +49,9 @@
 #[test]
 fn a_small_request_finds_room_beside_large_ones_that_run() {
     let bounds = Bounds::for_callers(SMALL_MACHINE);
-    let large: Vec<_> = (0..7).map(|id| holder(id, Activity::Answering, 100, MIB)).collect();
+    let large: Vec<_> = (0..7)
+        .map(|id| holder(id, Activity::Answering, 100, MIB))
+        .collect();
     assert_eq!(decide(NOW, bounds, wish(MIB), &large), Verdict::Refused);
     let granted = Verdict::Granted { closing: vec![] };
     assert_eq!(decide(NOW, bounds, wish(4_096), &large), granted);
@@ -61,7 +66,10 @@
     ];
     let granted = Verdict::Granted { closing: vec![1] };
     assert_eq!(decide(NOW, bounds, wish(MIB), &receivers), granted);
-    assert_eq!(decide(NOW, bounds, wish(7 * MIB), &receivers), Verdict::Refused);
+    assert_eq!(
+        decide(NOW, bounds, wish(7 * MIB), &receivers),
+        Verdict::Refused
+    );
 }
 
 #[test]
@@ -69,9 +77,13 @@
     let bounds = Bounds::for_callers(SMALL_MACHINE);
     let mut receiving = holder(1, Activity::Body, 5_000, 2 * MIB);
     receiving.bytes = MIB;
+    receiving.last_byte_at = NOW;
     let running = holder(2, Activity::Answering, 100, 5 * MIB);
     let verdict = decide(NOW, bounds, wish(3 * MIB), &[receiving, running]);
     assert_eq!(verdict, Verdict::Refused);
+    receiving.last_byte_at = Moment(NOW.0 - 2_000_000);
+    let verdict = decide(NOW, bounds, wish(2 * MIB), &[receiving, running]);
+    assert_eq!(verdict, Verdict::Granted { closing: vec![1] });
 }
 
 #[test]
--- a/crates/crank-stream/src/connection.rs
+++ b/crates/crank-stream/src/connection.rs
@@ -21,7 +21,10 @@
 }
 
 struct State {
+    /// Whether the connection gives way; its task is about to end.
     is_closed: bool,
+    /// Whether the connection is to close after its next answer.
+    is_leaving: bool,
     /// The requests that are whole or partly in hand and not yet answered.
     requests: u32,
     /// Whether the last of them is still being received.
@@ -29,6 +32,7 @@
     is_in_head: bool,
     since: Moment,
     bytes: u64,
+    last_byte_at: Moment,
     blocked: Option<Blocked>,
     held: u64,
 }
@@ -38,6 +42,7 @@
 struct Blocked {
     since: Moment,
     bytes: u64,
+    last_byte_at: Moment,
     /// What the connection is charged for the wait.
     held: u64,
 }
@@ -46,11 +51,13 @@
     pub(crate) fn new(id: u64, now: Moment) -> Self {
         let state = State {
             is_closed: false,
+            is_leaving: false,
             requests: 0,
             is_receiving: false,
             is_in_head: false,
             since: now,
             bytes: 0,
+            last_byte_at: now,
             blocked: None,
             held: 0,
         };
@@ -60,8 +67,12 @@
         }
     }
 
-    pub(crate) fn current(&self) -> ConnectionUse {
+    /// Returns what the connection does; `None` if it gives way already.
+    pub(crate) fn current(&self) -> Option<ConnectionUse> {
         let state = self.state.lock();
+        if state.is_closed {
+            return None;
+        }
         let activity = match *state {
             State {
                 blocked: Some(_), ..
@@ -78,15 +89,22 @@
         let progress = state.blocked.unwrap_or(Blocked {
             since: state.since,
             bytes: state.bytes,
+            last_byte_at: state.last_byte_at,
             held: 0,
         });
-        ConnectionUse {
+        Some(ConnectionUse {
             id: self.id,
             activity,
             since: progress.since,
             bytes: progress.bytes,
+            last_byte_at: progress.last_byte_at,
             held: state.held,
-        }
+        })
+    }
+
+    /// Makes the connection close after its next answer.
+    pub(crate) fn ask_to_leave(&self) {
+        self.state.lock().is_leaving = true;
     }
 
     /// Ends the account of the connection; returns what it held, in bytes.
@@ -145,6 +163,19 @@
         self.inner.table.set_task(self.inner.shared.id, task);
     }
 
+    /// Returns whether the next answer is to be the last one, so that others get a turn.
+    ///
+    /// ```
+    /// # use crank_stream::Connection;
+    /// fn header(connection: &Connection) -> Option<&'static str> {
+    ///     connection.is_leaving().then_some("connection: close")
+    /// }
+    /// ```
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.inner.shared.state.lock().is_leaving
+    }
+
     /// Records that the head of a request has been received.
     ///
     /// ```
@@ -160,7 +191,7 @@
         state.requests += 1;
         state.is_receiving = true;
         state.is_in_head = false;
-        (state.since, state.bytes) = (now, 0);
+        (state.since, state.bytes, state.last_byte_at) = (now, 0, now);
         drop(state);
         RequestHold {
             connection: self.clone(),
@@ -169,11 +200,13 @@
     }
 
     pub(crate) fn record_read(&self, bytes: usize) {
+        let now = self.inner.table.now();
         let mut state = self.inner.shared.state.lock();
         if state.requests == 0 && !state.is_in_head {
             state.is_in_head = true;
-            (state.since, state.bytes) = (self.inner.table.now(), 0);
+            (state.since, state.bytes) = (now, 0);
         }
+        state.last_byte_at = now;
         state.bytes += bytes as u64;
     }
 
@@ -184,6 +217,7 @@
             state.blocked = Some(Blocked {
                 since,
                 bytes: 0,
+                last_byte_at: since,
                 held: 0,
             });
             drop(state);
@@ -204,6 +238,7 @@
     pub(crate) fn record_written(&self, bytes: usize) {
         if let Some(blocked) = &mut self.inner.shared.state.lock().blocked {
             blocked.bytes += bytes as u64;
+            blocked.last_byte_at = self.inner.table.now();
         }
     }
 
--- a/crates/crank-stream/src/door.rs
+++ b/crates/crank-stream/src/door.rs
@@ -1,6 +1,6 @@
 //! The connections of one listener, within bounds: a crowd that stalls gives way to others.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -18,6 +18,8 @@
 
 /// How often connections that are over their time are looked for.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Where all connections are in use, this part of them, the oldest, closes after its next answer.
+const LEAVING_DIVISOR: usize = 8;
 /// How long the listener waits for a connection that can give way before it looks again.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -34,7 +36,7 @@
     next_id: AtomicU64,
     /// What all connections hold, in bytes.
     held: AtomicU64,
-    connections: Mutex<HashMap<u64, Entry>>,
+    connections: Mutex<BTreeMap<u64, Entry>>,
     left: Notify,
 }
 
@@ -77,7 +79,8 @@
         *self.table.timeouts.lock() = timeouts;
     }
 
-    /// Waits for room for one more connection; one that is stalled or idle gives way.
+    /// Waits for room for one more connection: one that is stalled or idle gives way, or else the
+    /// oldest one after its next answer.
     ///
     /// ```
     /// async fn enter(door: &crank_stream::Door) -> crank_stream::Connection {
@@ -86,11 +89,8 @@
     /// ```
     pub async fn enter(&self) -> Connection {
         while self.table.connections.lock().len() >= self.table.bounds.connections {
-            let now = self.table.now();
-            match connection_to_close(now, &self.table.uses()) {
-                Some(id) => self.table.close(id),
-                None => drop(timeout(FULL_RETRY_DELAY, self.table.left.notified()).await),
-            }
+            self.table.make_room();
+            let _ = timeout(FULL_RETRY_DELAY, self.table.left.notified()).await;
         }
         let id = self.table.next_id.fetch_add(1, Ordering::Relaxed);
         let shared = Arc::new(Shared::new(id, self.table.now()));
@@ -134,7 +134,20 @@
     fn uses(&self) -> Vec<ConnectionUse> {
         let connections = self.connections.lock();
         let entries = connections.values();
-        entries.map(|entry| entry.connection.current()).collect()
+        entries
+            .filter_map(|entry| entry.connection.current())
+            .collect()
+    }
+
+    fn make_room(&self) {
+        if let Some(id) = connection_to_close(self.now(), &self.uses()) {
+            return self.close(id);
+        }
+        let connections = self.connections.lock();
+        let batch = (connections.len() / LEAVING_DIVISOR).max(1);
+        for entry in connections.values().take(batch) {
+            entry.connection.ask_to_leave();
+        }
     }
 
     pub(crate) fn set_task(&self, id: u64, task: AbortHandle) {
@@ -164,16 +177,21 @@
 
     /// Makes a connection give way: what it holds is free at once, and its task ends.
     fn close(&self, id: u64) {
-        if let Some(task) = self.remove(id) {
-            task.abort();
+        let connections = self.connections.lock();
+        if let Some(entry) = connections.get(&id) {
+            self.release(entry.connection.close());
+            if let Some(task) = &entry.task {
+                task.abort();
+            }
         }
     }
 
-    /// Removes a connection that has ended or must end; returns its task.
-    pub(crate) fn remove(&self, id: u64) -> Option<AbortHandle> {
-        let entry = self.connections.lock().remove(&id)?;
-        self.release(entry.connection.close());
-        self.left.notify_one();
-        entry.task
+    /// Removes a connection that has ended.
+    pub(crate) fn remove(&self, id: u64) {
+        let entry = self.connections.lock().remove(&id);
+        if let Some(entry) = entry {
+            self.release(entry.connection.close());
+            self.left.notify_one();
+        }
     }
 }
--- a/crates/crank-stream/src/serve.rs
+++ b/crates/crank-stream/src/serve.rs
@@ -6,7 +6,8 @@
 
 use crank_engine::caller_budget::{Bounds, Timeouts};
 use crank_protocol::Millis;
-use http::{Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 use tower_service::Service;
 
-use crate::{Door, FairStream};
+use crate::{Connection, Door, FairStream};
 
 /// The pause after an error of `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -86,6 +87,14 @@
     }
 }
 
+/// Makes an answer the last one of its connection if others wait for room.
+fn close_if_leaving<B>(connection: &Connection, answer: &mut Response<B>) {
+    if connection.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+}
+
 async fn serve_connection<S, B>(door: &Door, stream: TcpStream, service: S)
 where
     S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
@@ -97,11 +106,15 @@
     let requests = connection.clone();
     let service = service_fn(move |request| {
         let hold = requests.begin_request();
+        let requests = requests.clone();
         let answering = service.clone().call(request);
         async move {
             let answer = timeout(REQUEST_TIMEOUT, answering).await;
             drop(hold);
-            answer.map(|Ok(answer)| answer)
+            answer.map(|Ok(mut answer)| {
+                close_if_leaving(&requests, &mut answer);
+                answer
+            })
         }
     });
     let stream = connection.guard(FairStream::new(stream));
