--- a/crates/crank-engine/src/folder.rs
+++ b/crates/crank-engine/src/folder.rs
@@ -3,6 +3,7 @@
 mod account;
 mod compare;
 mod file;
+mod limits;
 mod merge;
 mod problem;
 mod route;
--- a/crates/crank-engine/src/folder/merge.rs
+++ b/crates/crank-engine/src/folder/merge.rs
@@ -3,16 +3,16 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crank_protocol::config::{Account, Config, Method, Route, Service};
+use crank_protocol::config::{Account, CallerLimits, Config, Method, Route, Service};
 use crank_protocol::{Name, status};
 
-use super::{File, Problem, account, is_ignored_file, route, service};
+use super::{File, Problem, account, is_ignored_file, limits, route, service};
 use crate::ini::{self, Document, Fault, Section, value};
 
 pub(crate) const MAX_FILES: usize = 256;
 pub(crate) const MAX_FILE_BYTES: usize = 64 * 1024;
 pub(crate) const MAX_FOLDER_BYTES: usize = 1024 * 1024;
-const KNOWN_SECTIONS: &str = "[account], [service NAME] or [route NAME]";
+const KNOWN_SECTIONS: &str = "[account], [limits], [service NAME] or [route NAME]";
 
 /// The result of merging a valid folder.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -139,7 +139,7 @@
         services: builder.services,
         routes: builder.routes,
         clients: Default::default(),
-        limits: Default::default(),
+        limits: builder.limits,
     })
 }
 
@@ -148,12 +148,14 @@
     account: Option<Account>,
     services: BTreeMap<Name, Service>,
     routes: BTreeMap<Name, Route>,
+    limits: CallerLimits,
 }
 
 impl ConfigBuilder {
     fn read(&mut self, section: &Section, faults: &mut Vec<Fault>) {
         match section.kind_and_name() {
             ("account", None) => self.account = account::read(section, faults),
+            ("limits", None) => self.limits = limits::read(section, faults),
             ("service", name) => {
                 if let Some(name) = section_name(section, "service", name, faults)
                     && let Some(service) = service::read(section, faults)
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod retry;
 pub mod route;
 pub mod spread;
+pub mod stall;
 pub mod status;
 pub mod uplink;
 
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod source;
 pub mod target;
 pub mod transport;
+pub mod watchdog;
 
 mod error;
 mod follow;
--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -19,6 +19,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::source::RefusedConfig;
+use crate::watchdog::{LongestPause, PauseCollector};
 
 /// The outcome of a request as reported to its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -178,6 +179,20 @@
             .register_collector(Box::new(RefusedConfigCollector(refused)));
     }
 
+    /// Registers the longest pause of the runtime.
+    ///
+    /// ```
+    /// use crank_node::{metrics::Metrics, watchdog::LongestPause};
+    /// let metrics = Metrics::new();
+    /// metrics.add_longest_pause(LongestPause::default());
+    /// assert!(metrics.encode().contains("crank_longest_pause_seconds"));
+    /// ```
+    pub fn add_longest_pause(&self, pause: LongestPause) {
+        self.registry
+            .lock()
+            .register_collector(Box::new(PauseCollector(pause)));
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     ///
     /// ```
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -28,6 +28,7 @@
 use crate::source::RefusedConfig;
 use crate::target::{self, Target};
 use crate::transport::MeshTransport;
+use crate::watchdog::LongestPause;
 use crate::{Error, follow, handover};
 
 const CALL_SOCKET_QUEUE: usize = 64;
@@ -148,6 +149,9 @@
         metrics.add_mesh(mesh.clone());
         let refused_config = RefusedConfig::default();
         metrics.add_refused_config(refused_config.clone());
+        let longest_pause = LongestPause::default();
+        metrics.add_longest_pause(longest_pause.clone());
+        tokio::spawn(longest_pause.measure(clock));
         let gateway = MeteredGateway::new(entry.clone(), metrics.clone());
         let edge = options.caller_listener.with_dialect(dialect);
         let edge = edge.with_config(mesh.config());
--- a/crates/crank-stream/src/connection.rs
+++ b/crates/crank-stream/src/connection.rs
@@ -176,6 +176,20 @@
         self.inner.shared.state.lock().is_leaving
     }
 
+    /// Lets other tasks run between two requests while a new connection waits for room, so that
+    /// one that sends many ahead does not keep it waiting.
+    ///
+    /// ```
+    /// async fn between_requests(connection: &crank_stream::Connection) {
+    ///     connection.take_turns().await;
+    /// }
+    /// ```
+    pub async fn take_turns(&self) {
+        if self.inner.table.is_full() {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Records that the head of a request has been received.
     ///
     /// ```
--- a/crates/crank-stream/src/door.rs
+++ b/crates/crank-stream/src/door.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use crank_engine::Moment;
@@ -19,7 +19,7 @@
 /// How often connections that are over their time are looked for.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Where all connections are in use, this part of them, the oldest, closes after its next answer.
-const LEAVING_DIVISOR: usize = 8;
+const LEAVING_DIVISOR: usize = 4;
 /// How long the listener waits for a connection that can give way before it looks again.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -38,6 +38,8 @@
     held: AtomicU64,
     connections: Mutex<BTreeMap<u64, Entry>>,
     left: Notify,
+    /// Whether a new connection waits for room.
+    is_full: AtomicBool,
 }
 
 struct Entry {
@@ -63,6 +65,7 @@
                 held: AtomicU64::new(0),
                 connections: Mutex::default(),
                 left: Notify::new(),
+                is_full: AtomicBool::new(false),
             }),
         }
     }
@@ -89,9 +92,11 @@
     /// ```
     pub async fn enter(&self) -> Connection {
         while self.table.connections.lock().len() >= self.table.bounds.connections {
+            self.table.is_full.store(true, Ordering::Relaxed);
             self.table.make_room();
             let _ = timeout(FULL_RETRY_DELAY, self.table.left.notified()).await;
         }
+        self.table.is_full.store(false, Ordering::Relaxed);
         let id = self.table.next_id.fetch_add(1, Ordering::Relaxed);
         let shared = Arc::new(Shared::new(id, self.table.now()));
         let entry = Entry {
@@ -150,6 +155,10 @@
         }
     }
 
+    pub(crate) fn is_full(&self) -> bool {
+        self.is_full.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn set_task(&self, id: u64, task: AbortHandle) {
         if let Some(entry) = self.connections.lock().get_mut(&id) {
             entry.task = Some(task);
--- a/crates/crank-stream/src/serve.rs
+++ b/crates/crank-stream/src/serve.rs
@@ -109,6 +109,7 @@
         let requests = requests.clone();
         let answering = service.clone().call(request);
         async move {
+            requests.take_turns().await;
             let answer = timeout(REQUEST_TIMEOUT, answering).await;
             drop(hold);
             answer.map(|Ok(mut answer)| {
