--- a/crates/crank-engine/tests/caller_limits_are_read_from_the_folder.rs
+++ b/crates/crank-engine/tests/caller_limits_are_read_from_the_folder.rs
@@ -10,7 +10,7 @@
     let content = format!("[account]\nname = sutkent\n[limits]\n{limits}");
     merge(&[File {
         name: "10-all.ini".into(),
-        content: content.into_bytes().into(),
+        content: content.into_bytes(),
     }])
 }
 
