--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -10,17 +10,17 @@
 use crank_protocol::HttpDialect;
 use crank_protocol::config::Snapshot;
 use crank_stream::{Connection, Door, FairStream, accept};
-use http::header::{CONNECTION, HeaderMap, HeaderValue};
+use http::HeaderMap;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use warp::Filter;
 
+use crate::ahead::{self, AheadServer};
 use crate::limits::Limits;
 use crate::{Error, Gateway, reply, request};
 
@@ -34,6 +34,7 @@
     dialect: Arc<HttpDialect>,
     close_delay: Duration,
     limits: Limits,
+    max_requests_ahead: usize,
 }
 
 impl Edge {
@@ -62,6 +63,7 @@
             dialect: Arc::default(),
             close_delay: DEFAULT_CLOSE_DELAY,
             limits: Limits::default(),
+            max_requests_ahead: 0,
         })
     }
 
@@ -127,6 +129,23 @@
         Self { limits, ..self }
     }
 
+    /// Sets how many requests that were sent ahead on a connection may run before their turn; none
+    /// by default. Only requests that the gateway allows to start ahead do.
+    ///
+    /// ```
+    /// # use crank_caller::{Edge, MAX_REQUESTS_AHEAD};
+    /// fn with_requests_ahead(edge: Edge) -> Edge {
+    ///     edge.with_requests_ahead(MAX_REQUESTS_AHEAD)
+    /// }
+    /// ```
+    #[must_use]
+    pub fn with_requests_ahead(self, max_requests_ahead: usize) -> Self {
+        Self {
+            max_requests_ahead,
+            ..self
+        }
+    }
+
     /// Returns the address that callers connect to.
     ///
     /// ```
@@ -156,23 +175,25 @@
         let connections = Connections {
             door: Door::new(self.limits.bounds()),
             limits: self.limits.clone(),
-            shutdown: GracefulShutdown::new(),
+            closing: CancellationToken::new(),
+            tasks: TaskTracker::new(),
         };
-        let filter = filter(
+        let filter = filter(gateway.clone(), self.dialect, self.limits.clone());
+        let service = warp::service(filter);
+        let server = AheadServer::new(
+            service,
             gateway,
-            self.dialect,
+            self.max_requests_ahead,
             is_leaving.clone(),
-            self.limits.clone(),
         );
-        let service = warp::service(filter);
         tokio::select! {
-            () = connections.accept_all(&self.listener, service) => {}
+            () = connections.accept_all(&self.listener, server) => {}
             () = connections.door.sweep() => {}
             () = self.limits.follow(&connections.door) => {}
             () = wait_for_close(&leaving, &is_leaving, self.close_delay) => {}
         }
         drop(self.listener);
-        connections.shutdown.shutdown().await;
+        connections.close().await;
     }
 }
 
@@ -193,35 +214,26 @@
 struct Connections {
     door: Door,
     limits: Limits,
-    shutdown: GracefulShutdown,
+    /// Cancelled when connections close as soon as they have answered what was started.
+    closing: CancellationToken,
+    tasks: TaskTracker,
 }
 
 impl Connections {
-    async fn accept_all<S>(&self, listener: &TcpListener, service: S)
+    async fn accept_all<S, G>(&self, listener: &TcpListener, server: AheadServer<S, G>)
     where
-        S: tower_service::Service<
-                http::Request<hyper::body::Incoming>,
-                Response = warp::reply::Response,
-                Error = Infallible,
-            > + Clone
-            + Send
-            + 'static,
-        S::Future: Send,
+        S: ahead::Service,
+        G: Gateway,
     {
         loop {
             let stream = accept(listener).await;
             let connection = self.door.enter().await;
-            let requests = connection.clone();
-            let service = service.clone();
-            let service = service_fn(move |mut request: http::Request<hyper::body::Incoming>| {
-                request.extensions_mut().insert(requests.clone());
-                service.clone().call(request)
-            });
+            let server = server.for_connection(connection.clone());
             let stream = connection.guard(FairStream::new(stream));
-            let serving = self.http().serve_connection(TokioIo::new(stream), service);
-            let serving = self.shutdown.watch(serving);
-            let task = tokio::spawn(async move {
-                if let Err(error) = serving.await {
+            let http = self.http();
+            let closing = self.closing.child_token();
+            let task = self.tasks.spawn(async move {
+                if let Err(error) = server.serve(&http, stream, closing).await {
                     log::debug!(error:% = error; "caller connection closed");
                 }
             });
@@ -229,6 +241,13 @@
         }
     }
 
+    /// Closes all connections and waits for their ends.
+    async fn close(self) {
+        self.closing.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
     /// Returns the HTTP library's settings for a new connection.
     fn http(&self) -> http1::Builder {
         let mut http = http1::Builder::new();
@@ -248,7 +267,6 @@
 fn filter<G: Gateway>(
     gateway: G,
     dialect: Arc<HttpDialect>,
-    is_leaving: Arc<AtomicBool>,
     limits: Limits,
 ) -> impl Filter<Extract = (warp::reply::Response,), Error = Infallible> + Clone {
     let fallback_dialect = dialect.clone();
@@ -265,7 +283,6 @@
         .then(
             move |method, path: warp::path::FullPath, query, headers, body, connection| {
                 let gateway = gateway.clone();
-                let is_leaving = is_leaving.clone();
                 let dialect = dialect.clone();
                 let limits = limits.clone();
                 async move {
@@ -275,14 +292,9 @@
                         path,
                         headers,
                         body,
-                        connection: Connection::clone(&connection),
+                        connection,
                     };
-                    let mut response = answer(&gateway, &limits, &dialect, incoming).await;
-                    if is_leaving.load(Ordering::Relaxed) || connection.is_leaving() {
-                        let close = HeaderValue::from_static("close");
-                        response.headers_mut().insert(CONNECTION, close);
-                    }
-                    response
+                    answer(&gateway, &limits, &dialect, incoming).await
                 }
             },
         )
--- a/crates/crank-caller/src/request.rs
+++ b/crates/crank-caller/src/request.rs
@@ -9,7 +9,8 @@
 use crank_protocol::config::Method;
 use crank_stream::RequestHold;
 use futures::{Stream, StreamExt};
-use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
+use http::Uri;
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue};
 use tokio::time::{Instant, timeout_at};
 
 use crate::MAX_BODY_BYTES;
@@ -76,6 +77,15 @@
     }
 }
 
+/// Gives a request whose target has no path, as that of `CONNECT`, the path `/`: warp's filters
+/// panic without one.
+pub(crate) fn with_path<B>(mut request: http::Request<B>) -> http::Request<B> {
+    if request.uri().path_and_query().is_none() {
+        *request.uri_mut() = Uri::default();
+    }
+    request
+}
+
 pub(crate) fn parse_method(method: &http::Method) -> Result<Method, InvalidRequest> {
     match method.as_str() {
         "GET" => Ok(Method::Get),
@@ -108,7 +118,7 @@
     reserve(hold, head_bytes + headers.len() * FIELD_BYTES)?;
     let max = MaxBody::new(limits, content_length(&headers))?;
     let body = read_body(body, max, hold).await?;
-    let host = parse_host(&headers);
+    let host = parse_host(headers.get(HOST));
     let headers = forwarded_headers(&headers);
     Ok(Request {
         method,
@@ -172,8 +182,8 @@
 }
 
 /// Returns the host in lower case and without the port, the form in which routes state hosts.
-fn parse_host(headers: &HeaderMap) -> Arc<str> {
-    let text = headers.get(HOST).and_then(|value| value.to_str().ok());
+pub(crate) fn parse_host(header: Option<&HeaderValue>) -> Arc<str> {
+    let text = header.and_then(|value| value.to_str().ok());
     let text = text.unwrap_or_default();
     let name = match text.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
