--- a/crates/crank-caller/src/ahead/mod.rs
+++ b/crates/crank-caller/src/ahead/mod.rs
@@ -28,6 +28,7 @@
 use std::sync::atomic::AtomicBool;
 
 use bytes::Bytes;
+use crank_stream::Connection;
 use http::{Request, Response};
 use http_body_util::{Either, Empty};
 use hyper::body::{Body, Incoming};
@@ -113,6 +114,13 @@
         }
     }
 
+    /// Returns the server of one connection, whose requests are counted for it.
+    pub(crate) fn for_connection(&self, connection: Connection) -> Self {
+        Self {
+            starter: Arc::new(self.starter.for_connection(connection)),
+        }
+    }
+
     /// Serves a connection until it closes. Once `closing` is cancelled, the connection closes as
     /// soon as the calls that have been started on it are answered.
     ///
--- a/crates/crank-caller/src/ahead/service.rs
+++ b/crates/crank-caller/src/ahead/service.rs
@@ -37,7 +37,8 @@
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, JoinError>> + Send>>;
 
     fn call(&self, request: Request<Incoming>) -> Self::Future {
-        let request = request::with_path(request);
+        let mut request = request::with_path(request);
+        self.starter.identify(&mut request);
         let (early, guard) = self.exchange.begin(Target::new(&request));
         let early = early.filter(|early| request.body().is_end_stream() && early.is_for(&request));
         let starter = self.starter.clone();
@@ -51,7 +52,7 @@
                 // An answer that breaks off would close the connection before theirs.
                 response = hold(response, CancellationToken::new(), None).await;
             }
-            if starter.is_leaving() {
+            if starter.must_close() {
                 mark_last(&mut response, exchange.has_none_started());
             }
             Ok(response.map(|body| body.with_exchange(guard)))
--- a/crates/crank-caller/src/ahead/start.rs
+++ b/crates/crank-caller/src/ahead/start.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
+use crank_stream::Connection;
 use http::Request;
 use http_body_util::{Either, Empty};
 use tokio::sync::Semaphore;
@@ -21,6 +22,8 @@
     max_requests: usize,
     permits: Arc<Semaphore>,
     is_leaving: Arc<AtomicBool>,
+    /// The connection whose calls are started.
+    connection: Option<Connection>,
 }
 
 impl<S, G> Starter<S, G> {
@@ -36,6 +39,19 @@
             max_requests,
             permits: Arc::new(Semaphore::new(MAX_STARTED_AHEAD)),
             is_leaving,
+            connection: None,
+        }
+    }
+
+    /// Returns whether the next response is to be the last one of its connection.
+    pub(super) fn must_close(&self) -> bool {
+        self.is_leaving() || self.connection.as_ref().is_some_and(Connection::is_leaving)
+    }
+
+    /// Names the connection of a request to the service.
+    pub(super) fn identify<B>(&self, request: &mut Request<B>) {
+        if let Some(connection) = &self.connection {
+            request.extensions_mut().insert(connection.clone());
         }
     }
 
@@ -54,6 +70,18 @@
 }
 
 impl<S: Service, G: Gateway> Starter<S, G> {
+    /// Returns a starter for the calls of one connection, within the same bounds.
+    pub(super) fn for_connection(&self, connection: Connection) -> Self {
+        Self {
+            service: self.service.clone(),
+            gateway: self.gateway.clone(),
+            max_requests: self.max_requests,
+            permits: self.permits.clone(),
+            is_leaving: self.is_leaving.clone(),
+            connection: Some(connection),
+        }
+    }
+
     pub(super) fn service(&self) -> S {
         self.service.clone()
     }
@@ -66,13 +94,14 @@
     /// Starts the call of a request without a body; returns `None` if the bounds are reached or
     /// the node is leaving.
     pub(super) fn start(&self, request: Request<()>) -> Option<EarlyCall> {
-        if self.is_leaving() {
+        if self.must_close() {
             return None;
         }
         let permit = self.permits.clone().try_acquire_owned().ok()?;
-        let sent = request
+        let mut sent = request
             .clone()
             .map(|()| Either::Right(Empty::<Bytes>::new()));
+        self.identify(&mut sent);
         let mut service = self.service();
         let call = async move {
             match service.call(sent).await {
--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -6,28 +6,24 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use crank_engine::caller_budget::MachineLimits;
 use crank_protocol::HttpDialect;
-use crank_stream::FairStream;
+use crank_protocol::config::Snapshot;
+use crank_stream::{Connection, Door, FairStream, accept};
 use http::HeaderMap;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioTimer;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use warp::Filter;
 
 use crate::ahead::{self, AheadServer};
+use crate::limits::Limits;
 use crate::{Error, Gateway, reply, request};
 
-const MAX_CONNECTIONS: usize = 4_096;
-/// The timeout for reading request headers, which is also the idle timeout of connections. It is
-/// above the usual 90 s of HTTP clients, so that the client closes an idle connection first and no
-/// request is sent on a connection that is being closed.
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(100);
-/// The pause after an error of `accept`.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long a leaving edge still accepts connections before it closes the idle ones.
 const DEFAULT_CLOSE_DELAY: Duration = Duration::from_secs(1);
 
@@ -37,6 +33,7 @@
     address: SocketAddr,
     dialect: Arc<HttpDialect>,
     close_delay: Duration,
+    limits: Limits,
     max_requests_ahead: usize,
 }
 
@@ -65,6 +62,7 @@
             address,
             dialect: Arc::default(),
             close_delay: DEFAULT_CLOSE_DELAY,
+            limits: Limits::default(),
             max_requests_ahead: 0,
         })
     }
@@ -99,6 +97,38 @@
         }
     }
 
+    /// Sets the limits of the machine, within which connections and requests are held.
+    ///
+    /// ```
+    /// # use crank_caller::Edge;
+    /// # use crank_engine::caller_budget::MachineLimits;
+    /// fn on_small_machine(edge: Edge) -> Edge {
+    ///     edge.with_machine(MachineLimits { memory_bytes: Some(160 << 20), descriptors: Some(4_100) })
+    /// }
+    /// ```
+    #[must_use]
+    pub fn with_machine(self, machine: MachineLimits) -> Self {
+        let limits = self.limits.with_machine(machine);
+        Self { limits, ..self }
+    }
+
+    /// Sets the configuration whose limits for callers are in force.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use crank_caller::Edge;
+    /// # use crank_protocol::config::Snapshot;
+    /// # use tokio::sync::watch;
+    /// fn limit(edge: Edge, config: watch::Receiver<Option<Arc<Snapshot>>>) -> Edge {
+    ///     edge.with_config(config)
+    /// }
+    /// ```
+    #[must_use]
+    pub fn with_config(self, config: watch::Receiver<Option<Arc<Snapshot>>>) -> Self {
+        let limits = self.limits.with_config(config);
+        Self { limits, ..self }
+    }
+
     /// Sets how many requests that were sent ahead on a connection may run before their turn; none
     /// by default. Only requests that the gateway allows to start ahead do.
     ///
@@ -143,20 +173,23 @@
     pub async fn run(self, gateway: impl Gateway, leaving: CancellationToken) {
         let is_leaving = Arc::new(AtomicBool::new(false));
         let connections = Connections {
-            permits: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            door: Door::new(self.limits.bounds()),
+            limits: self.limits.clone(),
             closing: CancellationToken::new(),
             tasks: TaskTracker::new(),
         };
-        let service = warp::service(filter(gateway.clone(), self.dialect));
+        let filter = filter(gateway.clone(), self.dialect, self.limits.clone());
+        let service = warp::service(filter);
         let server = AheadServer::new(
             service,
             gateway,
             self.max_requests_ahead,
             is_leaving.clone(),
         );
-        let accept = connections.accept_all(&self.listener, server);
         tokio::select! {
-            () = accept => {}
+            () = connections.accept_all(&self.listener, server) => {}
+            () = connections.door.sweep() => {}
+            () = self.limits.follow(&connections.door) => {}
             () = wait_for_close(&leaving, &is_leaving, self.close_delay) => {}
         }
         drop(self.listener);
@@ -179,7 +212,8 @@
 }
 
 struct Connections {
-    permits: Arc<Semaphore>,
+    door: Door,
+    limits: Limits,
     /// Cancelled when connections close as soon as they have answered what was started.
     closing: CancellationToken,
     tasks: TaskTracker,
@@ -191,20 +225,19 @@
         S: ahead::Service,
         G: Gateway,
     {
-        while let Ok(permit) = self.permits.clone().acquire_owned().await {
-            let stream = FairStream::new(accept(listener).await);
-            let server = server.clone();
+        loop {
+            let stream = accept(listener).await;
+            let connection = self.door.enter().await;
+            let server = server.for_connection(connection.clone());
+            let stream = connection.guard(FairStream::new(stream));
+            let http = self.http();
             let closing = self.closing.child_token();
-            self.tasks.spawn(async move {
-                let mut builder = http1::Builder::new();
-                builder
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(HEADER_READ_TIMEOUT);
-                if let Err(error) = server.serve(&builder, stream, closing).await {
+            let task = self.tasks.spawn(async move {
+                if let Err(error) = server.serve(&http, stream, closing).await {
                     log::debug!(error:% = error; "caller connection closed");
                 }
-                drop(permit);
             });
+            connection.set_task(task.abort_handle());
         }
     }
 
@@ -214,28 +247,28 @@
         self.tasks.close();
         self.tasks.wait().await;
     }
-}
 
-async fn accept(listener: &TcpListener) -> TcpStream {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let _ = stream.set_nodelay(true);
-                return stream;
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "cannot accept a connection: retrying");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
+    /// Returns the HTTP library's settings for a new connection.
+    fn http(&self) -> http1::Builder {
+        let mut http = http1::Builder::new();
+        http.timer(TokioTimer::new())
+            .header_read_timeout(self.limits.head_wait())
+            .max_buf_size(self.limits.buffer_bytes());
+        if let Some(bytes) = self.limits.head_bytes() {
+            http.max_header_size(bytes);
         }
+        if let Some(fields) = self.limits.fields() {
+            http.max_headers(fields);
+        }
+        http
     }
 }
 
 fn filter<G: Gateway>(
     gateway: G,
     dialect: Arc<HttpDialect>,
+    limits: Limits,
 ) -> impl Filter<Extract = (warp::reply::Response,), Error = Infallible> + Clone {
-    let body_budget = request::BodyBudget::new();
     let fallback_dialect = dialect.clone();
     let query = warp::query::raw()
         .map(Some)
@@ -246,11 +279,12 @@
         .and(query)
         .and(warp::header::headers_cloned())
         .and(warp::body::stream())
+        .and(warp::ext::get())
         .then(
-            move |method, path: warp::path::FullPath, query, headers, body| {
+            move |method, path: warp::path::FullPath, query, headers, body, connection| {
                 let gateway = gateway.clone();
                 let dialect = dialect.clone();
-                let body_budget = body_budget.clone();
+                let limits = limits.clone();
                 async move {
                     let path = path_and_query(path.as_str(), query);
                     let incoming = IncomingRequest {
@@ -258,8 +292,9 @@
                         path,
                         headers,
                         body,
+                        connection,
                     };
-                    answer(&gateway, &body_budget, &dialect, incoming).await
+                    answer(&gateway, &limits, &dialect, incoming).await
                 }
             },
         )
@@ -288,11 +323,12 @@
     path: Arc<str>,
     headers: HeaderMap,
     body: S,
+    connection: Connection,
 }
 
 async fn answer<G, S, B, E>(
     gateway: &G,
-    body_budget: &request::BodyBudget,
+    limits: &Limits,
     dialect: &HttpDialect,
     incoming: IncomingRequest<S>,
 ) -> warp::reply::Response
@@ -306,16 +342,22 @@
         path,
         headers,
         body,
+        connection,
     } = incoming;
-    // The permit for the body is held until the gateway has finished with the request.
-    let (request, _body_permit) =
-        match request::read_request(method, path, headers, body, body_budget).await {
-            Ok(read) => read,
-            Err(error) => return reply::invalid_request(&error, dialect),
-        };
+    connection.take_turns().await;
+    // What the request holds is counted until the gateway has finished with it.
+    let mut hold = connection.begin_request();
+    let read = request::read_request(method, path, headers, body, limits, &mut hold);
+    let request = match read.await {
+        Ok(request) => request,
+        Err(error) => return reply::invalid_request(&error, dialect),
+    };
+    hold.record_received();
     let method = request.method;
-    match gateway.call(request).await {
-        Ok(response) => reply::response(response, method),
+    let result = gateway.call(request).await;
+    hold.release();
+    match result {
+        Ok(response) => reply::response(response, method, hold),
         Err(refused) => reply::refused_request(&refused, dialect),
     }
 }
--- a/crates/crank-caller/src/lib.rs
+++ b/crates/crank-caller/src/lib.rs
@@ -3,6 +3,7 @@
 mod ahead;
 mod edge;
 mod error;
+mod limits;
 mod reply;
 mod request;
 
@@ -15,9 +16,10 @@
 pub use edge::Edge;
 pub use error::Error;
 
-/// The maximum size of a request body, in bytes.
+/// The maximum size of a request body that the node keeps in hand, in bytes.
 pub const MAX_BODY_BYTES: usize = 1_048_576;
-/// The maximum total size of the bodies of all requests in flight, in bytes.
+/// The maximum total size of the bodies of all requests in flight, in bytes, where the memory of the
+/// machine is not known; see [`crank_engine::caller_budget::Bounds`].
 pub const MAX_BUFFERED_BODY_BYTES: usize = 16 * MAX_BODY_BYTES;
 
 /// The recommended maximum number of requests that run before their turn on one connection.
--- a/crates/crank-engine/src/folder.rs
+++ b/crates/crank-engine/src/folder.rs
@@ -4,6 +4,7 @@
 mod client;
 mod compare;
 mod file;
+mod limits;
 mod merge;
 mod problem;
 mod route;
--- a/crates/crank-engine/src/folder/merge.rs
+++ b/crates/crank-engine/src/folder/merge.rs
@@ -3,16 +3,18 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crank_protocol::config::{Account, ClientAccount, Config, Method, Route, Service};
+use crank_protocol::config::{
+    Account, CallerLimits, ClientAccount, Config, Method, Route, Service,
+};
 use crank_protocol::{Name, status};
 
-use super::{File, Problem, account, client, is_ignored_file, route, service};
+use super::{File, Problem, account, client, is_ignored_file, limits, route, service};
 use crate::ini::{self, Document, Fault, Section, value};
 
 pub(crate) const MAX_FILES: usize = 256;
 pub(crate) const MAX_FILE_BYTES: usize = 64 * 1024;
 pub(crate) const MAX_FOLDER_BYTES: usize = 1024 * 1024;
-const KNOWN_SECTIONS: &str = "[account], [client NAME], [service NAME] or [route NAME]";
+const KNOWN_SECTIONS: &str = "[account], [client NAME], [limits], [service NAME] or [route NAME]";
 
 /// The result of merging a valid folder.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -140,7 +142,7 @@
         services: builder.services,
         routes: builder.routes,
         clients: builder.clients,
-        limits: Default::default(),
+        limits: builder.limits,
     })
 }
 
@@ -150,6 +152,7 @@
     services: BTreeMap<Name, Service>,
     routes: BTreeMap<Name, Route>,
     clients: BTreeMap<Name, ClientAccount>,
+    limits: CallerLimits,
 }
 
 impl ConfigBuilder {
@@ -163,6 +166,7 @@
                     self.clients.insert(name, client);
                 }
             }
+            ("limits", None) => self.limits = limits::read(section, faults),
             ("service", name) => {
                 if let Some(name) = section_name(section, "service", name, faults)
                     && let Some(service) = service::read(section, faults)
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backoff;
 pub mod balance;
 pub mod burn;
+pub mod caller_budget;
 pub mod claim;
 pub mod config;
 pub mod drain;
@@ -28,6 +29,7 @@
 pub mod rollout;
 pub mod route;
 pub mod spread;
+pub mod stall;
 pub mod status;
 pub mod uplink;
 
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod source;
 pub mod target;
 pub mod transport;
+pub mod watchdog;
 
 mod error;
 mod follow;
--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -23,6 +23,7 @@
 use crate::quota::accounts::AccountCollector;
 use crate::rollout::{RolloutCollector, Rollouts};
 use crate::source::RefusedConfig;
+use crate::watchdog::{LongestPause, PauseCollector};
 
 /// The outcome of a request as reported to its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -239,6 +240,20 @@
         self.registry.lock().register_collector(collector);
     }
 
+    /// Registers the longest pause of the runtime.
+    ///
+    /// ```
+    /// use crank_node::{metrics::Metrics, watchdog::LongestPause};
+    /// let metrics = Metrics::new();
+    /// metrics.add_longest_pause(LongestPause::default());
+    /// assert!(metrics.encode().contains("crank_longest_pause_seconds"));
+    /// ```
+    pub fn add_longest_pause(&self, pause: LongestPause) {
+        self.registry
+            .lock()
+            .register_collector(Box::new(PauseCollector(pause)));
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     ///
     /// ```
