Owner: the type of a deployment's owner is no longer called Account; urgent reports don't hold up answers

config::Account is now config::Owner, so that it can't be taken for a client account (config::ClientAccount); fields, encodings and the section [account] keep their names. The task that exchanges messages about rate limits no longer pauses after an urgent report, in which time a home answered nobody.

--- a/crates/crank-engine/src/config.rs
+++ b/crates/crank-engine/src/config.rs
@@ -15,8 +15,8 @@
 /// The CBOR encoding is canonical because every map and set in a configuration is ordered.
 ///
 /// ```
-/// # use crank_protocol::{Name, config::{Account, Config}};
-/// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// # use crank_protocol::{Name, config::{Owner, Config}};
+/// # let account = Owner { name: Name::new("sutkent").unwrap(), notice_ends: None };
 /// # let config = Config::new(account);
 /// let digest = crank_engine::config::digest(&config);
 /// assert_eq!(digest, crank_engine::config::digest(&config.clone()));
@@ -48,8 +48,8 @@
 /// Returns the delta that turns the configuration `base` into `result`.
 ///
 /// ```
-/// # use crank_protocol::{Name, config::{Account, Config, Snapshot, Stamp, Version}};
-/// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// # use crank_protocol::{Name, config::{Owner, Config, Snapshot, Stamp, Version}};
+/// # let account = Owner { name: Name::new("sutkent").unwrap(), notice_ends: None };
 /// # let config = Config::new(account);
 /// # let stamp = Stamp { version: Version(1), digest: crank_engine::config::digest(&config) };
 /// let old = Snapshot { stamp, config };
@@ -64,7 +64,7 @@
     let (old, new) = (&base.config, &result.config);
     let mut changes = Vec::new();
     if old.account != new.account {
-        changes.push(Change::Account(new.account.clone()));
+        changes.push(Change::Owner(new.account.clone()));
     }
     changes.extend(map_changes(
         &old.services,
@@ -128,8 +128,8 @@
 /// [`Error::WrongDigest`] if the result does not match the digest that the delta states.
 ///
 /// ```
-/// # use crank_protocol::{Name, config::{Account, Config, Snapshot, Stamp, Version}};
-/// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// # use crank_protocol::{Name, config::{Owner, Config, Snapshot, Stamp, Version}};
+/// # let account = Owner { name: Name::new("sutkent").unwrap(), notice_ends: None };
 /// # let config = Config::new(account);
 /// # let stamp = Stamp { version: Version(1), digest: crank_engine::config::digest(&config) };
 /// # let old = Snapshot { stamp, config };
@@ -150,8 +150,8 @@
 /// Returns a configuration with the given changes applied, without any checks.
 ///
 /// ```
-/// # use crank_protocol::{Name, config::{Account, Change, Config}};
-/// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// # use crank_protocol::{Name, config::{Owner, Change, Config}};
+/// # let account = Owner { name: Name::new("sutkent").unwrap(), notice_ends: None };
 /// # let config = Config::new(account);
 /// let removal = Change::NoService(Name::new("recipes").unwrap());
 /// assert_eq!(crank_engine::config::with_changes(config.clone(), &[removal]), config);
@@ -166,7 +166,7 @@
 
 fn apply_change(config: &mut Config, change: Change) {
     match change {
-        Change::Account(account) => config.account = account,
+        Change::Owner(account) => config.account = account,
         Change::Service(name, service) => {
             config.services.insert(name, service);
         }
@@ -195,8 +195,8 @@
 /// Returns [`Error::WrongDigest`] if the configuration does not match the digest in the stamp.
 ///
 /// ```
-/// # use crank_protocol::{Name, config::{Account, Config, Digest, Stamp, Version}};
-/// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// # use crank_protocol::{Name, config::{Owner, Config, Digest, Stamp, Version}};
+/// # let account = Owner { name: Name::new("sutkent").unwrap(), notice_ends: None };
 /// # let config = Config::new(account);
 /// let stamp = Stamp { version: Version(1), digest: Digest::new(&"00".repeat(32)).unwrap() };
 /// assert!(crank_engine::config::verify_digest(config, stamp).is_err());
--- a/crates/crank-engine/src/folder/merge.rs
+++ b/crates/crank-engine/src/folder/merge.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crank_protocol::config::{Account, ClientAccount, Config, Method, Route, Service};
+use crank_protocol::config::{ClientAccount, Config, Method, Owner, Route, Service};
 use crank_protocol::{Name, status};
 
 use super::{File, Problem, account, client, is_ignored_file, route, service};
@@ -146,7 +146,7 @@
 
 #[derive(Default)]
 struct ConfigBuilder {
-    account: Option<Account>,
+    account: Option<Owner>,
     services: BTreeMap<Name, Service>,
     routes: BTreeMap<Name, Route>,
     clients: BTreeMap<Name, ClientAccount>,
--- a/crates/crank-engine/src/notice.rs
+++ b/crates/crank-engine/src/notice.rs
@@ -1,6 +1,6 @@
-//! The progress of a client account towards the end of its notice period, from the nodes' answers.
+//! The progress of an owner towards the end of its notice period, from the nodes' answers.
 
-use crank_protocol::config::{Account, Config, Stamp};
+use crank_protocol::config::{Config, Owner, Stamp};
 use crank_protocol::member::{Member, Stage, State};
 use crank_protocol::status::{MeshStatus, NodeReport, NodeStatus};
 use crank_protocol::{Millis, Name};
@@ -21,11 +21,11 @@
     pub in_flight: u32,
 }
 
-/// The progress of a client account towards the end of its notice period.
+/// The progress of an owner towards the end of its notice period.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NoticeProgress {
-    /// The name of the client account.
+    /// The name of the owner.
     pub account: Name,
     /// The end of the notice period (wall time); `None` if no notice has been given.
     #[serde(with = "time::serde::rfc3339::option")]
@@ -54,7 +54,7 @@
     pub complete: bool,
 }
 
-/// Computes the progress of a client account from the nodes' answers.
+/// Computes the progress of an owner from the nodes' answers.
 ///
 /// A node that did not answer never counts as done. A node that announced that it leaves is done.
 /// A node that is considered dead counts as silent until the mesh removes it, because the state of
@@ -62,7 +62,7 @@
 ///
 /// ```
 /// use crank_engine::notice;
-/// use crank_protocol::{Millis, Name, config::Account, status::MeshStatus};
+/// use crank_protocol::{Millis, Name, config::Owner, status::MeshStatus};
 /// use time::OffsetDateTime;
 /// let name = Name::new("sutkent").unwrap();
 /// let ends = Some(OffsetDateTime::from_unix_timestamp(90).unwrap());
@@ -70,12 +70,12 @@
 ///     account: name.clone(), asked: Name::new("n1").unwrap(), head: None, store_up: false,
 ///     refused: None, nodes: Vec::new(), in_force: false, highest: None, took: Millis(0),
 /// };
-/// let account = Account { name, notice_ends: ends };
+/// let account = Owner { name, notice_ends: ends };
 /// let notice = notice::progress(&account, &mesh, OffsetDateTime::UNIX_EPOCH);
 /// assert_eq!((notice.seconds_left, notice.complete), (Some(90), false));
 /// ```
 #[must_use]
-pub fn progress(account: &Account, mesh: &MeshStatus, now: OffsetDateTime) -> NoticeProgress {
+pub fn progress(account: &Owner, mesh: &MeshStatus, now: OffsetDateTime) -> NoticeProgress {
     let mut progress = NoticeProgress {
         account: account.name.clone(),
         ends: account.notice_ends,
@@ -132,13 +132,13 @@
     ///
     /// ```
     /// use crank_engine::notice;
-    /// use crank_protocol::{Millis, Name, config::Account, status::MeshStatus};
+    /// use crank_protocol::{Millis, Name, config::Owner, status::MeshStatus};
     /// let name = Name::new("sutkent").unwrap();
     /// let mesh = MeshStatus {
     ///     account: name.clone(), asked: name.clone(), head: None, store_up: true, refused: None,
     ///     nodes: Vec::new(), in_force: false, highest: None, took: Millis(0),
     /// };
-    /// let account = Account { name: name.clone(), notice_ends: None };
+    /// let account = Owner { name: name.clone(), notice_ends: None };
     /// let notice = notice::progress(&account, &mesh, time::OffsetDateTime::UNIX_EPOCH);
     /// assert!(!notice.is_complete_without(&[name]));
     /// ```
--- a/crates/crank-engine/src/overlay.rs
+++ b/crates/crank-engine/src/overlay.rs
@@ -163,7 +163,7 @@
     all
 }
 
-/// Returns a short hash of the name of a client account.
+/// Returns a short hash of the name of an owner.
 ///
 /// Datagrams carry it, so that nodes of different accounts ignore each other.
 ///
--- a/crates/crank-engine/src/route.rs
+++ b/crates/crank-engine/src/route.rs
@@ -147,8 +147,8 @@
     /// Routes to services that are missing from the configuration are left out.
     ///
     /// ```
-    /// # use crank_protocol::{Name, config::{Account, Config, Snapshot, Stamp, Version}};
-    /// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+    /// # use crank_protocol::{Name, config::{Owner, Config, Snapshot, Stamp, Version}};
+    /// # let account = Owner { name: Name::new("sutkent").unwrap(), notice_ends: None };
     /// # let config = Config::new(account);
     /// # let stamp = Stamp { version: Version(7), digest: crank_engine::config::digest(&config) };
     /// use crank_engine::route::RoutingTable;
@@ -221,8 +221,8 @@
     /// resolve them to another path than the one that was routed.
     ///
     /// ```
-    /// # use crank_protocol::{Name, config::{Account, Config, Method, Snapshot, Stamp, Version}};
-    /// # let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+    /// # use crank_protocol::{Name, config::{Owner, Config, Method, Snapshot, Stamp, Version}};
+    /// # let account = Owner { name: Name::new("sutkent").unwrap(), notice_ends: None };
     /// # let config = Config::new(account);
     /// # let stamp = Stamp { version: Version(7), digest: crank_engine::config::digest(&config) };
     /// # let table = crank_engine::route::RoutingTable::new(&Snapshot { stamp, config });
--- a/crates/crank-engine/src/spread/replica.rs
+++ b/crates/crank-engine/src/spread/replica.rs
@@ -44,8 +44,8 @@
 ///
 /// ```
 /// use crank_engine::spread::{ConfigReplica, Step};
-/// use crank_protocol::{Name, config::{Account, Config, Snapshot, Stamp, Version}};
-/// let account = Account { name: Name::new("sutkent").unwrap(), notice_ends: None };
+/// use crank_protocol::{Name, config::{Owner, Config, Snapshot, Stamp, Version}};
+/// let account = Owner { name: Name::new("sutkent").unwrap(), notice_ends: None };
 /// let config = Config::new(account);
 /// let stamp = Stamp { version: Version(1), digest: crank_engine::config::digest(&config) };
 /// let snapshot = Snapshot { stamp, config };
--- a/crates/crank-mesh/examples/spreading/scene.rs
+++ b/crates/crank-mesh/examples/spreading/scene.rs
@@ -9,7 +9,7 @@
 use crank_engine::overlay;
 use crank_mesh::{Direction, Handle, Reach, Settings, StoreHead, TrafficKind, start};
 use crank_protocol::config::{
-    Account, Config, Importance, Method, Route, Service, Snapshot, Stamp, Version,
+    Config, Importance, Method, Owner, Route, Service, Snapshot, Stamp, Version,
 };
 use crank_protocol::member::{Endpoint, Place, Stage, State};
 use crank_protocol::{Millis, Name, Permille};
@@ -362,7 +362,7 @@
         public: false,
     };
     let config = Config {
-        account: Account {
+        account: Owner {
             name: name("sutkent"),
             notice_ends: None,
         },
--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -126,7 +126,7 @@
 /// The actor: the membership, the configuration in force and the control connections of one node.
 pub(crate) struct Mesh {
     pub(crate) settings: Settings,
-    /// The tag of the client account in datagrams.
+    /// The tag of the owner in datagrams.
     pub(crate) account: u32,
     pub(crate) mailbox: WeakAddress<Self>,
     pub(crate) socket: Arc<UdpSocket>,
--- a/crates/crank-mesh/src/call/frame.rs
+++ b/crates/crank-mesh/src/call/frame.rs
@@ -127,7 +127,7 @@
     }
 }
 
-/// Checks that the other side has the same protocol version and client account.
+/// Checks that the other side has the same protocol version and owner.
 fn check_hello(ours: &Hello, theirs: &Hello) -> Result<(), Error> {
     if theirs.protocol != PROTOCOL_VERSION {
         return Err(Error::ProtocolMismatch {
--- a/crates/crank-mesh/src/error.rs
+++ b/crates/crank-mesh/src/error.rs
@@ -66,7 +66,7 @@
         /// The protocol version of this node.
         ours: u16,
     },
-    /// The other side belongs to another client account.
+    /// The other side belongs to another owner.
     #[error(
         "node '{node}' belongs to the account '{theirs}'; check seeds and addresses in the settings"
     )]
--- a/crates/crank-mesh/src/handle/store.rs
+++ b/crates/crank-mesh/src/handle/store.rs
@@ -31,8 +31,8 @@
     /// # let settings = Settings::new(account, Name::new("node-1")?, place, listen);
     /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
     /// # let mesh = start(settings, calls).await?;
-    /// use crank_protocol::config::{Account, Config, Snapshot, Stamp, Version};
-    /// let account = Account { name: Name::new("lenha-viva")?, notice_ends: None };
+    /// use crank_protocol::config::{Owner, Config, Snapshot, Stamp, Version};
+    /// let account = Owner { name: Name::new("lenha-viva")?, notice_ends: None };
     /// let config = Config::new(account);
     /// let stamp = Stamp { version: Version(1), digest: crank_engine::config::digest(&config) };
     /// assert_eq!(mesh.apply_snapshot(Snapshot { stamp, config }).await?, Step::Applied);
--- a/crates/crank-mesh/src/settings.rs
+++ b/crates/crank-mesh/src/settings.rs
@@ -11,7 +11,7 @@
 /// The settings with which a node joins the mesh.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// The client account that the node belongs to.
+    /// The owner that the node belongs to.
     pub account: Name,
     /// The node's name, unique in its account; a restarted node keeps its name.
     pub id: Name,
--- a/crates/crank-node/src/admin.rs
+++ b/crates/crank-node/src/admin.rs
@@ -9,7 +9,7 @@
 use crank_operator::Admin;
 use crank_platform_client::{Error, Platform, head, verdict};
 use crank_protocol::Name;
-use crank_protocol::config::Account;
+use crank_protocol::config::Owner;
 use crank_protocol::status::{HistoryEntry, MeshStatus, NodeReport, Verdict};
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -67,7 +67,7 @@
         head::history(&self.platform, &self.account, limit).await
     }
 
-    fn account(&self) -> Option<Account> {
+    fn account(&self) -> Option<Owner> {
         let config = self.mesh.config();
         let config = config.borrow();
         config
--- a/crates/crank-node/src/join.rs
+++ b/crates/crank-node/src/join.rs
@@ -16,7 +16,7 @@
 /// Finds peers through the contact rows in the store, of which each node keeps one.
 #[derive(Clone)]
 pub struct PeerDiscovery<P> {
-    /// The client account whose nodes form the mesh.
+    /// The owner whose nodes form the mesh.
     pub account: Name,
     /// The name of this node.
     pub node: Name,
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -37,7 +37,7 @@
 
 /// The options and dependencies of a node, which differ between platforms.
 pub struct NodeOptions<P> {
-    /// The client account.
+    /// The name of the owner of the deployment.
     pub account: Name,
     /// The node's name.
     pub name: Name,
--- a/crates/crank-node/src/quota.rs
+++ b/crates/crank-node/src/quota.rs
@@ -19,7 +19,7 @@
 use crank_protocol::wire::{PeerMessage, Topic};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, broadcast, watch};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::clock::Clock;
 
@@ -214,6 +214,7 @@
         exchange.take_config();
         exchange.take_view();
         let urgent = exchange.limiter.urgent.clone();
+        let mut last_urgent = Instant::now();
         loop {
             let has_limits = !exchange.limits.is_empty();
             let is_open = tokio::select! {
@@ -227,10 +228,9 @@
                 }
                 received = exchange.messages.recv() => exchange.receive(received).await,
                 _ = reports.tick(), if has_limits => exchange.report().await,
-                () = urgent.notified(), if has_limits => {
-                    let is_open = exchange.report().await;
-                    tokio::time::sleep(MIN_REPORT_INTERVAL.into()).await;
-                    is_open
+                () = urgent.notified(), if has_limits && has_paused(last_urgent) => {
+                    last_urgent = Instant::now();
+                    exchange.report().await
                 }
                 _ = forgets.tick(), if has_limits => {
                     exchange.home.forget_idle(exchange.limiter.clock.now());
@@ -244,6 +244,11 @@
     }
 }
 
+/// Returns whether an urgent report may follow the last one.
+fn has_paused(last_urgent: Instant) -> bool {
+    last_urgent.elapsed() >= Duration::from(MIN_REPORT_INTERVAL)
+}
+
 /// The state of the task that exchanges messages.
 struct Exchange {
     limiter: RateLimiter,
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -64,7 +64,7 @@
     pub config: watch::Receiver<Option<Arc<Snapshot>>>,
     /// What the backend server last announced: `crank_server::AnnouncementListener::watch`.
     pub announcement: watch::Receiver<Option<Announcement>>,
-    /// The client account, from the node's settings.
+    /// The name of the owner, from the node's settings.
     pub account: Name,
     /// The client of the table service, which holds the claims of requests that may run only once.
     pub platform: P,
--- a/crates/crank-operator/src/admin.rs
+++ b/crates/crank-operator/src/admin.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 
 use crank_engine::burn::BurnReport;
-use crank_protocol::config::Account;
+use crank_protocol::config::Owner;
 use crank_protocol::status::{HistoryEntry, MeshStatus};
 
 /// Provides the data that the operators' listener serves.
@@ -22,7 +22,7 @@
 
     /// Returns the client account of the configuration in force on this node, or `None` before the
     /// first one.
-    fn account(&self) -> Option<Account>;
+    fn account(&self) -> Option<Owner>;
 
     /// Returns the service-level counts of the requests that callers sent to this node.
     fn burn(&self) -> BurnReport;
--- a/crates/crank-platform-client/src/configs.rs
+++ b/crates/crank-platform-client/src/configs.rs
@@ -17,10 +17,10 @@
 ///
 /// ```
 /// # use crank_platform_client::{configs, Memory};
-/// # use crank_protocol::{Name, config::{Account, Config, Stamp, Version}};
+/// # use crank_protocol::{Name, config::{Owner, Config, Stamp, Version}};
 /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
 /// # let account = Name::new("sutkent").unwrap();
-/// # let head = Account { name: account.clone(), notice_ends: None };
+/// # let head = Owner { name: account.clone(), notice_ends: None };
 /// # let config = Config::new(head);
 /// let platform = Memory::new();
 /// let digest = configs::write(&platform, &account, &config).await.unwrap();
--- a/crates/crank-protocol/src/config.rs
+++ b/crates/crank-protocol/src/config.rs
@@ -1,4 +1,4 @@
-//! The accepted configuration: services, routes and the client account.
+//! The accepted configuration: its owner, services, routes and client accounts.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -108,13 +108,13 @@
     pub digest: Digest,
 }
 
-/// The client account that a folder configures.
+/// The owner of a deployment, whose folder configures it. The callers are its [`ClientAccount`]s.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Account {
-    /// The account's name.
+pub struct Owner {
+    /// The owner's name.
     pub name: Name,
-    /// When the notice period ends (wall-clock time), if the account has been given notice.
+    /// When the notice period ends (wall-clock time), if the owner has been given notice.
     #[serde(with = "time::serde::rfc3339::option")]
     pub notice_ends: Option<OffsetDateTime>,
 }
@@ -290,8 +290,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Config {
-    /// The client account.
-    pub account: Account,
+    /// The owner of the deployment.
+    pub account: Owner,
     /// The services by name.
     pub services: BTreeMap<Name, Service>,
     /// The routes by name.
@@ -305,16 +305,16 @@
 }
 
 impl Config {
-    /// Returns the configuration of an account without services, routes, client accounts or limits.
+    /// Returns the configuration of an owner without services, routes, client accounts or limits.
     ///
     /// ```
-    /// use crank_protocol::{Name, config::{Account, Config}};
-    /// let account = Account { name: Name::new("sutkent")?, notice_ends: None };
+    /// use crank_protocol::{Name, config::{Owner, Config}};
+    /// let account = Owner { name: Name::new("sutkent")?, notice_ends: None };
     /// assert!(Config::new(account).routes.is_empty());
     /// # Ok::<(), crank_protocol::Error>(())
     /// ```
     #[must_use]
-    pub fn new(account: Account) -> Self {
+    pub fn new(account: Owner) -> Self {
         Self {
             account,
             services: BTreeMap::new(),
@@ -339,8 +339,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Change {
-    /// The account is replaced by this one.
-    Account(Account),
+    /// The owner is replaced by this one.
+    #[serde(rename = "account")]
+    Owner(Owner),
     /// The named service is added, or replaced by this one.
     Service(Name, Service),
     /// The named service is removed.
--- a/crates/crank-protocol/src/name.rs
+++ b/crates/crank-protocol/src/name.rs
@@ -10,7 +10,7 @@
 
 const MAX_NAME_BYTES: usize = 64;
 
-/// The name of a service, a route, a node, a region, a data centre or a client account.
+/// The name of a service, a route, a node, a region, a data centre, an owner or a client account.
 ///
 /// Clones share the text.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/crank-protocol/src/status.rs
+++ b/crates/crank-protocol/src/status.rs
@@ -113,7 +113,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct MeshStatus {
-    /// The client account.
+    /// The name of the owner.
     pub account: Name,
     /// The node that produced this status.
     pub asked: Name,
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -25,7 +25,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "compact::Datagram", into = "compact::Datagram")]
 pub struct Datagram {
-    /// A short hash of the client account; nodes ignore datagrams of other accounts.
+    /// A short hash of the owner's name; nodes ignore datagrams of other owners.
     pub account: u32,
     /// The name of the sender.
     pub from: Name,
@@ -128,7 +128,7 @@
 pub struct Hello {
     /// The protocol version of the sender.
     pub protocol: u16,
-    /// The client account; nodes refuse connections from other accounts.
+    /// The owner; nodes refuse connections from nodes of other owners.
     pub account: Name,
     /// The membership entry of the sender.
     pub member: Member,
--- a/crates/crank-server/tests/forwarding.rs
+++ b/crates/crank-server/tests/forwarding.rs
@@ -163,6 +163,7 @@
         echoes_request_id: true,
         allows_close_delimited: true,
         fractional_retry_after: true,
+        ..HttpDialect::default()
     }
 }
 
