--- a/crates/crank-model/src/invariant.rs
+++ b/crates/crank-model/src/invariant.rs
@@ -25,6 +25,8 @@
     RanTwice,
     /// A request that was refused as not run is not run.
     RanAfterRefusal,
+    /// Nodes are told one verdict on an order.
+    VerdictChanged,
 }
 
 impl fmt::Display for Invariant {
@@ -40,6 +42,7 @@
             Self::NotAccepted => "a version was spread that was not accepted",
             Self::RanTwice => "a request ran twice",
             Self::RanAfterRefusal => "a request ran that was refused as not run",
+            Self::VerdictChanged => "the verdict on a roll-out changed",
         })
     }
 }
