--- a/crates/crank-server/src/announcements.rs
+++ b/crates/crank-server/src/announcements.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crank_engine::caller_budget::{Bounds, MachineLimits};
 use crank_engine::heartbeat::HEARTBEAT_TIMEOUT;
 use http::StatusCode;
 use tokio::net::{TcpListener, TcpStream};
@@ -54,9 +55,10 @@
         let listener = TcpListener::bind(address).await.map_err(listen_error)?;
         let address = listener.local_addr().map_err(listen_error)?;
         let tracker = HeartbeatTracker::new(HEARTBEAT_TIMEOUT);
-        let server = warp::serve(filter(tracker.clone())).incoming(listener);
+        let service = warp::service(filter(tracker.clone()));
+        let bounds = Bounds::for_neighbours(MachineLimits::default());
         let tasks = [
-            tokio::spawn(server.run()),
+            tokio::spawn(crank_stream::serve(listener, service, bounds)),
             tokio::spawn(check_liveness(tracker.clone())),
         ];
         Ok(Self {
--- a/crates/crank-stream/src/serve.rs
+++ b/crates/crank-stream/src/serve.rs
@@ -7,7 +7,7 @@
 use crank_engine::caller_budget::{Bounds, Timeouts};
 use crank_protocol::Millis;
 use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, Uri};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -104,7 +104,11 @@
 {
     let connection = door.enter().await;
     let requests = connection.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        // Without a path, as for `CONNECT`, filters of warp panic.
+        if request.uri().path_and_query().is_none() {
+            *request.uri_mut() = Uri::default();
+        }
         let hold = requests.begin_request();
         let requests = requests.clone();
         let answering = service.clone().call(request);
