--- a/crates/crank-engine/examples/requests/main.rs
+++ b/crates/crank-engine/examples/requests/main.rs
@@ -1,64 +1,24 @@
 //! Compares the engine's decisions on requests with simpler baselines in a simulation.
 //!
 //! Run it with `cargo run --release -p crank-engine --example requests -- PART...`. The parts are
-//! `choice`, `overload`, `queues`, `faults`, `cold` and `shared`; without any, all parts run. Every
+//! `choice`, `uneven`, `overload`, `queues`, `faults`, `cold` and `shared`; without any, all parts run. Every
 //! line shows the medians over five seeds; all times are simulated.
 
 mod model;
+mod placement;
 mod setup;
 mod shared_limit;
 mod simulation;
+mod uneven;
 
 use std::io::{self, Write};
 
-use crank_protocol::member::Place;
-use crank_protocol::{Millis, Name, Permille};
-use setup::{Fault, FaultWindow, Queueing, Results, Setup, TargetChoice};
+use crank_protocol::Millis;
+use setup::{Fault, FaultWindow, Queueing, Results, Setup, TargetChoice, base_setup, place};
 use simulation::Simulation;
 
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
 
-fn name(text: &str) -> Name {
-    match Name::new(text) {
-        Ok(name) => name,
-        Err(error) => unreachable!("{error}"),
-    }
-}
-
-fn place(region: usize, data_centre: usize) -> Place {
-    Place {
-        region: name(&format!("region-{region}")),
-        data_centre: name(&format!("centre-{region}-{data_centre}")),
-    }
-}
-
-/// Returns three regions with two data centres each.
-fn six_places() -> Vec<Place> {
-    (0..6).map(|number| place(number / 2, number % 2)).collect()
-}
-
-/// Returns the base setup of one service: 6 servers with 6 slots each, and 18 entry nodes.
-fn base_setup() -> Setup {
-    let entries = six_places().into_iter().cycle().take(18).collect();
-    Setup {
-        entries,
-        servers: six_places(),
-        slots: 6,
-        queue: 12,
-        mean: 20.0,
-        timeout: Millis(1_000),
-        load: 0.7,
-        seconds: 60.0,
-        target_choice: TargetChoice::Engine,
-        queueing: Queueing::Engine,
-        ejection: true,
-        retry_budget: Permille(200),
-        warm_up: Millis(10_000),
-        fault_windows: Vec::new(),
-        seed: 1,
-    }
-}
-
 /// Returns the base setup with all nodes in one data centre.
 fn one_data_centre() -> Setup {
     let mut setup = base_setup();
@@ -301,6 +261,9 @@
     if is_selected("choice") {
         choice(out)?;
     }
+    if is_selected("uneven") {
+        uneven::compare(out, &SEEDS)?;
+    }
     if is_selected("overload") {
         overload(out)?;
     }
--- a/crates/crank-engine/examples/requests/model.rs
+++ b/crates/crank-engine/examples/requests/model.rs
@@ -2,12 +2,15 @@
 
 use crank_engine::admission::Admission;
 use crank_engine::balance::TargetPool;
+use crank_engine::ewma::SteadyMean;
 use crank_engine::retry::RetryBudget;
-use crank_protocol::call::Refusal;
+use crank_engine::slowdown::Slowdown;
+use crank_protocol::call::{Load, Refusal};
 use crank_protocol::config::{Importance, Service};
 use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
-use crank_protocol::{Millis, Name};
+use crank_protocol::{Millis, Name, Permille};
 
+use crate::placement::Notes;
 use crate::setup::Setup;
 
 const SECOND: u64 = 1_000_000;
@@ -51,6 +54,33 @@
     pub(crate) running: u32,
     pub(crate) waiting: u32,
     pub(crate) slots: u32,
+    pub(crate) slowdown: Option<Permille>,
+}
+
+impl ReportedLoad {
+    pub(crate) fn new(load: Load) -> Self {
+        let Load {
+            running,
+            waiting,
+            slots,
+            slowdown,
+        } = load;
+        Self {
+            running,
+            waiting,
+            slots,
+            slowdown,
+        }
+    }
+
+    pub(crate) fn into_load(self) -> Load {
+        Load {
+            running: self.running,
+            waiting: self.waiting,
+            slots: self.slots,
+            slowdown: self.slowdown,
+        }
+    }
 }
 
 pub(crate) struct Request {
@@ -58,6 +88,10 @@
     pub(crate) started: u64,
     pub(crate) deadline: u64,
     pub(crate) tried: Vec<Name>,
+    /// The targets that were asked for a free slot and had none.
+    pub(crate) full: Vec<Name>,
+    /// Whether a server has started to run it.
+    pub(crate) has_started: bool,
     pub(crate) is_finished: bool,
     pub(crate) open_attempt: Option<usize>,
 }
@@ -66,6 +100,9 @@
     pub(crate) request: usize,
     pub(crate) server: usize,
     pub(crate) started: u64,
+    pub(crate) run_started: u64,
+    pub(crate) expected_run_time: Option<Millis>,
+    pub(crate) may_queue: bool,
     pub(crate) is_running: bool,
 }
 
@@ -73,12 +110,15 @@
     pub(crate) id: Name,
     pub(crate) place: Place,
     pub(crate) admission: Admission,
+    pub(crate) slowdown: Slowdown,
 }
 
 pub(crate) struct Entry {
     pub(crate) place: Place,
     pub(crate) pool: TargetPool,
     pub(crate) budget: RetryBudget,
+    pub(crate) run_time: SteadyMean,
+    pub(crate) notes: Notes,
 }
 
 pub(crate) fn overload_refusal() -> Refusal {
@@ -92,7 +132,7 @@
 }
 
 pub(crate) fn numbered_name(kind: &str, number: usize) -> Name {
-    crate::name(&format!("{kind}-{number}"))
+    crate::setup::name(&format!("{kind}-{number}"))
 }
 
 pub(crate) fn member(server: &Server, slots: u32) -> Member {
@@ -104,7 +144,7 @@
         link: 0,
         state: State::Alive,
         endpoint: Some(Endpoint {
-            service: crate::name("service"),
+            service: crate::setup::name("service"),
             stage: Stage::Ready,
             slots,
             release: None,
--- a/crates/crank-engine/examples/requests/setup.rs
+++ b/crates/crank-engine/examples/requests/setup.rs
@@ -1,7 +1,7 @@
 //! The setup and the results of a simulation.
 
 use crank_protocol::member::Place;
-use crank_protocol::{Millis, Permille};
+use crank_protocol::{Millis, Name, Permille};
 
 const MICROS_PER_MILLI: f64 = 1_000.0;
 
@@ -12,6 +12,17 @@
     Random,
     /// The target that the engine chooses.
     Engine,
+    /// The target that the engine chooses if no target tells its slowdown: slots count the same on
+    /// every server.
+    EngineBySlots,
+    /// Join-idle-queue: a server whose slot becomes free tells one random entry of its data centre,
+    /// which uses that slot for its next request. Without such a slot, as `EngineBySlots`.
+    JoinIdleQueue,
+    /// Late binding: the request waits at two targets, and the first with a free slot runs it.
+    LateBinding,
+    /// The hot and cold rule of Prequal on the load that answers carry: of three targets, the one
+    /// with the lowest latency among those with few requests, or else the least loaded.
+    HotCold,
 }
 
 /// What a target node does with requests when all slots are in use.
@@ -23,6 +34,19 @@
     Engine,
 }
 
+/// How the speed of servers differs and changes.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub(crate) struct Unevenness {
+    /// The speeds of the servers, repeated; empty if all are equal.
+    pub(crate) speeds: Vec<f64>,
+    /// The share of the time in which a server is slowed down by other work on its machine.
+    pub(crate) noise_share: f64,
+    /// How many times as long work takes then.
+    pub(crate) noise_factor: f64,
+    /// How far the load of a data centre swings around its mean over 15 s, as a share.
+    pub(crate) swing: f64,
+}
+
 /// A temporary fault of a server.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Fault {
@@ -79,6 +103,12 @@
     pub(crate) retry_budget: Permille,
     /// The duration of a new target's slow start.
     pub(crate) warm_up: Millis,
+    /// How servers and demand are uneven.
+    pub(crate) unevenness: Unevenness,
+    /// The time within which a request is served as callers expect it.
+    pub(crate) objective: Millis,
+    /// How many targets a request asks for a free slot before it queues at one.
+    pub(crate) probes: usize,
     /// The faults that occur.
     pub(crate) fault_windows: Vec<FaultWindow>,
     /// The seed of the random number generator.
@@ -88,6 +118,14 @@
 /// The results of a simulation.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Results {
+    /// The number of requests that were served within the objective.
+    pub(crate) in_objective: u64,
+    /// The time, in slot-microseconds, that slots were free while requests waited elsewhere.
+    pub(crate) idle_while_queued: f64,
+    /// The time, in microseconds, that requests waited in queues of servers.
+    pub(crate) queued: f64,
+    /// The messages between nodes.
+    pub(crate) messages: u64,
     /// The number of requests that arrived.
     pub(crate) offered: u64,
     /// The sorted latencies in microseconds of the requests that were answered in time.
@@ -114,3 +152,49 @@
         micros.copied().unwrap_or(0) as f64 / MICROS_PER_MILLI
     }
 }
+
+/// Returns a valid name.
+pub(crate) fn name(text: &str) -> Name {
+    match Name::new(text) {
+        Ok(name) => name,
+        Err(error) => unreachable!("{error}"),
+    }
+}
+
+/// Returns a place in one of several regions.
+pub(crate) fn place(region: usize, data_centre: usize) -> Place {
+    Place {
+        region: name(&format!("region-{region}")),
+        data_centre: name(&format!("centre-{region}-{data_centre}")),
+    }
+}
+
+/// Returns three regions with two data centres each.
+pub(crate) fn six_places() -> Vec<Place> {
+    (0..6).map(|number| place(number / 2, number % 2)).collect()
+}
+
+/// Returns the base setup of one service: 6 servers with 6 slots each, and 18 entry nodes.
+pub(crate) fn base_setup() -> Setup {
+    let entries = six_places().into_iter().cycle().take(18).collect();
+    Setup {
+        entries,
+        servers: six_places(),
+        slots: 6,
+        queue: 12,
+        mean: 20.0,
+        timeout: Millis(1_000),
+        load: 0.7,
+        seconds: 60.0,
+        target_choice: TargetChoice::Engine,
+        queueing: Queueing::Engine,
+        ejection: true,
+        retry_budget: Permille(200),
+        warm_up: Millis(10_000),
+        fault_windows: Vec::new(),
+        unevenness: Unevenness::default(),
+        objective: Millis(1_000),
+        probes: 0,
+        seed: 1,
+    }
+}
--- a/crates/crank-engine/examples/requests/simulation.rs
+++ b/crates/crank-engine/examples/requests/simulation.rs
@@ -5,13 +5,15 @@
 
 use crank_engine::Moment;
 use crank_engine::admission::Admission;
-use crank_engine::balance::{AttemptResult, ChosenTarget, Distance, TargetPool};
+use crank_engine::balance::{AttemptResult, Distance, TargetPool};
+use crank_engine::ewma::SteadyMean;
 use crank_engine::limit::{Capacity, Decision, PendingRequest};
 use crank_engine::retry::{self, RetryBudget, RetryContext};
-use crank_protocol::Millis;
-use crank_protocol::call::{Load, Refusal};
+use crank_engine::slowdown::{Run, Slowdown};
+use crank_protocol::call::Refusal;
 use crank_protocol::config::Importance;
 use crank_protocol::member::{Member, Stage};
+use crank_protocol::{Millis, Permille};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -19,23 +21,29 @@
     Attempt, Entry, Event, Reply, ReportedLoad, Request, Server, member, micros, numbered_name,
     overload_refusal, service,
 };
+use crate::placement::{Notes, Placement};
 use crate::setup::{Fault, FaultWindow, Queueing, Results, Setup, TargetChoice};
 
 const SECOND: u64 = 1_000_000;
 const MILLI: u64 = 1_000;
+const DATA_CENTRES: usize = 6;
+/// The period in which demand swings.
+const WAVE_SECONDS: f64 = 15.0;
+/// How long other work on a server's machine lasts, in microseconds.
+const NOISE_PERIOD: u64 = 600_000;
 
 /// A simulation of entry nodes and backend servers; times are in microseconds.
 pub(crate) struct Simulation {
-    setup: Setup,
-    rng: ChaCha8Rng,
-    now: u64,
+    pub(crate) setup: Setup,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) now: u64,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     sequence: u64,
-    entries: Vec<Entry>,
-    servers: Vec<Server>,
-    requests: Vec<Request>,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) requests: Vec<Request>,
     attempts: Vec<Attempt>,
-    results: Results,
+    pub(crate) results: Results,
 }
 
 impl Simulation {
@@ -56,6 +64,7 @@
                 id: numbered_name("server", number),
                 place: place.clone(),
                 admission,
+                slowdown: Slowdown::default(),
             }
         });
         let entries = setup
@@ -66,6 +75,8 @@
                 place: place.clone(),
                 pool: TargetPool::new(numbered_name("entry", number), place.clone()),
                 budget: RetryBudget::new(setup.retry_budget),
+                run_time: SteadyMean::default(),
+                notes: Notes::new(setup.servers.len()),
             });
         Self {
             rng: ChaCha8Rng::seed_from_u64(setup.seed),
@@ -101,6 +112,7 @@
             if time > end {
                 break;
             }
+            self.count_waste(time);
             self.now = time;
             self.handle_event(event);
         }
@@ -138,11 +150,56 @@
     }
 
     fn schedule_next_request(&mut self, entry: usize) {
-        let rate = self.setup.load * self.capacity() / self.entries.len() as f64;
+        let mean_rate = self.setup.load * self.capacity() / self.entries.len() as f64;
+        let rate = mean_rate * self.demand(entry);
         let gap = self.exponential(SECOND as f64 / rate);
         self.schedule(self.now + gap, Event::RequestArrives { entry });
     }
 
+    /// Returns the demand at an entry now, as a share of its mean.
+    fn demand(&self, entry: usize) -> f64 {
+        let phase = (entry % DATA_CENTRES) as f64 / DATA_CENTRES as f64;
+        let turns = self.now as f64 / SECOND as f64 / WAVE_SECONDS + phase;
+        1.0 + self.setup.unevenness.swing * (std::f64::consts::TAU * turns).sin()
+    }
+
+    /// Adds the time until `time` to the time that requests wait, and that slots are free then.
+    fn count_waste(&mut self, time: u64) {
+        let loads = self.servers.iter().map(|server| server.admission.load());
+        let (waiting, free) = loads.fold((0, 0), |(waiting, free), load| {
+            let idle = load.slots.saturating_sub(load.running);
+            (waiting + load.waiting, free + idle)
+        });
+        let elapsed = (time - self.now) as f64;
+        self.results.queued += f64::from(waiting) * elapsed;
+        self.results.idle_while_queued += f64::from(free.min(waiting)) * elapsed;
+    }
+
+    /// Returns how many times the usual run time the server needs now.
+    fn run_factor(&mut self, server: usize) -> f64 {
+        let uneven = &self.setup.unevenness;
+        let speeds = &uneven.speeds;
+        let speed = speeds
+            .get(server % speeds.len().max(1))
+            .copied()
+            .unwrap_or(1.0);
+        self.noise(server) / speed
+    }
+
+    /// Returns how many times as long work takes because of other work on the server's machine.
+    fn noise(&self, server: usize) -> f64 {
+        let uneven = &self.setup.unevenness;
+        let period = self.now / NOISE_PERIOD;
+        let mixed = (period * 1_000 + server as u64 + self.setup.seed * 77)
+            .wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let draw = (mixed >> 11) as f64 / (1_u64 << 53) as f64;
+        if draw < uneven.noise_share {
+            uneven.noise_factor
+        } else {
+            1.0
+        }
+    }
+
     fn exponential(&mut self, mean: f64) -> u64 {
         let draw: f64 = self.rng.random();
         (-(1.0 - draw).ln() * mean) as u64
@@ -150,7 +207,7 @@
 
     fn update_members(&mut self) {
         let service = service(&self.setup);
-        let name = crate::name("service");
+        let name = crate::setup::name("service");
         let now = Moment(self.now);
         let members: Vec<Member> = (0..self.servers.len())
             .filter(|server| !self.is_absent(*server))
@@ -162,7 +219,7 @@
     }
 
     /// Returns whether a server with a cold start has not joined yet.
-    fn is_absent(&self, server: usize) -> bool {
+    pub(crate) fn is_absent(&self, server: usize) -> bool {
         self.setup.fault_windows.iter().any(|fault_window| {
             fault_window.server == server
                 && matches!(fault_window.fault, Fault::Cold(_))
@@ -194,6 +251,8 @@
             started: self.now,
             deadline,
             tried: Vec::new(),
+            full: Vec::new(),
+            has_started: false,
             is_finished: false,
             open_attempt: None,
         });
@@ -204,15 +263,31 @@
     }
 
     fn send_attempt(&mut self, request: usize) {
-        let Some(server) = self.choose_server(request) else {
+        let Some(placement) = self.place(request) else {
             self.fail(request, false);
             return;
         };
+        self.send_to(request, placement);
+        if self.setup.target_choice == TargetChoice::LateBinding
+            && placement.may_queue
+            && let Some(second) = self.place(request)
+        {
+            self.send_to(request, second);
+        }
+    }
+
+    fn send_to(&mut self, request: usize, placement: Placement) {
+        let Placement { server, may_queue } = placement;
+        let entry = &self.entries[self.requests[request].entry];
+        let expected = entry.run_time.mean().map(|micros| Millis(micros / MILLI));
         let attempt = self.attempts.len();
         self.attempts.push(Attempt {
             request,
             server,
             started: self.now,
+            run_started: self.now,
+            expected_run_time: expected,
+            may_queue,
             is_running: false,
         });
         let request_state = &mut self.requests[request];
@@ -220,6 +295,7 @@
         request_state.open_attempt = Some(attempt);
         if self.is_counted(request) {
             self.results.attempts += 1;
+            self.results.messages += 2;
             self.results.far += u64::from(self.distance(attempt) == Distance::Far);
         }
         self.schedule(
@@ -228,25 +304,6 @@
         );
     }
 
-    fn choose_server(&mut self, request: usize) -> Option<usize> {
-        let request_state = &self.requests[request];
-        match self.setup.target_choice {
-            TargetChoice::Random => {
-                let eligible: Vec<usize> = (0..self.servers.len())
-                    .filter(|server| !self.is_absent(*server))
-                    .filter(|server| !request_state.tried.contains(&self.servers[*server].id))
-                    .collect();
-                (!eligible.is_empty()).then(|| eligible[self.rng.random_range(0..eligible.len())])
-            }
-            TargetChoice::Engine => {
-                let pool = &mut self.entries[request_state.entry].pool;
-                let ChosenTarget { id, .. } =
-                    pool.choose(Moment(self.now), &request_state.tried, &mut self.rng)?;
-                self.servers.iter().position(|server| server.id == id)
-            }
-        }
-    }
-
     fn distance(&self, attempt: usize) -> Distance {
         let attempt_state = &self.attempts[attempt];
         let entry = &self.entries[self.requests[attempt_state.request].entry];
@@ -276,18 +333,27 @@
             _ => {
                 let deadline = match self.setup.queueing {
                     Queueing::Endless => Moment(u64::MAX),
-                    Queueing::Engine => Moment(self.requests[request].deadline),
+                    Queueing::Engine => {
+                        let started = Moment(self.requests[request].started);
+                        let deadline = Moment(self.requests[request].deadline);
+                        deadline.min(started.after(self.setup.objective))
+                    }
                 };
                 let pending_request = PendingRequest {
                     id: attempt as u64,
                     importance: Importance::Normal,
                     deadline,
                     depth: 0,
-                    expected_run_time: None,
+                    expected_run_time: self.attempts[attempt].expected_run_time,
                     account: None,
                 };
                 let admission = &mut self.servers[server].admission;
-                let decisions = admission.admit(Moment(self.now), pending_request);
+                let now = Moment(self.now);
+                let decisions = if self.attempts[attempt].may_queue {
+                    admission.admit(now, pending_request)
+                } else {
+                    admission.admit_without_wait(now, pending_request)
+                };
                 self.apply_decisions(decisions);
             }
         }
@@ -310,6 +376,10 @@
 
     fn start_run(&mut self, attempt: usize) {
         self.attempts[attempt].is_running = true;
+        self.attempts[attempt].run_started = self.now;
+        if self.setup.target_choice == TargetChoice::LateBinding && self.is_bound(attempt) {
+            return;
+        }
         let factor = match self.fault_window(self.attempts[attempt].server) {
             Some(FaultWindow {
                 fault: Fault::Slow(factor),
@@ -326,29 +396,49 @@
             }
             _ => 1.0,
         };
+        let factor = factor * self.run_factor(self.attempts[attempt].server);
         let duration = self.exponential(self.setup.mean * MILLI as f64 * factor);
         self.schedule(self.now + duration, Event::RunEnds { attempt });
     }
 
+    /// Asks the entry whether another server has started the request, which takes a round trip; the
+    /// slot is empty until then. Returns true if so.
+    fn is_bound(&mut self, attempt: usize) -> bool {
+        self.results.messages += 2;
+        let request = self.attempts[attempt].request;
+        let is_bound = self.requests[request].has_started;
+        self.requests[request].has_started = true;
+        if is_bound {
+            let time = self.now + 2 * self.delay(attempt);
+            self.schedule(time, Event::RunEnds { attempt });
+        }
+        is_bound
+    }
+
     fn load(&self, attempt: usize) -> ReportedLoad {
-        let Load {
-            running,
-            waiting,
-            slots,
-        } = self.servers[self.attempts[attempt].server].admission.load();
-        ReportedLoad {
-            running,
-            waiting,
-            slots,
+        let server = &self.servers[self.attempts[attempt].server];
+        let mut load = server.admission.load();
+        if self.setup.target_choice == TargetChoice::Engine {
+            load.slowdown = server.slowdown.current(Moment(self.now));
         }
+        ReportedLoad::new(load)
     }
 
     fn handle_run_end(&mut self, attempt: usize) {
         let server = self.attempts[attempt].server;
+        let noise = self.noise(server);
+        let attempt_state = &self.attempts[attempt];
+        let run = Run {
+            micros: self.now - attempt_state.run_started,
+            expected: attempt_state.expected_run_time,
+            stated: Some(Permille((noise * 1_000.0) as u32)),
+        };
+        self.servers[server].slowdown.record(Moment(self.now), run);
         let decisions = self.servers[server]
             .admission
             .finish(Moment(self.now), attempt as u64);
         self.apply_decisions(decisions);
+        self.offer_free_slot(server);
         self.schedule_reply(attempt, Reply::Answered, Some(self.load(attempt)));
     }
 
@@ -380,6 +470,16 @@
             Reply::Unreachable => (AttemptResult::Failed, Some(Refusal::NotSent)),
         };
         self.record_result(attempt, result, load);
+        if refusal.is_none() && !self.attempts[attempt].may_queue {
+            let entry = self.requests[request].entry;
+            self.entries[entry].run_time.add(micros);
+        }
+        if reply == Reply::Full && !self.attempts[attempt].may_queue {
+            let request_state = &mut self.requests[request];
+            request_state.full.extend(request_state.tried.pop());
+            self.send_attempt(request);
+            return;
+        }
         match refusal {
             None => self.succeed(request),
             Some(refusal) => self.retry_or_fail(request, refusal),
@@ -395,17 +495,9 @@
         } else {
             AttemptResult::Unrelated
         };
-        let load = load.map(
-            |ReportedLoad {
-                 running,
-                 waiting,
-                 slots,
-             }| Load {
-                running,
-                waiting,
-                slots,
-            },
-        );
+        let server = attempt_state.server;
+        let load = load.map(ReportedLoad::into_load);
+        self.entries[entry].notes.record(self.now, server, result, load);
         let pool = &mut self.entries[entry].pool;
         pool.finish(Moment(self.now), id, result, load);
     }
@@ -434,6 +526,8 @@
         if self.is_counted(request) {
             let duration = self.now - self.requests[request].started;
             self.results.latencies.push(duration);
+            let is_in_objective = Millis(duration / MILLI) <= self.setup.objective;
+            self.results.in_objective += u64::from(is_in_objective);
         }
     }
 
--- a/crates/crank-engine/src/admission.rs
+++ b/crates/crank-engine/src/admission.rs
@@ -217,6 +217,7 @@
             running: self.limit.running(),
             waiting: self.limit.waiting(),
             slots: self.limit.capacity().slots,
+            slowdown: None,
         }
     }
 
--- a/crates/crank-engine/src/balance.rs
+++ b/crates/crank-engine/src/balance.rs
@@ -63,7 +63,7 @@
 /// The targets of one service, as one node sees them.
 ///
 /// A target is chosen by the power of two choices: two targets are drawn at random, and the one
-/// with the lower estimated utilization is chosen, based on the load that targets report. Targets
+/// with the lower cost is chosen, based on the load and the slowdown that targets report. Targets
 /// in the same data centre are preferred over those in the same region, and these over those in
 /// other regions, as long as a nearer target has a free slot.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -286,7 +286,7 @@
         let utilization = target.utilization(now, self.warm_up);
         Some(Candidate {
             utilization,
-            score: utilization + distance.penalty(),
+            score: target.cost(now, utilization) + distance.penalty(),
             id: id.clone(),
         })
     }
@@ -361,8 +361,8 @@
 
 /// A target that was drawn for an attempt.
 ///
-/// The utilization assumes that the target gets the request; the score adds the penalty for the
-/// distance, and the lowest score wins.
+/// The utilization assumes that the target gets the request; the score is what the request costs
+/// there plus the penalty for the distance, and the lowest score wins.
 #[derive(Debug)]
 struct Candidate {
     utilization: f64,
--- a/crates/crank-engine/src/balance/target.rs
+++ b/crates/crank-engine/src/balance/target.rs
@@ -1,16 +1,20 @@
 use std::net::SocketAddr;
 
-use crank_protocol::Millis;
 use crank_protocol::call::Load;
 use crank_protocol::member::{Member, State};
+use crank_protocol::{Millis, Permille};
 use serde::{Deserialize, Serialize};
 
 use super::{AttemptResult, Distance, eject::HealthRecord};
-use crate::Moment;
 use crate::ewma::Ewma;
+use crate::{Moment, slowdown};
 
 /// The age at which a reported load no longer counts; until then its weight falls linearly.
 const MAX_LOAD_AGE: Millis = Millis(1_000);
+/// The age of the last report at which the mean of the reported slowdowns no longer counts; until
+/// then its weight falls linearly. A slow target gets few requests, and only their answers tell
+/// that it has recovered.
+const MAX_SLOWDOWN_AGE: Millis = Millis(10_000);
 /// The time for which a target is not chosen after it refused a request because it is leaving. It
 /// covers the delay until the mesh members show the target as leaving.
 const LEAVING_TIME: Millis = Millis(3_000);
@@ -36,6 +40,8 @@
     in_flight: u32,
     #[serde(rename = "told")]
     reported_load: Option<ReportedLoad>,
+    /// The mean of the reported slowdowns, in thousandths.
+    mean_slowdown: Ewma,
 }
 
 /// The load that a target reported with its last answer or refusal.
@@ -47,6 +53,8 @@
     /// The number of running and waiting requests that came from other nodes.
     #[serde(rename = "others")]
     from_others: u32,
+    /// How long requests take there, as a share of what is usual.
+    slowdown: Permille,
 }
 
 impl Target {
@@ -66,6 +74,7 @@
             leaving_until: Moment(0),
             in_flight: 0,
             reported_load: None,
+            mean_slowdown: Ewma::default(),
         }
     }
 
@@ -103,9 +112,12 @@
 
     fn record_load(&mut self, now: Moment, load: Load) {
         let total = load.running.saturating_add(load.waiting);
+        let slowdown = load.slowdown.unwrap_or(slowdown::USUAL);
+        self.mean_slowdown.add(u64::from(slowdown.0));
         self.reported_load = Some(ReportedLoad {
             received_at: now,
             from_others: total.saturating_sub(self.in_flight),
+            slowdown,
         });
     }
 
@@ -146,12 +158,41 @@
         in_flight / slots + penalty
     }
 
+    /// Returns what a further request costs here: the expected time until its answer as a share of
+    /// the usual run time, less one run time.
+    ///
+    /// At the usual speed it is the utilization. A slow target's free slot costs as much as a
+    /// queue at a fast one.
+    pub(super) fn cost(&self, now: Moment, utilization: f64) -> f64 {
+        self.slowdown(now) * (1.0 + utilization) - 1.0
+    }
+
+    /// Returns the reported slowdown. With the age of the report it approaches the mean of the
+    /// reports first, and then the usual speed.
+    fn slowdown(&self, now: Moment) -> f64 {
+        let (Some(report), Some(mean)) = (self.reported_load, self.mean_slowdown.mean()) else {
+            return 1.0;
+        };
+        let age = now.since(report.received_at);
+        let usual = f64::from(slowdown::USUAL.0);
+        let mean = mean as f64 / usual;
+        let last = f64::from(report.slowdown.0) / usual;
+        let lasting = (mean - 1.0) * remaining_weight(age, MAX_SLOWDOWN_AGE);
+        let momentary = (last - mean) * remaining_weight(age, MAX_LOAD_AGE);
+        1.0 + lasting + momentary
+    }
+
     /// Returns the reported number of requests from other nodes, reduced by the age of the report.
     fn decayed_other_requests(&self, now: Moment) -> f64 {
         let Some(report) = self.reported_load else {
             return 0.0;
         };
-        let age = now.since(report.received_at).0 as f64 / MAX_LOAD_AGE.0 as f64;
-        f64::from(report.from_others) * (1.0 - age).max(0.0)
+        let age = now.since(report.received_at);
+        f64::from(report.from_others) * remaining_weight(age, MAX_LOAD_AGE)
     }
 }
+
+/// Returns the weight of a report, which falls linearly to zero at `max_age`.
+fn remaining_weight(age: Millis, max_age: Millis) -> f64 {
+    (1.0 - age.0 as f64 / max_age.0 as f64).max(0.0)
+}
--- a/crates/crank-engine/src/ewma.rs
+++ b/crates/crank-engine/src/ewma.rs
@@ -2,8 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The weight of a new sample.
+/// The weight of a new sample of [`Ewma`].
 const SAMPLE_WEIGHT: f64 = 0.2;
+/// The weight of a new sample of [`SteadyMean`] once it has many.
+const STEADY_SAMPLE_WEIGHT: f64 = 0.03;
 
 /// An exponentially weighted moving average of measurements in one unit, such as microseconds.
 ///
@@ -61,3 +63,44 @@
         self.samples
     }
 }
+
+/// A moving average that a single outlier hardly moves; the first samples count equally.
+///
+/// ```
+/// use crank_engine::ewma::SteadyMean;
+/// let mut mean = SteadyMean::default();
+/// mean.add(1_000);
+/// mean.add(2_000);
+/// assert_eq!(mean.mean(), Some(1_500));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SteadyMean {
+    samples: u32,
+    mean: f64,
+}
+
+impl SteadyMean {
+    /// Adds a measurement.
+    ///
+    /// ```
+    /// # let mut mean = crank_engine::ewma::SteadyMean::default();
+    /// mean.add(1_000);
+    /// assert_eq!(mean.mean(), Some(1_000));
+    /// ```
+    pub fn add(&mut self, value: u64) {
+        self.samples = self.samples.saturating_add(1);
+        let weight = STEADY_SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
+        self.mean += (value as f64 - self.mean) * weight;
+    }
+
+    /// Returns the average, or `None` before the first sample.
+    ///
+    /// ```
+    /// assert!(crank_engine::ewma::SteadyMean::default().mean().is_none());
+    /// ```
+    #[must_use]
+    pub fn mean(&self) -> Option<u64> {
+        (self.samples > 0).then_some(self.mean as u64)
+    }
+}
--- a/crates/crank-engine/src/limit.rs
+++ b/crates/crank-engine/src/limit.rs
@@ -6,10 +6,17 @@
 //! its slot; retries then add load that keeps the queue full after the cause has gone. Here, among
 //! requests of equal importance, the one that must end first runs first.
 //!
+//! The wait that is expected for a request is the sum of the run times that are expected for those
+//! before it, so that a queue of short calls does not turn away what one of long requests would.
+//! Among client accounts, slots and queue are shared fairly. The time after which refused callers
+//! may retry is spread, so that a crowd that was refused does not return as one.
+//!
 //! An entry node keeps one limit for each service, and a target node keeps one for its backend
 //! server.
 
-use std::cmp::Reverse;
+mod queue;
+mod share;
+
 use std::collections::BTreeMap;
 
 use crank_protocol::call::Refusal;
@@ -18,6 +25,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Moment;
+use queue::{Queue, WaitingRequest};
 
 /// The minimum `retry_after` of an overload refusal.
 pub const MIN_RETRY_AFTER: Millis = Millis(10);
@@ -27,6 +35,10 @@
 const MICROS_PER_MILLI: u64 = 1_000;
 /// A new run time has a weight of one in this many in the moving average.
 const MEAN_DIVISOR: u64 = 8;
+/// `retry_after` is spread over the expected wait and this share of it on top.
+const RETRY_SPREAD: f64 = 1.0;
+/// The golden ratio's fraction: multiples of it, less their whole part, fill an interval evenly.
+const GOLDEN_FRACTION: f64 = 0.618_033_988_749_895;
 
 /// A request that asks to be admitted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -75,28 +87,11 @@
     pub queue: u32,
 }
 
-/// The position in the queue: more important requests first, then those with the earliest
-/// deadline, then by ascending ID.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct QueuePosition {
-    importance: Reverse<Importance>,
-    deadline: Moment,
-    id: u64,
-}
-
-/// A request that waits for a free slot.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct WaitingRequest {
-    #[serde(rename = "run")]
-    expected_run_time: Option<Millis>,
-}
-
 /// Limits the number of requests that run at the same time and of those that wait to run.
 ///
 /// A request is queued only if it is expected to meet its deadline. When the queue is full, a more
-/// important request replaces a less important one. A queued request gets its [`Decision`] when
+/// important request replaces a less important one, and the request of an account replaces one of
+/// an account that is over its share. A queued request gets its [`Decision`] when
 /// its turn comes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -104,8 +99,9 @@
     #[serde(rename = "size")]
     capacity: Capacity,
     running: BTreeMap<u64, Moment>,
-    waiting: BTreeMap<QueuePosition, WaitingRequest>,
+    waiting: Queue,
     mean_micros: u64,
+    last_id: u64,
 }
 
 impl ConcurrencyLimit {
@@ -130,8 +126,9 @@
         Self {
             capacity,
             running: BTreeMap::new(),
-            waiting: BTreeMap::new(),
+            waiting: Queue::default(),
             mean_micros: 0,
+            last_id: 0,
         }
     }
 
@@ -176,15 +173,18 @@
     /// assert_eq!(limit.admit(Moment(5), late), [refused]);
     /// ```
     pub fn admit(&mut self, now: Moment, request: PendingRequest) -> Vec<Decision> {
+        self.last_id = request.id;
         if request.deadline <= now {
             return vec![refuse(request.id, Refusal::TooLate)];
         }
+        let request = self.waiting.place(request, self.mean_micros);
         if self.has_free_slot() && self.waiting.is_empty() {
-            self.running.insert(request.id, now);
-            return vec![Decision::Run { id: request.id }];
+            self.waiting.book(&request);
+            return vec![self.start(now, &request)];
         }
-        if self.expected_end(now, &request) > request.deadline {
-            return vec![refuse(request.id, self.overload_refusal())];
+        let id = request.position.id;
+        if self.expected_end(now, &request) > request.position.deadline {
+            return vec![refuse(id, self.overload_refusal())];
         }
         self.enqueue(request)
     }
@@ -205,26 +205,34 @@
     /// assert!(matches!(decisions[..], [Decision::Refuse { id: 2, .. }]));
     /// ```
     pub fn admit_without_wait(&mut self, now: Moment, request: PendingRequest) -> Vec<Decision> {
+        self.last_id = request.id;
         if request.deadline > now && !(self.has_free_slot() && self.waiting.is_empty()) {
             return vec![refuse(request.id, self.overload_refusal())];
         }
         self.admit(now, request)
     }
 
-    fn enqueue(&mut self, request: PendingRequest) -> Vec<Decision> {
+    fn start(&mut self, now: Moment, request: &WaitingRequest) -> Decision {
+        let id = request.position.id;
+        self.waiting.start(request);
+        self.running.insert(id, now);
+        Decision::Run { id }
+    }
+
+    fn enqueue(&mut self, request: WaitingRequest) -> Vec<Decision> {
         let mut decisions = Vec::new();
         if self.waiting.len() >= self.capacity.queue as usize {
-            match self.least_important_waiting() {
-                Some(least) if least.importance.0 < request.importance => {
-                    self.waiting.remove(&least);
-                    decisions.push(refuse(least.id, self.overload_refusal()));
+            match self.waiting.last() {
+                Some(last) if last.gives_way_to(&request.position) => {
+                    self.waiting.remove(last.id);
+                    decisions.push(refuse(last.id, self.overload_refusal()));
+                }
+                Some(_) | None => {
+                    return vec![refuse(request.position.id, self.overload_refusal())];
                 }
-                Some(_) | None => return vec![refuse(request.id, self.overload_refusal())],
             }
         }
-        let expected_run_time = request.expected_run_time;
-        let waiting = WaitingRequest { expected_run_time };
-        self.waiting.insert(queue_position(&request), waiting);
+        self.waiting.push(request);
         decisions
     }
 
@@ -239,7 +247,7 @@
     pub fn finish(&mut self, now: Moment, id: u64) -> Vec<Decision> {
         match self.running.remove(&id) {
             Some(started) => self.record_run_time(now.0.saturating_sub(started.0)),
-            None => self.waiting.retain(|position, _| position.id != id),
+            None => self.waiting.remove(id),
         }
         self.start_waiting_requests(now)
     }
@@ -260,11 +268,8 @@
     /// assert_eq!(limit.refuse_waiting(&Refusal::Leaving).len(), 1);
     /// ```
     pub fn refuse_waiting(&mut self, refusal: &Refusal) -> Vec<Decision> {
-        let waiting = std::mem::take(&mut self.waiting);
-        waiting
-            .into_keys()
-            .map(|position| refuse(position.id, refusal.clone()))
-            .collect()
+        let waiting = self.waiting.clear().into_iter();
+        waiting.map(|id| refuse(id, refusal.clone())).collect()
     }
 
     /// Returns the number of running requests.
@@ -302,8 +307,8 @@
 
     /// Returns the refusal for a request that can neither run nor wait now.
     ///
-    /// Its `retry_after` is the expected time until a new request could run, clamped to
-    /// [`MIN_RETRY_AFTER`] and [`MAX_RETRY_AFTER`].
+    /// Its `retry_after` is the expected time until a new request could run or up to twice that,
+    /// different from request to request, clamped to [`MIN_RETRY_AFTER`] and [`MAX_RETRY_AFTER`].
     ///
     /// ```
     /// # use crank_engine::limit::{Capacity, ConcurrencyLimit, MIN_RETRY_AFTER};
@@ -313,8 +318,9 @@
     /// ```
     #[must_use]
     pub fn overload_refusal(&self) -> Refusal {
-        let micros = self.queue_wait_micros(self.waiting.len() + 1);
-        let retry_after = Millis(micros / MICROS_PER_MILLI);
+        let micros = self.queue_wait_micros(self.waiting.work_micros());
+        let spread = 1.0 + RETRY_SPREAD * (self.last_id as f64 * GOLDEN_FRACTION).fract();
+        let retry_after = Millis((micros as f64 * spread) as u64 / MICROS_PER_MILLI);
         Refusal::Overloaded {
             retry_after: retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
         }
@@ -325,17 +331,16 @@
     fn start_waiting_requests(&mut self, now: Moment) -> Vec<Decision> {
         let mut decisions = Vec::new();
         while self.has_free_slot() {
-            let Some((position, waiting)) = self.waiting.pop_first() else {
+            let Some(request) = self.waiting.pop_first() else {
                 break;
             };
-            let WaitingRequest { expected_run_time } = waiting;
-            let deadline = position.deadline;
-            let end = now.0.saturating_add(self.run_micros(expected_run_time));
+            let deadline = request.position.deadline;
+            let end = now.0.saturating_add(request.run_micros);
             if end > deadline.0 || deadline <= now {
-                decisions.push(refuse(position.id, Refusal::TooLate));
+                self.waiting.cancel(&request);
+                decisions.push(refuse(request.position.id, Refusal::TooLate));
             } else {
-                self.running.insert(position.id, now);
-                decisions.push(Decision::Run { id: position.id });
+                decisions.push(self.start(now, &request));
             }
         }
         decisions
@@ -345,30 +350,17 @@
         self.running.len() < self.capacity.slots as usize
     }
 
-    fn least_important_waiting(&self) -> Option<QueuePosition> {
-        self.waiting.last_key_value().map(|(position, _)| *position)
-    }
-
     /// Returns when a new request is expected to end if it is queued now.
-    fn expected_end(&self, now: Moment, request: &PendingRequest) -> Moment {
-        let ahead = self.waiting.range(..queue_position(request)).count();
-        let wait = self.queue_wait_micros(ahead + 1);
-        let run = self.run_micros(request.expected_run_time);
-        Moment(now.0.saturating_add(wait).saturating_add(run))
+    fn expected_end(&self, now: Moment, request: &WaitingRequest) -> Moment {
+        let ahead = self.waiting.work_micros_before(request.position);
+        let wait = self.queue_wait_micros(ahead);
+        Moment(now.0.saturating_add(wait).saturating_add(request.run_micros))
     }
 
-    /// Returns the run time that the entry node expects, or else the mean run time here.
-    fn run_micros(&self, expected: Option<Millis>) -> u64 {
-        expected.map_or(self.mean_micros, |run| {
-            run.0.saturating_mul(MICROS_PER_MILLI)
-        })
-    }
-
-    /// Returns the expected time until the request at this position of the queue runs; the first
-    /// position is 1.
-    fn queue_wait_micros(&self, position: usize) -> u64 {
+    /// Returns the expected time until a slot is free after requests with this run time in total.
+    fn queue_wait_micros(&self, ahead_micros: u64) -> u64 {
         let slots = u64::from(self.capacity.slots.max(1));
-        self.mean_micros.saturating_mul(position as u64) / slots
+        self.mean_micros.saturating_add(ahead_micros) / slots
     }
 
     fn record_run_time(&mut self, run_micros: u64) {
@@ -380,14 +372,6 @@
     }
 }
 
-fn queue_position(request: &PendingRequest) -> QueuePosition {
-    QueuePosition {
-        importance: Reverse(request.importance),
-        deadline: request.deadline,
-        id: request.id,
-    }
-}
-
 fn refuse(id: u64, refusal: Refusal) -> Decision {
     Decision::Refuse { id, refusal }
 }
--- a/crates/crank-engine/tests/balancing.rs
+++ b/crates/crank-engine/tests/balancing.rs
@@ -152,6 +152,7 @@
         running: SLOTS,
         waiting: 4,
         slots: SLOTS,
+        slowdown: None,
     };
     let result = AttemptResult::Answered { micros: 1_000 };
     pool.finish(Moment(1), &name("s0"), result, Some(busy));
--- a/crates/crank-node/src/admission.rs
+++ b/crates/crank-node/src/admission.rs
@@ -7,6 +7,7 @@
 use crank_engine::admission::Admission;
 use crank_engine::drain::DrainProgress;
 use crank_engine::limit::{Capacity, Decision, PendingRequest};
+use crank_engine::slowdown::{Run, Slowdown};
 use crank_protocol::call::{Load, Refusal};
 use crank_protocol::config::Importance;
 use crank_protocol::member::Stage;
@@ -94,6 +95,7 @@
 #[derive(Debug)]
 struct State {
     admission: Admission,
+    slowdown: Slowdown,
     waiters: HashMap<u64, oneshot::Sender<Result<(), Refusal>>>,
     next_id: u64,
 }
@@ -145,6 +147,7 @@
     pub fn new(clock: Clock, capacity: Capacity) -> Self {
         let state = State {
             admission: Admission::new(capacity),
+            slowdown: Slowdown::default(),
             waiters: HashMap::new(),
             next_id: 0,
         };
@@ -326,7 +329,24 @@
         self.state.lock().admission.overload_refusal()
     }
 
-    /// Returns the number of running and waiting requests and the number of slots.
+    /// Records how long the server took for a request, from which its slowdown is learned.
+    ///
+    /// ```
+    /// # use crank_engine::limit::Capacity;
+    /// # use crank_engine::slowdown::Run;
+    /// # use crank_node::{clock::Clock, admission::AdmissionController};
+    /// # use crank_protocol::Permille;
+    /// let controller = AdmissionController::new(Clock::new(), Capacity { slots: 1, queue: 0 });
+    /// let stated = Some(Permille(3_000));
+    /// controller.record_run(Run { micros: 9_000, expected: None, stated });
+    /// assert!(controller.load().slowdown > Some(Permille(2_900)));
+    /// ```
+    pub fn record_run(&self, run: Run) {
+        let now = self.clock.now();
+        self.state.lock().slowdown.record(now, run);
+    }
+
+    /// Returns the number of running and waiting requests, the number of slots and the slowdown.
     ///
     /// ```
     /// # use crank_engine::limit::Capacity;
@@ -336,6 +356,10 @@
     /// ```
     #[must_use]
     pub fn load(&self) -> Load {
-        self.state.lock().admission.load()
+        let state = self.state.lock();
+        Load {
+            slowdown: state.slowdown.current(self.clock.now()),
+            ..state.admission.load()
+        }
     }
 }
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -434,7 +434,7 @@
 }
 
 /// The lowest HTTP status that reports a failure of the backend server.
-const MIN_SERVER_ERROR_STATUS: u16 = 500;
+pub(crate) const MIN_SERVER_ERROR_STATUS: u16 = 500;
 
 /// Returns the length of the body of a successful response, if the server states it.
 fn successful_length(response: &Response) -> Option<u64> {
--- a/crates/crank-node/src/entry/bulkhead.rs
+++ b/crates/crank-node/src/entry/bulkhead.rs
@@ -5,7 +5,7 @@
 
 use crank_engine::Moment;
 use crank_engine::balance::{AttemptResult, ChosenTarget, TargetPool};
-use crank_engine::ewma::Ewma;
+use crank_engine::ewma::{Ewma, SteadyMean};
 use crank_engine::limit::Capacity;
 use crank_engine::retry::{self, RetryBudget};
 use crank_engine::route::ResolvedRoute;
@@ -46,7 +46,7 @@
 #[derive(Debug, Default)]
 struct RouteProfile {
     /// The mean run time in microseconds.
-    run_time: Ewma,
+    run_time: SteadyMean,
     /// The mean size of a response body in bytes.
     response_bytes: Ewma,
 }
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod once;
+mod run_time;
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -289,6 +290,8 @@
         self.add_expected_instance(&mut head, &announced);
         let label = self.request_label(&head);
         let forwarder = &self.shared.dependencies.forwarder;
+        let expected_run_time = head.expected_run_time;
+        let started_at = clock.now();
         let forwarded = async {
             let response = forwarder.forward(announced.address, head, body).await?;
             buffer_body(response).await
@@ -297,6 +300,7 @@
         match result.unwrap_or(Err(Refusal::TimedOut)) {
             Ok(BufferedResponse::Complete(mut response)) => {
                 drop(permit);
+                self.record_run(&response, expected_run_time, started_at);
                 response.head.load = self.load();
                 Ok(response)
             }
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Importance, Method, Version};
-use crate::{Millis, Name};
+use crate::{Millis, Name, Permille};
 
 /// The request header with which a caller sets the timeout, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "crank-timeout-ms";
@@ -178,6 +178,9 @@
     pub waiting: u32,
     /// The concurrency limit: how many requests may run at once.
     pub slots: u32,
+    /// How long requests take there now, as a share of what is usual; `None` if that is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slowdown: Option<Permille>,
 }
 
 /// A response without its body.
--- a/crates/crank-protocol/src/dialect.rs
+++ b/crates/crank-protocol/src/dialect.rs
@@ -21,7 +21,8 @@
     pub instance_id_header: Option<Arc<str>>,
     /// The header with the name of the service that sent the request.
     pub calling_service_header: Option<Arc<str>>,
-    /// The header with a backend server's load: running requests, waiting requests, slots.
+    /// The header with a backend server's load: running requests, waiting requests, slots, and
+    /// optionally how long requests take there now, in percent of what is usual.
     pub load_header: Option<Arc<str>>,
     /// The header whose presence says that the backend server has not run the request.
     pub not_run_header: Option<Arc<str>>,
--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -10,7 +10,7 @@
     ResponseHead, VERSION_HEADER,
 };
 use crank_protocol::config::Method;
-use crank_protocol::{HttpDialect, Millis};
+use crank_protocol::{HttpDialect, Millis, Permille};
 use http::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
     RETRY_AFTER,
@@ -28,6 +28,7 @@
 /// The `Retry-After` of a shed request if the backend server does not state one.
 const DEFAULT_RETRY_AFTER: Millis = Millis(100);
 const MILLIS_PER_SECOND: u64 = 1_000;
+const PERMILLE_PER_PERCENT: u32 = 10;
 /// Idle connections are dropped this much earlier than the backend server closes them.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -314,6 +315,7 @@
             running: next()?,
             waiting: next()?,
             slots: next()?,
+            slowdown: next().map(|percent| Permille(percent.saturating_mul(PERMILLE_PER_PERCENT))),
         })
     }
 }
