--- a/crates/crank-engine/examples/requests/simulation.rs
+++ b/crates/crank-engine/examples/requests/simulation.rs
@@ -497,7 +497,9 @@
         };
         let server = attempt_state.server;
         let load = load.map(ReportedLoad::into_load);
-        self.entries[entry].notes.record(self.now, server, result, load);
+        self.entries[entry]
+            .notes
+            .record(self.now, server, result, load);
         let pool = &mut self.entries[entry].pool;
         pool.finish(Moment(self.now), id, result, load);
     }
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod registration;
 pub mod retry;
 pub mod route;
+pub mod slot_time;
 pub mod slowdown;
 pub mod spread;
 pub mod status;
--- a/crates/crank-engine/src/limit.rs
+++ b/crates/crank-engine/src/limit.rs
@@ -354,7 +354,11 @@
     fn expected_end(&self, now: Moment, request: &WaitingRequest) -> Moment {
         let ahead = self.waiting.work_micros_before(request.position);
         let wait = self.queue_wait_micros(ahead);
-        Moment(now.0.saturating_add(wait).saturating_add(request.run_micros))
+        Moment(
+            now.0
+                .saturating_add(wait)
+                .saturating_add(request.run_micros),
+        )
     }
 
     /// Returns the expected time until a slot is free after requests with this run time in total.
--- a/crates/crank-engine/tests/fair_shares.rs
+++ b/crates/crank-engine/tests/fair_shares.rs
@@ -67,7 +67,7 @@
             Event::Arrived(account) => {
                 requests.push((account, now));
                 counts.entry(account).or_default().1 += 1;
-                let name = Name::new(format!("account-{account}")).unwrap();
+                let name = Name::new(&format!("account-{account}")).unwrap();
                 let request = PendingRequest {
                     id: requests.len() as u64 - 1,
                     importance: Importance::Normal,
--- a/crates/crank-node/src/admission.rs
+++ b/crates/crank-node/src/admission.rs
@@ -7,6 +7,7 @@
 use crank_engine::admission::Admission;
 use crank_engine::drain::DrainProgress;
 use crank_engine::limit::{Capacity, Decision, PendingRequest};
+use crank_engine::slot_time::SlotTime;
 use crank_engine::slowdown::{Run, Slowdown};
 use crank_protocol::call::{Load, Refusal};
 use crank_protocol::config::Importance;
@@ -96,11 +97,17 @@
 struct State {
     admission: Admission,
     slowdown: Slowdown,
+    slot_time: SlotTime,
     waiters: HashMap<u64, oneshot::Sender<Result<(), Refusal>>>,
     next_id: u64,
 }
 
 impl State {
+    /// Counts the slot time until `now`; called before each change of the load.
+    fn count_slot_time(&mut self, now: Moment) {
+        self.slot_time.advance(now, self.admission.load());
+    }
+
     fn apply(&mut self, decisions: Vec<Decision>) {
         for decision in decisions {
             let (id, result) = match decision {
@@ -126,6 +133,7 @@
     fn drop(&mut self) {
         let now = self.controller.clock.now();
         let mut state = self.controller.state.lock();
+        state.count_slot_time(now);
         state.waiters.remove(&self.id);
         let decisions = state.admission.finish(now, self.id);
         state.apply(decisions);
@@ -148,6 +156,7 @@
         let state = State {
             admission: Admission::new(capacity),
             slowdown: Slowdown::default(),
+            slot_time: SlotTime::default(),
             waiters: HashMap::new(),
             next_id: 0,
         };
@@ -218,11 +227,9 @@
         let id = state.next_id;
         state.next_id += 1;
         state.waiters.insert(id, sender);
-        let decisions = admit(
-            &mut state.admission,
-            self.clock.now(),
-            request.into_pending(id),
-        );
+        let now = self.clock.now();
+        state.count_slot_time(now);
+        let decisions = admit(&mut state.admission, now, request.into_pending(id));
         state.apply(decisions);
         let controller = self.clone();
         (Permit { controller, id }, receiver)
@@ -239,7 +246,9 @@
     /// ```
     pub fn resize(&self, capacity: Capacity) {
         let mut state = self.state.lock();
-        let decisions = state.admission.resize(self.clock.now(), capacity);
+        let now = self.clock.now();
+        state.count_slot_time(now);
+        let decisions = state.admission.resize(now, capacity);
         state.apply(decisions);
     }
 
@@ -254,7 +263,9 @@
     /// ```
     pub fn set_stage(&self, stage: Stage, grace: Millis) {
         let mut state = self.state.lock();
-        let decisions = state.admission.set_stage(self.clock.now(), stage, grace);
+        let now = self.clock.now();
+        state.count_slot_time(now);
+        let decisions = state.admission.set_stage(now, stage, grace);
         state.apply(decisions);
     }
 
@@ -329,6 +340,21 @@
         self.state.lock().admission.overload_refusal()
     }
 
+    /// Returns for how long slots were free and requests waited so far.
+    ///
+    /// ```
+    /// # use crank_engine::limit::Capacity;
+    /// # use crank_node::{clock::Clock, admission::AdmissionController};
+    /// let controller = AdmissionController::new(Clock::new(), Capacity { slots: 0, queue: 0 });
+    /// assert_eq!(controller.slot_time().idle_micros, 0);
+    /// ```
+    #[must_use]
+    pub fn slot_time(&self) -> SlotTime {
+        let mut state = self.state.lock();
+        state.count_slot_time(self.clock.now());
+        state.slot_time
+    }
+
     /// Records how long the server took for a request, from which its slowdown is learned.
     ///
     /// ```
--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -1,5 +1,7 @@
 //! The metrics that a node exports to Prometheus.
 
+mod slots;
+
 use std::fmt;
 use std::time::Duration;
 
@@ -18,6 +20,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::admission::AdmissionController;
 use crate::source::RefusedConfig;
 
 /// The outcome of a request as reported to its caller.
@@ -178,6 +181,21 @@
             .register_collector(Box::new(RefusedConfigCollector(refused)));
     }
 
+    /// Registers the slot time of the backend server beside the node.
+    ///
+    /// ```
+    /// use crank_engine::limit::Capacity;
+    /// use crank_node::{admission::AdmissionController, clock::Clock, metrics::Metrics};
+    /// let metrics = Metrics::new();
+    /// let capacity = Capacity { slots: 0, queue: 0 };
+    /// metrics.add_slot_time(AdmissionController::new(Clock::new(), capacity));
+    /// assert!(metrics.encode().contains("crank_queued_seconds_total 0"));
+    /// ```
+    pub fn add_slot_time(&self, admission: AdmissionController) {
+        let collector = Box::new(slots::SlotCollector(admission));
+        self.registry.lock().register_collector(collector);
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     ///
     /// ```
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -145,6 +145,7 @@
         tokio::spawn(server.run(accepted));
         let metrics = Arc::new(Metrics::new());
         metrics.add_mesh(mesh.clone());
+        metrics.add_slot_time(target.admission().clone());
         let refused_config = RefusedConfig::default();
         metrics.add_refused_config(refused_config.clone());
         let gateway = MeteredGateway::new(entry.clone(), metrics.clone());
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -386,6 +386,10 @@
         self.shared.admission.load()
     }
 
+    pub(crate) fn admission(&self) -> &AdmissionController {
+        &self.shared.admission
+    }
+
     fn refused(&self, refusal: Refusal) -> RefusedRequest {
         retry::refused(refusal, Some(self.load()))
     }
