--- a/crates/crank-engine/src/retry.rs
+++ b/crates/crank-engine/src/retry.rs
@@ -258,7 +258,7 @@
 pub struct RetryContext {
     /// Whether the request is idempotent, so that it can safely run twice.
     pub idempotent: bool,
-    /// The depth in the call chain; only requests at depth zero are retried if they may have run.
+    /// The depth in the call chain; only requests at depth zero are retried.
     pub depth: u32,
     /// The number of attempts so far.
     #[serde(rename = "made")]
@@ -297,11 +297,12 @@
 ) -> bool {
     let is_safe = match combine_outcomes(refused.outcome, outcome_of(&refused.refusal)) {
         Outcome::NotRun => true,
-        Outcome::Unknown => context.idempotent && context.depth == 0,
+        Outcome::Unknown => context.idempotent,
         Outcome::Ran => false,
     };
     is_safe
         && is_retryable_elsewhere(&refused.refusal)
+        && context.depth == 0
         && context.attempts < MAX_ATTEMPTS
         && context.reached < context.max_reached
         && now < context.deadline
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -14,7 +14,7 @@
 pub const TIMEOUT_HEADER: &str = "crank-timeout-ms";
 /// The header with the request id, which stays the same through all layers of a call chain.
 pub const REQUEST_ID_HEADER: &str = "crank-request-id";
-/// The header with the depth in the call chain; calls of other depths are retried only if they have not run.
+/// The header with the depth in the call chain; only calls of depth zero are retried.
 pub const DEPTH_HEADER: &str = "crank-depth";
 /// The response header that says whether the request ran: `ran`, `not-run` or `unknown`.
 pub const OUTCOME_HEADER: &str = "crank-outcome";
