--- a/crates/crank-engine/src/balance/distance.rs
+++ b/crates/crank-engine/src/balance/distance.rs
@@ -47,7 +47,7 @@
         match self {
             Self::Near => 0.0,
             Self::Region => 0.1,
-            Self::Far => 0.5,
+            Self::Far => 1.5,
         }
     }
 }
