--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod retry;
 pub mod rollout;
 pub mod route;
+pub mod slot_time;
+pub mod slowdown;
 pub mod spread;
 pub mod stall;
 pub mod status;
