--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -147,16 +147,14 @@
             connections: call_connections.clone(),
         };
         tokio::spawn(server.run(accepted));
+        let refused_config = RefusedConfig::default();
         let metrics = Arc::new(Metrics::new());
         metrics.add_mesh(mesh.clone());
         metrics.add_slot_time(target.admission().clone());
-        let refused_config = RefusedConfig::default();
         metrics.add_refused_config(refused_config.clone());
         metrics.add_rollouts(entry.rollouts().clone());
         metrics.add_accounts(entry.rate_limiter());
-        let longest_pause = LongestPause::default();
-        metrics.add_longest_pause(longest_pause.clone());
-        tokio::spawn(longest_pause.measure(clock));
+        metrics.add_longest_pause(LongestPause::start(clock));
         let gateway = MeteredGateway::new(entry.clone(), metrics.clone());
         let edge = options.caller_listener.with_dialect(dialect);
         let edge = edge.with_config(mesh.config());
--- a/crates/crank-node/src/watchdog.rs
+++ b/crates/crank-node/src/watchdog.rs
@@ -22,6 +22,22 @@
 pub struct LongestPause(Arc<AtomicU64>);
 
 impl LongestPause {
+    /// Starts to measure on the current runtime.
+    ///
+    /// ```
+    /// use crank_node::{clock::Clock, watchdog::LongestPause};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() {
+    /// assert_eq!(LongestPause::start(Clock::new()).get().0, 0);
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn start(clock: Clock) -> Self {
+        let pause = Self::default();
+        tokio::spawn(pause.clone().measure(clock));
+        pause
+    }
+
     /// Returns the pause.
     ///
     /// ```
