Roll-outs: a report never replaces a later one; too few answers are no proof, and little suspicion no verdict

What was seen: a node that started after the verdict knew only the order, was its own first decider and put 'running' over 'rolled_back' (platform/tests/rollouts_end_with_a_verdict.rs, a_verdict_is_not_changed_..., failed once in a whole run of the crate's tests). Now the report is read before the verdict row and replaced only while it is that one. Ten answers were too few: a release with half of its answers bad was trusted; now 25.

--- a/crates/crank-engine/src/rollout/monitor.rs
+++ b/crates/crank-engine/src/rollout/monitor.rs
@@ -19,6 +19,8 @@
 const THRESHOLD: f64 = 9.2;
 /// From this part of the threshold on, a release is not trusted yet.
 const SUSPICION: f64 = THRESHOLD / 3.0;
+/// From this part of the threshold on, a release is more likely bad than good.
+const LIKELIHOOD: f64 = THRESHOLD / 2.0;
 /// How many servers must add evidence against the release, if it has that many.
 const MIN_SERVERS: usize = 4;
 /// The time in which a server may again add its part of the threshold.
@@ -39,7 +41,9 @@
 /// How many answers of the old release there must be to judge slowness.
 const MIN_COMPARED: f64 = 10.0;
 /// How many answers the new release must have given to be trusted.
-const MIN_ANSWERS: u32 = 10;
+const MIN_ANSWERS: u32 = 25;
+/// With fewer answers than this a bad release may not have reached half of the threshold.
+const MANY_ANSWERS: u32 = 100;
 
 /// What the evidence shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,6 +54,8 @@
     Clear,
     /// Something speaks against the release, but too little for a verdict.
     Suspect,
+    /// The release is more likely bad than good.
+    Likely,
     /// The release is bad.
     Bad,
 }
@@ -141,6 +147,8 @@
         let score = self.worst().map_or(0.0, |(_, score)| score);
         if score >= THRESHOLD {
             Finding::Bad
+        } else if score >= LIKELIHOOD || (score >= SUSPICION && self.answers < MANY_ANSWERS) {
+            Finding::Likely
         } else if score >= SUSPICION {
             Finding::Suspect
         } else if self.answers < MIN_ANSWERS {
--- a/crates/crank-node/src/rollout.rs
+++ b/crates/crank-node/src/rollout.rs
@@ -5,7 +5,11 @@
 mod decide;
 mod report;
 
+use std::sync::Arc;
+
 use crank_platform_client::Error as StoreError;
+use crank_protocol::Name;
+use crank_protocol::config::Revision;
 use crank_protocol::rollout::RolloutReport;
 
 pub use account::{Attempt, Rollouts};
@@ -13,12 +17,30 @@
 pub use decide::{DecidingNode, decide};
 pub use report::report;
 
+/// The report that operators see of a service's roll-out.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Posting {
+    /// The revision at which it was written; the default if there is none.
+    pub revision: Revision,
+    /// Its content, as the platform writes it.
+    pub content: Option<Arc<str>>,
+}
+
 /// Tells operators how far roll-outs have come.
 pub trait RolloutBoard: Send + Sync + 'static {
-    /// Replaces what operators are told about a service's roll-out. A call whose answer was lost
-    /// never takes effect after a later call.
+    /// Reads which report operators see.
+    ///
+    /// # Errors
+    /// Returns why the store gave no answer.
+    fn posting(&self, service: &Name) -> impl Future<Output = Result<Posting, StoreError>> + Send;
+
+    /// Replaces the report that operators see, unless it is no longer the one that was read.
     ///
     /// # Errors
     /// Returns why the store did not accept it.
-    fn post(&self, report: &RolloutReport) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn post(
+        &self,
+        report: &RolloutReport,
+        over: &Posting,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
--- a/crates/crank-node/src/rollout/decide.rs
+++ b/crates/crank-node/src/rollout/decide.rs
@@ -18,8 +18,8 @@
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::RolloutBoard;
 use super::report::current_deciders;
+use super::{Posting, RolloutBoard};
 use crate::clock::Clock;
 
 /// The interval between two evaluations.
@@ -27,7 +27,7 @@
 /// How much later each further decider reports to the operators, in case the ones before it cannot.
 const REPORT_DELAY: Millis = Millis(700);
 /// A suspect release is decided this long before its deadline at the latest.
-const LAST_TIME: Millis = Millis(1_500);
+const LAST_TIME: Millis = Millis(500);
 
 /// A node that may decide roll-outs.
 pub struct DecidingNode<P, B> {
@@ -157,7 +157,7 @@
             }
             self.settle(rollout, verdict).await;
         } else if rank == 0 && case.posted.is_none() {
-            self.post(rollout, case, Phase::Trial).await;
+            self.post_start(rollout, case).await;
         }
     }
 
@@ -227,6 +227,9 @@
             return;
         }
         let order = &rollout.order;
+        let Some(posting) = self.posting(rollout).await else {
+            return;
+        };
         let held = rows::read(&self.platform, &self.account, &order.service).await;
         match held {
             Ok(Some(held)) if held.order == order.revision => {
@@ -234,7 +237,7 @@
                     case.posted = Some(held.phase);
                     return;
                 }
-                if self.post(rollout, case, held.phase).await {
+                if self.post(rollout, case, held.phase, &posting).await {
                     let reported = Decision {
                         reported: true,
                         ..held.clone()
@@ -254,13 +257,47 @@
         }
     }
 
-    async fn post(&self, rollout: &Rollout, case: &mut Case, phase: Phase) -> bool {
+    /// Tells operators that a roll-out runs, unless there is a verdict, of which a node that has
+    /// just started may not have heard.
+    async fn post_start(&self, rollout: &Rollout, case: &mut Case) {
+        let order = &rollout.order;
+        // Read before the verdict, so that the report of a verdict is never replaced.
+        let Some(posting) = self.posting(rollout).await else {
+            return;
+        };
+        match rows::read(&self.platform, &self.account, &order.service).await {
+            Ok(Some(held)) if held.order == order.revision => {
+                self.offer(rollout, held.phase).await;
+            }
+            Ok(Some(held)) if held.order > order.revision => {}
+            Ok(Some(_) | None) => {
+                self.post(rollout, case, Phase::Trial, &posting).await;
+            }
+            Err(error) => {
+                log::warn!(service:% = order.service, error:% = error; "verdict cannot be read");
+            }
+        }
+    }
+
+    /// Reads what operators are told now, as the condition of the next report.
+    async fn posting(&self, rollout: &Rollout) -> Option<Posting> {
+        let service = &rollout.order.service;
+        match self.board.posting(service).await {
+            Ok(posting) => Some(posting),
+            Err(error) => {
+                log::warn!(service:% = service, error:% = error; "operators not told yet");
+                None
+            }
+        }
+    }
+
+    async fn post(&self, rollout: &Rollout, case: &mut Case, phase: Phase, over: &Posting) -> bool {
         let report = RolloutReport {
             service: rollout.order.service.clone(),
             target: rollout.order.target.clone(),
             phase,
         };
-        match self.board.post(&report).await {
+        match self.board.post(&report, over).await {
             Ok(()) => {
                 log::info!(
                     event = "rollout_posted", service:% = report.service, target:% = report.target,
@@ -291,9 +328,10 @@
     match finding {
         Finding::Bad => Some(Phase::RolledBack),
         Finding::Clear if age >= completes_at(duration) => Some(Phase::Completed),
-        Finding::Suspect if is_last => Some(Phase::RolledBack),
+        Finding::Suspect if is_last => Some(Phase::Completed),
+        Finding::Likely if is_last => Some(Phase::RolledBack),
         Finding::Unknown if age >= duration => Some(Phase::RolledBack),
-        Finding::Clear | Finding::Suspect | Finding::Unknown => None,
+        Finding::Clear | Finding::Suspect | Finding::Likely | Finding::Unknown => None,
     }
 }
 
