--- a/crates/crank-caller/src/reply.rs
+++ b/crates/crank-caller/src/reply.rs
@@ -10,8 +10,11 @@
 };
 use crank_protocol::config::Method;
 use crank_protocol::{HttpDialect, Millis};
+use crank_stream::RequestHold;
 use futures::Stream;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use http::header::{
+    CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
+};
 use http::{Response as HttpResponse, StatusCode};
 use serde::Serialize;
 use thiserror::Error as ThisError;
@@ -39,7 +42,9 @@
 ) -> warp::reply::Response {
     let status = match error {
         InvalidRequest::Method => StatusCode::METHOD_NOT_ALLOWED,
-        InvalidRequest::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        InvalidRequest::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        InvalidRequest::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        InvalidRequest::TooSlow => StatusCode::REQUEST_TIMEOUT,
         InvalidRequest::Body => StatusCode::BAD_REQUEST,
         InvalidRequest::OverBudget => StatusCode::SERVICE_UNAVAILABLE,
     };
@@ -53,6 +58,17 @@
     refusal_response(refused, status_of(refused), dialect)
 }
 
+/// Returns the response in place of one whose body was cut short before any of it was passed on.
+pub(crate) fn cut_short() -> warp::reply::Response {
+    let refused = RefusedRequest {
+        refusal: Refusal::Cut,
+        outcome: Outcome::Unknown,
+        load: None,
+        reached: true,
+    };
+    refused_request(&refused, &HttpDialect::default())
+}
+
 fn refusal_response(
     refused: &RefusedRequest,
     status: StatusCode,
@@ -75,6 +91,12 @@
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     headers.insert(OUTCOME_HEADER, outcome_value(refused.outcome));
     headers.insert(REFUSAL_HEADER, HeaderValue::from_static(refusal));
+    if status == StatusCode::UNAUTHORIZED
+        && let Some(scheme) = dialect.key_scheme.as_deref()
+        && let Ok(challenge) = HeaderValue::try_from(scheme)
+    {
+        headers.insert(WWW_AUTHENTICATE, challenge);
+    }
     if let Some(wait) = retry_after {
         headers.insert(RETRY_AFTER, retry_after_value(wait, dialect));
     }
@@ -94,7 +116,9 @@
 
 fn retry_after_of(refusal: &Refusal) -> Option<Millis> {
     match refusal {
-        Refusal::Overloaded { retry_after } => Some(*retry_after),
+        Refusal::Overloaded { retry_after } | Refusal::OverRate { retry_after } => {
+            Some(*retry_after)
+        }
         Refusal::NotReady | Refusal::NoServer | Refusal::Leaving | Refusal::StoreDown => {
             Some(DEFAULT_RETRY_AFTER)
         }
@@ -123,6 +147,8 @@
         | Refusal::NotSent
         | Refusal::Cancelled => StatusCode::SERVICE_UNAVAILABLE,
         Refusal::NoRoute => StatusCode::NOT_FOUND,
+        Refusal::Unauthorized => StatusCode::UNAUTHORIZED,
+        Refusal::OverRate { .. } => StatusCode::TOO_MANY_REQUESTS,
         Refusal::BadRequest { .. } => StatusCode::BAD_REQUEST,
         Refusal::TooLate | Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         Refusal::Lost | Refusal::ConnectionLost | Refusal::Cut => StatusCode::BAD_GATEWAY,
@@ -130,9 +156,10 @@
         Refusal::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
     };
     match (status, refused.outcome) {
-        (StatusCode::SERVICE_UNAVAILABLE, Outcome::Unknown | Outcome::Ran) => {
-            StatusCode::BAD_GATEWAY
-        }
+        (
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS,
+            Outcome::Unknown | Outcome::Ran,
+        ) => StatusCode::BAD_GATEWAY,
         (status, _) => status,
     }
 }
@@ -141,6 +168,10 @@
     match refusal {
         Refusal::NotReady => "this node has no configuration yet: try again, or another node",
         Refusal::NoRoute => "no route claims this path and method: check them",
+        Refusal::Unauthorized => "no valid key came with the request: send a key of an account",
+        Refusal::OverRate { .. } => {
+            "the account has used up its rate limit: try again after the stated time"
+        }
         Refusal::BadRequest { detail } => detail,
         Refusal::NoServer => "no backend server of the service is ready: try again later",
         Refusal::Leaving => "the backend server is leaving: try again",
@@ -165,14 +196,23 @@
     }
 }
 
-pub(crate) fn response(response: Response, method: Method) -> warp::reply::Response {
+/// Returns the HTTP response; `hold` keeps the request counted until its body has ended.
+pub(crate) fn response(
+    response: Response,
+    method: Method,
+    hold: RequestHold,
+) -> warp::reply::Response {
     let ResponseHead {
         status,
         headers,
         length,
         ..
     } = response.head;
-    let body = CheckedBody::new(response.body, length.filter(|_| has_body(method, status)));
+    let body = CheckedBody::new(
+        response.body,
+        length.filter(|_| has_body(method, status)),
+        hold,
+    );
     let mut http_response = warp::reply::stream(body).into_response();
     *http_response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let target_headers = http_response.headers_mut();
@@ -215,15 +255,17 @@
     remaining_bytes: Option<u64>,
     held_back: Option<Bytes>,
     is_ended: bool,
+    _hold: RequestHold,
 }
 
 impl CheckedBody {
-    fn new(body: Body, length: Option<u64>) -> Self {
+    fn new(body: Body, length: Option<u64>, hold: RequestHold) -> Self {
         Self {
             body: Mutex::new(body),
             remaining_bytes: length,
             held_back: None,
             is_ended: false,
+            _hold: hold,
         }
     }
 
--- a/crates/crank-engine/src/folder.rs
+++ b/crates/crank-engine/src/folder.rs
@@ -1,8 +1,10 @@
 //! The operators' folder: merging its files into a configuration and checking it.
 
 mod account;
+mod client;
 mod compare;
 mod file;
+mod limits;
 mod merge;
 mod problem;
 mod route;
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -4,10 +4,12 @@
 //! makes a random choice takes a seeded random number generator. The processes only carry out the
 //! decisions that this crate makes.
 
+pub mod account;
 pub mod admission;
 pub mod backoff;
 pub mod balance;
 pub mod burn;
+pub mod caller_budget;
 pub mod claim;
 pub mod config;
 pub mod drain;
@@ -21,10 +23,15 @@
 pub mod notice;
 pub mod overlay;
 pub mod publish;
+pub mod quota;
 pub mod registration;
 pub mod retry;
+pub mod rollout;
 pub mod route;
+pub mod slot_time;
+pub mod slowdown;
 pub mod spread;
+pub mod stall;
 pub mod status;
 pub mod uplink;
 
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry of the mesh: routes callers' requests, chooses targets and retries where that is safe.
 
 mod bulkhead;
+mod caller;
 mod conventions;
 mod drain;
 mod lines;
@@ -22,7 +23,7 @@
 use crank_engine::{Moment, burn, retry};
 use crank_mesh::View;
 use crank_protocol::call::{Outcome, Refusal, RefusedRequest, Request, RequestHead, Response};
-use crank_protocol::config::{Snapshot, Version};
+use crank_protocol::config::{Method, Snapshot, Version};
 use crank_protocol::member::{Place, Stage};
 use crank_protocol::{Millis, Name};
 use parking_lot::Mutex;
@@ -31,7 +32,10 @@
 
 use crate::admission::{AdmissionController, AdmissionRequest, Permit};
 use crate::clock::Clock;
+use crate::quota::RateLimiter;
+use crate::rollout::Rollouts;
 use bulkhead::Bulkhead;
+use caller::{Caller, Rejected};
 use options::RequestOptions;
 use routed::RoutedRequest;
 use search::{Candidate, TargetSearch};
@@ -106,6 +110,8 @@
     table: ArcSwapOption<RoutingTable>,
     bulkheads: Mutex<BTreeMap<Name, Arc<Bulkhead>>>,
     drain: Mutex<Drain>,
+    rollouts: Rollouts,
+    rate_limiter: RateLimiter,
     /// Cancelled when all attempts must end, because the node does.
     ending: CancellationToken,
 }
@@ -120,6 +126,15 @@
     async fn call(&self, request: Request) -> Result<Response, RefusedRequest> {
         Self::call(self, request).await
     }
+
+    fn may_start_ahead(&self, method: Method, host: &str, path: &str) -> bool {
+        // The services that a route is split to share its `idempotent`: any draw will do.
+        let is_idempotent = |table: Arc<RoutingTable>| {
+            let route = table.find_for_host(host, method, path, 0);
+            route.is_ok_and(|route| route.route.idempotent)
+        };
+        self.table().is_ok_and(is_idempotent)
+    }
 }
 
 impl<T: Transport> EntryProxy<T> {
@@ -151,20 +166,37 @@
     pub fn with_node_limit(dependencies: Dependencies<T>, capacity: Capacity) -> Self {
         let node_limit = AdmissionController::new(dependencies.clock, capacity);
         node_limit.set_stage(Stage::Ready, Millis(0));
+        let limit = dependencies.conventions.exposure;
+        let rollouts = Rollouts::new(dependencies.clock, limit);
         let mut drain = Drain::new();
         drain.set_stage(dependencies.clock.now(), Stage::Ready, Millis(0));
         Self {
             shared: Arc::new(Shared {
+                rate_limiter: RateLimiter::new(dependencies.clock),
                 dependencies,
                 node_limit,
                 table: ArcSwapOption::empty(),
                 bulkheads: Mutex::new(BTreeMap::new()),
                 drain: Mutex::new(drain),
+                rollouts,
                 ending: CancellationToken::new(),
             }),
         }
     }
 
+    /// Returns the roll-outs that decide which servers of a service get requests.
+    ///
+    /// ```
+    /// # use crank_node::entry::{EntryProxy, Transport};
+    /// fn has_evidence<T: Transport>(entry: &EntryProxy<T>) -> bool {
+    ///     !entry.rollouts().evidence().is_empty()
+    /// }
+    /// ```
+    #[must_use]
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.shared.rollouts
+    }
+
     /// Sends a request to a backend server that can serve it, and returns the response.
     ///
     /// # Errors
@@ -184,14 +216,15 @@
             &self.shared.dependencies.conventions.dialect,
         );
         let prepared = self.prepare(request, started_at).await;
-        let (routed, permits) = prepared.map_err(|refusal| {
-            lines::not_routed(&label, &refusal);
-            retry::refused(refusal, None)
+        let (routed, permits) = prepared.map_err(|rejected| {
+            lines::not_routed(&label, &rejected);
+            retry::refused(rejected.refusal, None)
         })?;
         let result = self.try_targets(&routed).await;
         match result {
             Ok(response) => Ok(self.finish(routed, permits, response)),
             Err(refused) => {
+                routed.return_token(&refused);
                 self.count_refusal(&routed.rule, &refused, started_at);
                 Err(refused)
             }
@@ -202,31 +235,42 @@
         &self,
         request: Request,
         started_at: Moment,
-    ) -> Result<(RoutedRequest, RequestPermits), Refusal> {
+    ) -> Result<(RoutedRequest, RequestPermits), Rejected> {
         let table = self.table()?;
         let rule = table
             .find_for_host(&request.host, request.method, &request.path, rand::random())?
             .clone();
         let conventions = &self.shared.dependencies.conventions;
+        let caller = Caller::identify(&request, &rule, &table, &conventions.dialect)?;
         let options = RequestOptions::parse(&request, &rule, &conventions.dialect)?;
         if options.depth == 0 {
             self.shared.drain.lock().admit(started_at, options.depth)?;
         }
+        let token = caller
+            .name()
+            .map(|account| self.shared.rate_limiter.admit(account))
+            .transpose()
+            .map_err(|refusal| caller.rejected(refusal))?;
         let deadline = started_at.after(options.timeout);
         let deadline = self.shared.drain.lock().latest_end(deadline);
         let bulkhead = self.bulkhead(&rule);
         self.refresh(&bulkhead, table.version(), &rule);
         let permits = self
-            .acquire_permits(&bulkhead, &rule, deadline, options.depth)
+            .acquire_permits(&bulkhead, &rule, &caller, deadline, options.depth)
             .await;
-        let permits = permits.inspect_err(|_| self.record(&rule, false, started_at))?;
+        let permits = permits.map_err(|refusal| {
+            self.record(&rule, false, started_at);
+            caller.rejected(refusal)
+        })?;
         let routed = RoutedRequest {
             caller_gives_up_at: started_at.after(options.caller_timeout),
             label: lines::request_label(&request.headers, &conventions.dialect),
-            head: options.head(&request, &rule, table.version(), conventions),
+            head: options.head(&request, &rule, table.version(), &caller, conventions),
             body: request.body,
             rule,
             bulkhead,
+            caller,
+            token,
             started_at,
             deadline,
         };
@@ -238,15 +282,16 @@
         &self,
         bulkhead: &Bulkhead,
         rule: &ResolvedRoute,
+        caller: &Caller,
         deadline: Moment,
         depth: u32,
     ) -> Result<RequestPermits, Refusal> {
         let request = AdmissionRequest {
-            importance: rule.importance(),
+            importance: caller.importance(rule),
             deadline,
             depth,
             expected_run_time: None,
-            account: None,
+            account: caller.name().cloned(),
         };
         let service = bulkhead.admission().admit(request.clone()).await?;
         let node_limit = &self.shared.node_limit;
@@ -266,10 +311,24 @@
         routed.bulkhead.record_request();
         loop {
             self.refresh(&routed.bulkhead, routed.head.version, &routed.rule);
-            let Some(candidate) = search.next(&routed.bulkhead, self.now(), routed.head.depth)
-            else {
+            let view = self.shared.dependencies.view.borrow().clone();
+            let barred = self
+                .shared
+                .rollouts
+                .barred(&routed.rule.route.service, &view);
+            let (now, depth) = (self.now(), routed.head.depth);
+            let candidate = barred
+                .iter()
+                .find_map(|barred| search.next(&routed.bulkhead, now, depth, barred));
+            let Some(candidate) = candidate else {
                 break;
             };
+            if let Err(refusal) = self.check_caller(routed) {
+                if outcome == Outcome::NotRun {
+                    last_refusal = refusal;
+                }
+                break;
+            }
             let result = self.attempt(routed, &candidate).await;
             if search.record(&candidate, result.as_ref().err()) {
                 continue;
@@ -326,12 +385,18 @@
         head.latency_target = head
             .latency_target
             .map(|target| Millis(target.0.saturating_sub(spent.0)));
+        routed.spend_token();
         let attempt = bulkhead::InFlightAttempt::new(
             &routed.bulkhead,
             self.shared.dependencies.clock,
             choice,
             started_at,
         );
+        let counted = self.shared.rollouts.start_attempt(
+            &routed.rule.route.service,
+            &routed.rule.name,
+            &choice.id,
+        );
         let call = self
             .shared
             .dependencies
@@ -343,6 +408,7 @@
             () = self.shared.ending.cancelled() => None,
         };
         let result = result.unwrap_or_else(|| Err(retry::refused(Refusal::TimedOut, None)));
+        counted.finish(&result);
         let took = attempt.finish(&result);
         // An attempt that could not queue spent nearly all of its time running.
         if let (Some(took), false) = (took, candidate.may_queue) {
@@ -380,6 +446,16 @@
         if !*self.shared.dependencies.ready.borrow() {
             return Err(Refusal::NotReady);
         }
+        self.latest_table()
+    }
+
+    /// Checks the key of a request against the configuration in force, which may be newer than the
+    /// one that routed the request.
+    fn check_caller(&self, routed: &RoutedRequest) -> Result<(), Refusal> {
+        routed.caller.check(&routed.rule, &*self.latest_table()?)
+    }
+
+    fn latest_table(&self) -> Result<Arc<RoutingTable>, Refusal> {
         let snapshot = self.shared.dependencies.config.borrow().clone();
         let snapshot = snapshot.ok_or(Refusal::NotReady)?;
         let current = self.shared.table.load_full();
@@ -387,12 +463,18 @@
             Some(table) if table.version() >= snapshot.stamp.version => Ok(table),
             Some(_) | None => {
                 let table = Arc::new(RoutingTable::new(&snapshot));
+                self.shared.rate_limiter.apply(&snapshot);
                 self.shared.table.store(Some(table.clone()));
                 Ok(table)
             }
         }
     }
 
+    /// Returns the limiter of the client accounts' requests.
+    pub(crate) fn rate_limiter(&self) -> RateLimiter {
+        self.shared.rate_limiter.clone()
+    }
+
     fn bulkhead(&self, rule: &ResolvedRoute) -> Arc<Bulkhead> {
         let name = &rule.route.service;
         let mut bulkheads = self.shared.bulkheads.lock();
@@ -434,7 +516,7 @@
 }
 
 /// The lowest HTTP status that reports a failure of the backend server.
-const MIN_SERVER_ERROR_STATUS: u16 = 500;
+pub(crate) const MIN_SERVER_ERROR_STATUS: u16 = 500;
 
 /// Returns the length of the body of a successful response, if the server states it.
 fn successful_length(response: &Response) -> Option<u64> {
--- a/crates/crank-node/src/lib.rs
+++ b/crates/crank-node/src/lib.rs
@@ -12,10 +12,13 @@
 pub mod metrics;
 pub mod node;
 pub mod publisher;
+pub mod quota;
 pub mod recall;
+pub mod rollout;
 pub mod source;
 pub mod target;
 pub mod transport;
+pub mod watchdog;
 
 mod error;
 mod follow;
--- a/crates/crank-node/src/metrics.rs
+++ b/crates/crank-node/src/metrics.rs
@@ -1,8 +1,11 @@
 //! The metrics that a node exports to Prometheus.
 
+mod slots;
+
 use std::fmt;
 use std::time::Duration;
 
+use crank_caller::AheadEvent;
 use crank_mesh::{Direction, Handle, Reach, TrafficKind};
 use crank_protocol::call::Refusal;
 use crank_protocol::member::State;
@@ -18,7 +21,12 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::admission::AdmissionController;
+use crate::quota::RateLimiter;
+use crate::quota::accounts::AccountCollector;
+use crate::rollout::{RolloutCollector, Rollouts};
 use crate::source::RefusedConfig;
+use crate::watchdog::{LongestPause, PauseCollector};
 
 /// The outcome of a request as reported to its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -50,6 +58,11 @@
     outcome: RequestOutcome,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AheadLabels {
+    event: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RefusalLabels {
     refusal: &'static str,
@@ -69,6 +82,7 @@
     registry: Mutex<Registry>,
     requests: Family<OutcomeLabels, Counter>,
     refusals: Family<RefusalLabels, Counter>,
+    requests_ahead: Family<AheadLabels, Counter>,
     durations: Family<OutcomeLabels, Histogram>,
 }
 
@@ -99,6 +113,9 @@
         let refusals = Family::<RefusalLabels, Counter>::default();
         let help = "Callers' requests that got no answer of a backend server, by why";
         registry.register("refusals", help, refusals.clone());
+        let requests_ahead = Family::<AheadLabels, Counter>::default();
+        let help = "Requests sent ahead on their connection whose calls started before their turn";
+        registry.register("requests_ahead", help, requests_ahead.clone());
         let durations = Family::<OutcomeLabels, Histogram>::new_with_constructor(latency_histogram);
         let help = "From a request's arrival to the start of its answer";
         registry.register_with_unit("request", help, Unit::Seconds, durations.clone());
@@ -106,6 +123,7 @@
             registry: Mutex::new(registry),
             requests,
             refusals,
+            requests_ahead,
             durations,
         }
     }
@@ -136,6 +154,25 @@
             .inc();
     }
 
+    /// Counts what became of a request that was sent ahead on its connection.
+    ///
+    /// ```
+    /// # use crank_node::metrics::Metrics;
+    /// let metrics = Metrics::new();
+    /// metrics.count_ahead(crank_caller::AheadEvent::Started);
+    /// assert!(metrics.encode().contains("crank_requests_ahead_total{event=\"started\"} 1"));
+    /// ```
+    pub fn count_ahead(&self, event: AheadEvent) {
+        let event = match event {
+            AheadEvent::Started => "started",
+            AheadEvent::TakenOver => "taken-over",
+            AheadEvent::Cancelled => "cancelled",
+        };
+        self.requests_ahead
+            .get_or_create(&AheadLabels { event })
+            .inc();
+    }
+
     /// Records the time from a request's arrival to the start of its response.
     ///
     /// ```
@@ -178,6 +215,63 @@
             .register_collector(Box::new(RefusedConfigCollector(refused)));
     }
 
+    /// Registers the slot time of the backend server beside the node.
+    ///
+    /// ```
+    /// use crank_engine::limit::Capacity;
+    /// use crank_node::{admission::AdmissionController, clock::Clock, metrics::Metrics};
+    /// let metrics = Metrics::new();
+    /// let capacity = Capacity { slots: 0, queue: 0 };
+    /// metrics.add_slot_time(AdmissionController::new(Clock::new(), capacity));
+    /// assert!(metrics.encode().contains("crank_queued_seconds_total 0"));
+    /// ```
+    pub fn add_slot_time(&self, admission: AdmissionController) {
+        let collector = Box::new(slots::SlotCollector(admission));
+        self.registry.lock().register_collector(collector);
+    }
+
+    /// Registers the metrics of roll-outs, which appear with the first order.
+    ///
+    /// ```
+    /// use crank_node::{clock::Clock, metrics::Metrics, rollout::Rollouts};
+    /// let metrics = Metrics::new();
+    /// metrics.add_rollouts(Rollouts::new(Clock::new(), None));
+    /// assert!(!metrics.encode().contains("crank_rollout"));
+    /// ```
+    pub fn add_rollouts(&self, rollouts: Rollouts) {
+        self.registry
+            .lock()
+            .register_collector(Box::new(RolloutCollector(rollouts)));
+    }
+
+    /// Registers the counts of client accounts.
+    ///
+    /// ```
+    /// use crank_node::{clock::Clock, metrics::Metrics, quota::RateLimiter};
+    /// # let _runtime = tokio::runtime::Runtime::new().unwrap();
+    /// let metrics = Metrics::new();
+    /// metrics.add_accounts(RateLimiter::new(Clock::new()));
+    /// assert!(!metrics.encode().contains("crank_account_requests"));
+    /// ```
+    pub fn add_accounts(&self, limiter: RateLimiter) {
+        let collector = Box::new(AccountCollector(limiter));
+        self.registry.lock().register_collector(collector);
+    }
+
+    /// Registers the longest pause of the runtime.
+    ///
+    /// ```
+    /// use crank_node::{metrics::Metrics, watchdog::LongestPause};
+    /// let metrics = Metrics::new();
+    /// metrics.add_longest_pause(LongestPause::default());
+    /// assert!(metrics.encode().contains("crank_longest_pause_seconds"));
+    /// ```
+    pub fn add_longest_pause(&self, pause: LongestPause) {
+        self.registry
+            .lock()
+            .register_collector(Box::new(PauseCollector(pause)));
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     ///
     /// ```
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crank_engine::burn::BurnCounter;
+use crank_engine::caller_budget::Bounds;
 use crank_engine::drain::DrainProgress;
 use crank_mesh::call::{self, Pool, SharedUplink};
 use crank_mesh::{Handle, Socket};
@@ -27,7 +28,8 @@
 use crate::source::RefusedConfig;
 use crate::target::{self, Target};
 use crate::transport::MeshTransport;
-use crate::{Error, follow, handover};
+use crate::watchdog::LongestPause;
+use crate::{Error, follow, handover, rollout};
 
 const CALL_SOCKET_QUEUE: usize = 64;
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -37,7 +39,7 @@
 
 /// The options and dependencies of a node, which differ between platforms.
 pub struct NodeOptions<P> {
-    /// The client account.
+    /// The name of the owner of the deployment.
     pub account: Name,
     /// The node's name.
     pub name: Name,
@@ -133,6 +135,8 @@
             burn: burn.clone(),
             conventions: options.conventions,
         });
+        tokio::spawn(rollout::report(entry.rollouts().clone(), mesh.clone()));
+        tokio::spawn(entry.rate_limiter().run(mesh.clone()));
         let uplink = SharedUplink::new(options.link_mbits);
         let call_connections = TaskTracker::new();
         let server = CallServer {
@@ -143,12 +147,17 @@
             connections: call_connections.clone(),
         };
         tokio::spawn(server.run(accepted));
+        let refused_config = RefusedConfig::default();
         let metrics = Arc::new(Metrics::new());
         metrics.add_mesh(mesh.clone());
-        let refused_config = RefusedConfig::default();
+        metrics.add_slot_time(target.admission().clone());
         metrics.add_refused_config(refused_config.clone());
+        metrics.add_rollouts(entry.rollouts().clone());
+        metrics.add_accounts(entry.rate_limiter());
+        metrics.add_longest_pause(LongestPause::start(clock));
         let gateway = MeteredGateway::new(entry.clone(), metrics.clone());
         let edge = options.caller_listener.with_dialect(dialect);
+        let edge = edge.with_config(mesh.config());
         let edge = edge.with_close_delay(MIN_CLOSE_DELAY.max(options.linger.into()));
         let caller_task = tokio::spawn(edge.run(gateway, closing.clone()));
         Ok(Self {
@@ -249,6 +258,28 @@
         self.refused_config.clone()
     }
 
+    /// Starts to take part in the decisions about roll-outs.
+    ///
+    /// ```
+    /// # use crank_node::node::Node;
+    /// # use crank_node::rollout::RolloutBoard;
+    /// # use crank_platform_client::Rows;
+    /// fn example<P: Rows, B: RolloutBoard>(node: &Node<P>, platform: P, board: B) {
+    ///     node.start_deciding(crank_protocol::Name::new("sutkent").unwrap(), platform, board);
+    /// }
+    /// ```
+    pub fn start_deciding<B: rollout::RolloutBoard>(&self, account: Name, platform: P, board: B) {
+        let deciding = rollout::DecidingNode {
+            account,
+            node: self.name.clone(),
+            clock: self.clock,
+            platform,
+            board,
+            mesh: self.mesh.clone(),
+        };
+        tokio::spawn(rollout::decide(deciding));
+    }
+
     /// Returns a token that is cancelled when the node closes its connections.
     pub(crate) fn closing(&self) -> CancellationToken {
         self.closing.clone()
@@ -265,14 +296,15 @@
     /// ```no_run
     /// # use crank_node::node::Node;
     /// # use crank_platform_client::Rows;
-    /// async fn example<P: Rows>(node: &Node<P>, listener: tokio::net::TcpListener) {
-    ///     node.serve_metrics(listener);
+    /// # use crank_engine::caller_budget::Bounds;
+    /// async fn example<P: Rows>(node: &Node<P>, listener: tokio::net::TcpListener, bounds: Bounds) {
+    ///     node.serve_metrics(listener, bounds);
     /// }
     /// ```
-    pub fn serve_metrics(&self, listener: TcpListener) {
+    pub fn serve_metrics(&self, listener: TcpListener, bounds: Bounds) {
         let metrics = self.metrics.clone();
         let text = warp::any().map(move || metrics.encode());
-        tokio::spawn(warp::serve(text).incoming(listener).run());
+        tokio::spawn(crank_stream::serve(listener, warp::service(text), bounds));
     }
 
     /// Shuts the node down: keeps accepting requests for the linger period, then refuses new ones,
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod once;
+mod run_time;
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -64,7 +65,7 @@
     pub config: watch::Receiver<Option<Arc<Snapshot>>>,
     /// What the backend server last announced: `crank_server::AnnouncementListener::watch`.
     pub announcement: watch::Receiver<Option<Announcement>>,
-    /// The client account, from the node's settings.
+    /// The name of the owner, from the node's settings.
     pub account: Name,
     /// The client of the table service, which holds the claims of requests that may run only once.
     pub platform: P,
@@ -289,6 +290,8 @@
         self.add_expected_instance(&mut head, &announced);
         let label = self.request_label(&head);
         let forwarder = &self.shared.dependencies.forwarder;
+        let expected_run_time = head.expected_run_time;
+        let started_at = clock.now();
         let forwarded = async {
             let response = forwarder.forward(announced.address, head, body).await?;
             buffer_body(response).await
@@ -297,6 +300,7 @@
         match result.unwrap_or(Err(Refusal::TimedOut)) {
             Ok(BufferedResponse::Complete(mut response)) => {
                 drop(permit);
+                self.record_run(&response, expected_run_time, started_at);
                 response.head.load = self.load();
                 Ok(response)
             }
@@ -382,6 +386,10 @@
         self.shared.admission.load()
     }
 
+    pub(crate) fn admission(&self) -> &AdmissionController {
+        &self.shared.admission
+    }
+
     fn refused(&self, refusal: Refusal) -> RefusedRequest {
         retry::refused(refusal, Some(self.load()))
     }
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Importance, Method, Version};
-use crate::{Millis, Name};
+use crate::{Millis, Name, Permille};
 
 /// The request header with which a caller sets the timeout, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "crank-timeout-ms";
@@ -25,6 +25,11 @@
 /// The request header with the caller's idempotency key.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
+/// The request header with the key of the caller's client account.
+pub const KEY_HEADER: &str = "crank-key";
+/// The request header with which a node names the caller's client account to backend servers.
+pub const ACCOUNT_HEADER: &str = "crank-client";
+
 /// An HTTP header.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -102,6 +107,13 @@
     NotReady,
     /// No route matches the path and method.
     NoRoute,
+    /// The request has no key of a client account, or one that is not in the configuration.
+    Unauthorized,
+    /// The client account has used up its rate limit.
+    OverRate {
+        /// When the account may send its next request.
+        retry_after: Millis,
+    },
     /// The request is malformed, too large, or lacks a required header.
     BadRequest {
         /// What is wrong and what to do.
@@ -150,6 +162,8 @@
         match self {
             Self::NotReady => "not_ready",
             Self::NoRoute => "no_route",
+            Self::Unauthorized => "unauthorized",
+            Self::OverRate { .. } => "over_rate",
             Self::BadRequest { .. } => "bad_request",
             Self::NoServer => "no_server",
             Self::Leaving => "leaving",
@@ -178,6 +192,9 @@
     pub waiting: u32,
     /// The concurrency limit: how many requests may run at once.
     pub slots: u32,
+    /// How long requests take there now, as a share of what is usual; `None` if that is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slowdown: Option<Permille>,
 }
 
 /// A response without its body.
--- a/crates/crank-protocol/src/dialect.rs
+++ b/crates/crank-protocol/src/dialect.rs
@@ -21,13 +21,20 @@
     pub instance_id_header: Option<Arc<str>>,
     /// The header with the name of the service that sent the request.
     pub calling_service_header: Option<Arc<str>>,
-    /// The header with a backend server's load: running requests, waiting requests, slots.
+    /// The header with a backend server's load: running requests, waiting requests, slots, and
+    /// optionally how long requests take there now, in percent of what is usual.
     pub load_header: Option<Arc<str>>,
     /// The header whose presence says that the backend server has not run the request.
     pub not_run_header: Option<Arc<str>>,
     /// The header that every successful response of a backend server must carry; a response
     /// without it did not come from the backend server.
     pub signature_header: Option<Arc<str>>,
+    /// The header with the key of the caller's client account.
+    pub key_header: Arc<str>,
+    /// The authentication scheme that precedes the key in its header, if there is one.
+    pub key_scheme: Option<Arc<str>>,
+    /// The header with the name of the caller's client account, which only nodes may set.
+    pub account_header: Arc<str>,
     /// Whether the request id is passed on as the caller wrote it and responses must echo it.
     pub echoes_request_id: bool,
     /// Whether closing the connection may end a response that has neither a length nor chunks.
@@ -47,6 +54,9 @@
             load_header: None,
             not_run_header: None,
             signature_header: None,
+            key_header: Arc::from(call::KEY_HEADER),
+            key_scheme: None,
+            account_header: Arc::from(call::ACCOUNT_HEADER),
             echoes_request_id: false,
             allows_close_delimited: false,
             fractional_retry_after: false,
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -8,6 +8,7 @@
 use crate::call::{Load, Outcome, Refusal, RequestHead, ResponseHead};
 use crate::config::{Delta, Revision, Snapshot, Stamp, Version};
 use crate::member::Member;
+use crate::rollout::RolloutState;
 use crate::{Millis, Name, compact};
 
 /// The version of the protocol between nodes.
@@ -25,7 +26,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "compact::Datagram", into = "compact::Datagram")]
 pub struct Datagram {
-    /// A short hash of the client account; nodes ignore datagrams of other accounts.
+    /// A short hash of the owner's name; nodes ignore datagrams of other owners.
     pub account: u32,
     /// The name of the sender.
     pub from: Name,
@@ -128,7 +129,7 @@
 pub struct Hello {
     /// The protocol version of the sender.
     pub protocol: u16,
-    /// The client account; nodes refuse connections from other accounts.
+    /// The owner; nodes refuse connections from nodes of other owners.
     pub account: Name,
     /// The membership entry of the sender.
     pub member: Member,
@@ -166,6 +167,8 @@
     },
     /// States what the store's newest configuration was a short time ago.
     Confirmed(Confirmation),
+    /// States how far the roll-out of a service has come.
+    Rollout(Box<RolloutState>),
 }
 
 /// States that a configuration was the newest in the store.
