Rate limits: what a full service turns away is no demand of the account

Requests that certainly hadn't run gave their token back, but still counted as demand, so callers who try again at a full service seemed to be far over their limit. A returned request now counts for neither.

--- a/crates/crank-engine/src/quota/entry.rs
+++ b/crates/crank-engine/src/quota/entry.rs
@@ -301,6 +301,9 @@
     /// ```
     pub fn give_back(&mut self, account: AccountHash) {
         if let Some(meter) = self.meters.get_mut(&account) {
+            // A request that needed no token is no demand for one either: what an overloaded service
+            // turns away must not make its callers seem to be over their limit.
+            meter.wanted = meter.wanted.saturating_sub(1);
             meter.admitted = meter.admitted.saturating_sub(1);
             meter.bucket.count(-1.0);
         }
--- a/crates/crank-engine/src/quota/home.rs
+++ b/crates/crank-engine/src/quota/home.rs
@@ -145,7 +145,8 @@
     fn demand_with(&self, now: Moment, wanted: f64) -> f64 {
         let elapsed = seconds_between(self.updated_at, now).max(MIN_REPORT_SECONDS);
         let weight = 1.0 - (-elapsed / DEMAND_SECONDS).exp();
-        self.demand * (1.0 - weight) + wanted / elapsed * weight
+        let demand = self.demand * (1.0 - weight) + wanted / elapsed * weight;
+        demand.max(0.0)
     }
 }
 
@@ -351,8 +352,8 @@
         let known = known.filter(|known| known.start == start && known.since == usage.since);
         let (wanted_before, admitted_before) =
             known.map_or((0, 0), |known| (known.wanted, known.admitted));
-        let wanted = usage.wanted.saturating_sub(wanted_before) as f64;
-        let first = wanted / FIRST_REPORT_SECONDS;
+        let wanted = usage.wanted as f64 - wanted_before as f64;
+        let first = wanted.max(0.0) / FIRST_REPORT_SECONDS;
         let demand = known.map_or(first, |known| known.demand_with(now, wanted));
         book.bucket
             .count(usage.admitted as f64 - admitted_before as f64);
--- a/crates/crank-protocol/src/quota.rs
+++ b/crates/crank-protocol/src/quota.rs
@@ -63,7 +63,7 @@
     pub account: AccountHash,
     /// Identifies the counters: they started at zero before the report of this number.
     pub since: ReportNumber,
-    /// How many requests have arrived.
+    /// How many requests have arrived, without those that did not reach a backend server.
     pub wanted: u64,
     /// How many of them were admitted, without those that did not reach a backend server.
     pub admitted: u64,
