--- a/crates/crank-engine/tests/quota_holds_over_all_nodes.rs
+++ b/crates/crank-engine/tests/quota_holds_over_all_nodes.rs
@@ -188,7 +188,7 @@
 
 fn is_failing(number: usize) -> bool {
     // One in ten, and among them nodes with wide links, which are homes.
-    number % 10 == 0
+    number.is_multiple_of(10)
 }
 
 #[test]
