--- a/crates/crank-engine/src/registration.rs
+++ b/crates/crank-engine/src/registration.rs
@@ -43,6 +43,7 @@
 ///     server_id: Some("s1".into()),
 ///     started_at_ms: Some(7),
 ///     sequence: Some(1),
+///     release: None,
 /// };
 /// let report = HeartbeatReport {
 ///     service: Name::new("recipes").unwrap(),
