--- a/crates/crank-engine/examples/requests/simulation.rs
+++ b/crates/crank-engine/examples/requests/simulation.rs
@@ -26,11 +26,6 @@
 
 const SECOND: u64 = 1_000_000;
 const MILLI: u64 = 1_000;
-const DATA_CENTRES: usize = 6;
-/// The period in which demand swings.
-const WAVE_SECONDS: f64 = 15.0;
-/// How long other work on a server's machine lasts, in microseconds.
-const NOISE_PERIOD: u64 = 600_000;
 
 /// A simulation of entry nodes and backend servers; times are in microseconds.
 pub(crate) struct Simulation {
@@ -156,51 +151,6 @@
         self.schedule(self.now + gap, Event::RequestArrives { entry });
     }
 
-    /// Returns the demand at an entry now, as a share of its mean.
-    fn demand(&self, entry: usize) -> f64 {
-        let uneven = &self.setup.unevenness;
-        let phase = (entry % DATA_CENTRES) as f64 / DATA_CENTRES as f64 * uneven.phase_spread;
-        let turns = self.now as f64 / SECOND as f64 / WAVE_SECONDS + phase;
-        1.0 + uneven.swing * (std::f64::consts::TAU * turns).sin()
-    }
-
-    /// Adds the time until `time` to the time that requests wait, and that slots are free then.
-    fn count_waste(&mut self, time: u64) {
-        let loads = self.servers.iter().map(|server| server.admission.load());
-        let (waiting, free) = loads.fold((0, 0), |(waiting, free), load| {
-            let idle = load.slots.saturating_sub(load.running);
-            (waiting + load.waiting, free + idle)
-        });
-        let elapsed = (time - self.now) as f64;
-        self.results.queued += f64::from(waiting) * elapsed;
-        self.results.idle_while_queued += f64::from(free.min(waiting)) * elapsed;
-    }
-
-    /// Returns how many times the usual run time the server needs now.
-    fn run_factor(&mut self, server: usize) -> f64 {
-        let uneven = &self.setup.unevenness;
-        let speeds = &uneven.speeds;
-        let speed = speeds
-            .get(server % speeds.len().max(1))
-            .copied()
-            .unwrap_or(1.0);
-        self.noise(server) / speed
-    }
-
-    /// Returns how many times as long work takes because of other work on the server's machine.
-    fn noise(&self, server: usize) -> f64 {
-        let uneven = &self.setup.unevenness;
-        let period = self.now / NOISE_PERIOD;
-        let mixed = (period * 1_000 + server as u64 + self.setup.seed * 77)
-            .wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        let draw = (mixed >> 11) as f64 / (1_u64 << 53) as f64;
-        if draw < uneven.noise_share {
-            uneven.noise_factor
-        } else {
-            1.0
-        }
-    }
-
     fn exponential(&mut self, mean: f64) -> u64 {
         let draw: f64 = self.rng.random();
         (-(1.0 - draw).ln() * mean) as u64
