--- a/crates/crank-caller/src/ahead/service.rs
+++ b/crates/crank-caller/src/ahead/service.rs
@@ -48,6 +48,7 @@
                 Some(early) => early.finish().await?,
                 None => call(starter.service(), request).await,
             };
+            starter.take_turns().await;
             if !exchange.has_none_started() {
                 // An answer that breaks off would close the connection before theirs.
                 response = hold(response, CancellationToken::new(), None).await;
--- a/crates/crank-caller/src/ahead/start.rs
+++ b/crates/crank-caller/src/ahead/start.rs
@@ -48,6 +48,14 @@
         self.is_leaving() || self.connection.as_ref().is_some_and(Connection::is_leaving)
     }
 
+    /// Lets other tasks run while a new connection waits for room. Called when a request has been
+    /// dropped, so that nothing of it is held meanwhile.
+    pub(super) async fn take_turns(&self) {
+        if let Some(connection) = &self.connection {
+            connection.take_turns().await;
+        }
+    }
+
     /// Names the connection of a request to the service.
     pub(super) fn identify<B>(&self, request: &mut Request<B>) {
         if let Some(connection) = &self.connection {
--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -344,7 +344,6 @@
         body,
         connection,
     } = incoming;
-    connection.take_turns().await;
     // What the request holds is counted until the gateway has finished with it.
     let mut hold = connection.begin_request();
     let read = request::read_request(method, path, headers, body, limits, &mut hold);
--- a/crates/crank-caller/src/request.rs
+++ b/crates/crank-caller/src/request.rs
@@ -16,8 +16,8 @@
 use crate::MAX_BODY_BYTES;
 use crate::limits::Limits;
 
-/// What a field takes in the process besides its own bytes.
-const FIELD_BYTES: usize = 300;
+/// What a field takes in the process besides its own bytes, with the copies that are forwarded.
+const FIELD_BYTES: usize = 600;
 /// The least room that is taken for a body.
 const MIN_BODY_CAPACITY: usize = 1_024;
 /// The `Retry-After` of a request that was refused because the body budget is used up.
