--- a/crates/crank-engine/src/quota.rs
+++ b/crates/crank-engine/src/quota.rs
@@ -5,7 +5,7 @@
 //! the limit must be admitted wherever it arrives, also if an account sends less than one request a
 //! second to each node, so a fixed share for each node does not do.
 //!
-//! Each account belongs to a [`Shard`](crank_protocol::quota::Shard), and each shard has a
+//! Each account belongs to a [`Shard`], and each shard has a
 //! [`Home`] node. An [`EntryLimiter`] reports what it admitted to the homes several times a second.
 //! A home keeps one token bucket for an account. While the bucket covers the demand, entries admit
 //! everything; from then on the home divides the rate among them by their demand. What an entry
--- a/crates/crank-server/src/heartbeat_tracker.rs
+++ b/crates/crank-server/src/heartbeat_tracker.rs
@@ -74,6 +74,7 @@
     ///         server_id: Some("s1".into()),
     ///         started_at_ms: Some(7),
     ///         sequence: Some(sequence),
+    ///         release: None,
     ///     },
     /// };
     /// let tracker = HeartbeatTracker::new(Millis(3_000));
@@ -115,6 +116,7 @@
     ///         server_id: Some("s1".into()),
     ///         started_at_ms: Some(7),
     ///         sequence: Some(2),
+    ///         release: None,
     ///     },
     /// });
     /// let stage = || tracker.watch().borrow().as_ref().map(|server| server.endpoint.stage);
