A refused body lingers: the refusal is read before the connection is reset

Cause: the node closed its socket with bytes of the body unread; the reset overtook the answer, or the caller's next write failed.

--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -349,7 +349,10 @@
     let read = request::read_request(method, path, headers, body, limits, &mut hold);
     let request = match read.await {
         Ok(request) => request,
-        Err(error) => return reply::invalid_request(&error, dialect),
+        Err(error) => {
+            hold.record_refused();
+            return reply::invalid_request(&error, dialect);
+        }
     };
     hold.record_received();
     let method = request.method;
--- a/crates/crank-stream/src/connection.rs
+++ b/crates/crank-stream/src/connection.rs
@@ -25,6 +25,8 @@
     is_closed: bool,
     /// Whether the connection is to close after its next answer.
     is_leaving: bool,
+    /// Whether the peer may have sent what is not read any more.
+    is_unread: bool,
     /// The requests that are whole or partly in hand and not yet answered.
     requests: u32,
     /// Whether the last of them is still being received.
@@ -52,6 +54,7 @@
         let state = State {
             is_closed: false,
             is_leaving: false,
+            is_unread: false,
             requests: 0,
             is_receiving: false,
             is_in_head: false,
@@ -176,6 +179,26 @@
         self.inner.shared.state.lock().is_leaving
     }
 
+    /// Makes the connection close after its next answer. It lingers then, because its peer has sent
+    /// more than is read.
+    ///
+    /// ```
+    /// fn end(connection: &crank_stream::Connection) {
+    ///     connection.ask_to_leave();
+    ///     assert!(connection.is_leaving());
+    /// }
+    /// ```
+    pub fn ask_to_leave(&self) {
+        let mut state = self.inner.shared.state.lock();
+        state.is_leaving = true;
+        state.is_unread = true;
+    }
+
+    /// Whether the peer may have sent what is not read any more.
+    pub(crate) fn has_unread(&self) -> bool {
+        self.inner.shared.state.lock().is_unread
+    }
+
     /// Lets other tasks run between two requests while a new connection waits for room, so that
     /// one that sends many ahead does not keep it waiting.
     ///
@@ -320,6 +343,20 @@
         shared.state.lock().is_receiving = false;
     }
 
+    /// Records that the request is refused though not all of it has been read, so that the
+    /// connection lingers when it closes.
+    ///
+    /// ```
+    /// # use crank_stream::RequestHold;
+    /// fn refuse(request: &RequestHold) {
+    ///     request.record_refused();
+    /// }
+    /// ```
+    pub fn record_refused(&self) {
+        let shared = &self.connection.inner.shared;
+        shared.state.lock().is_unread = true;
+    }
+
     /// Gives the bytes back: the request is answered, or can no longer be sent again.
     ///
     /// ```
--- a/crates/crank-stream/src/guarded_stream.rs
+++ b/crates/crank-stream/src/guarded_stream.rs
@@ -2,21 +2,30 @@
 
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::Connection;
+use crate::linger::Linger;
 
 /// A stream that tells its [`Connection`] what is read and written, and when its peer is not ready.
+///
+/// Where a request was refused before it was read whole, its shutdown lasts until the peer has closed
+/// its side, within bounds.
 pub struct GuardedStream<S> {
     stream: S,
     connection: Connection,
+    linger: Option<Linger>,
 }
 
 impl<S> GuardedStream<S> {
     pub(crate) fn new(stream: S, connection: Connection) -> Self {
-        Self { stream, connection }
+        Self {
+            stream,
+            connection,
+            linger: None,
+        }
     }
 
     fn record(&self, written: &Poll<Result<usize>>) {
@@ -44,7 +53,7 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for GuardedStream<S> {
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for GuardedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -64,7 +73,15 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        let this = &mut *self;
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(context))?;
+        }
+        if this.connection.has_unread() {
+            let linger = this.linger.get_or_insert_with(Linger::new);
+            ready!(linger.poll_end(&mut this.stream, context));
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
--- a/crates/crank-stream/src/lib.rs
+++ b/crates/crank-stream/src/lib.rs
@@ -4,6 +4,7 @@
 mod door;
 mod fair_stream;
 mod guarded_stream;
+mod linger;
 mod progress;
 mod serve;
 
