--- a/crates/crank-engine/src/quota.rs
+++ b/crates/crank-engine/src/quota.rs
@@ -14,6 +14,7 @@
 mod bucket;
 mod entry;
 mod home;
+mod limits;
 mod place;
 
 use crank_protocol::config::RateLimit;
@@ -22,7 +23,8 @@
 
 pub use bucket::TokenBucket;
 pub use entry::EntryLimiter;
-pub use home::{Answer, Home, LimitTable};
+pub use home::{Answer, Home};
+pub use limits::LimitTable;
 pub use place::Fleet;
 
 use crate::hash;
--- a/crates/crank-engine/src/quota/entry.rs
+++ b/crates/crank-engine/src/quota/entry.rs
@@ -1,171 +1,29 @@
 //! The entry's side: admits requests by what the homes granted, and reports to them.
 
+mod line;
+mod meter;
+
 use std::collections::{BTreeMap, HashMap};
 
 use crank_protocol::config::{RateLimit, Version};
-use crank_protocol::quota::{AccountHash, Grants, Report, ReportNumber, Shard, Share, Usage};
+use crank_protocol::quota::{AccountHash, Grants, Report, ReportNumber, Shard, Usage};
 use crank_protocol::{Millis, Name};
 
-use super::bucket::TokenBucket;
-use super::home::LimitTable;
+use self::line::{Line, choose_home, is_notable};
+use self::meter::{Meter, Mode, mode_of, phase, time_of};
+use super::limits::LimitTable;
 use super::place::Fleet;
-use super::{
-    GRANT_TTL, HOME_TIMEOUT, LIMITED_REPORT_INTERVAL, MIN_REPORT_INTERVAL, REPORT_INTERVAL,
-    part_of, shard_of,
-};
+use super::{GRANT_TTL, REPORT_INTERVAL, part_of, shard_of};
 use crate::Moment;
 
-/// An unanswered report is repeated after this time.
-const REPEAT_INTERVAL: Millis = Millis(250);
-/// How long a home that did not answer is passed over.
-const PASS_OVER_TIME: Millis = Millis(5_000);
 /// Counters of an account without requests are dropped after this time.
 const IDLE_TIME: Millis = Millis(5_000);
 /// The most accounts in one report.
 const MAX_USAGES: usize = 30;
-/// How many reports are remembered to tell when an answered one was sent.
-const REMEMBERED_REPORTS: usize = 16;
 /// The requests that an entry may always admit before the home has answered for them.
 const MIN_UNANSWERED: f64 = 3.0;
-/// The time constant of an account's recent requests, which bound those not answered for.
-const RECENT_SECONDS: f64 = 2.0;
 /// The time after which a request is retried that waits for the home's answer.
 const ANSWER_TIME: Millis = Millis(100);
-/// Over what time a small share may be saved up.
-const SAVING_SECONDS: f64 = 0.5;
-const MICROS_PER_SECOND: f64 = 1_000_000.0;
-const MILLIS_PER_SECOND: f64 = 1_000.0;
-const CHANCE_UNITS: f64 = 10_000.0;
-/// The longest time that a request is told to wait for a small share.
-const MAX_CHANCE_WAIT: Millis = Millis(1_000);
-const HASH_SCALE: f64 = 1.0 / u32::MAX as f64;
-
-/// How an account is limited at this entry.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Mode {
-    /// The home has said that the account is below its limit.
-    Open,
-    /// The home has granted a share of this many requests a second.
-    Limited { per_second: f64 },
-    /// The home has granted this part of the requests, because the share is small.
-    Chance { part: f64, per_second: f64 },
-    /// There is no valid grant: an equal share of the limit holds.
-    Alone,
-}
-
-/// The counters and the bucket of one account.
-#[derive(Debug)]
-struct Meter {
-    since: ReportNumber,
-    wanted: u64,
-    admitted: u64,
-    sent: Option<(ReportNumber, u64, u64)>,
-    answered: (u64, u64),
-    recent: f64,
-    mode: Mode,
-    bucket: TokenBucket,
-    used_at: Moment,
-}
-
-impl Meter {
-    fn new(now: Moment, since: ReportNumber, phase: f64) -> Self {
-        Self {
-            since,
-            wanted: 0,
-            admitted: 0,
-            sent: None,
-            answered: (0, 0),
-            recent: 0.0,
-            mode: Mode::Alone,
-            // Entries begin at different fractions of a token, so that together they admit the rate
-            // from the start although each may have less than one token a second.
-            bucket: TokenBucket::new(now, 0.0, 1.0, phase),
-            used_at: now,
-        }
-    }
-
-    fn restart(&mut self, since: ReportNumber) {
-        self.since = since;
-        (self.wanted, self.admitted) = (0, 0);
-        self.answered = (0, 0);
-        self.sent = None;
-    }
-
-    fn has_news(&self) -> bool {
-        (self.wanted, self.admitted) != self.answered
-    }
-
-    fn unanswered(&self) -> f64 {
-        self.admitted.saturating_sub(self.answered.1) as f64
-    }
-
-    fn set_mode(&mut self, now: Moment, mode: Mode, phase: f64, equal: (f64, f64)) {
-        let (per_second, size) = match mode {
-            Mode::Open => (0.0, 1.0),
-            Mode::Limited { per_second } => (per_second, (per_second * SAVING_SECONDS).max(1.0)),
-            Mode::Chance { .. } => (0.0, 1.0),
-            Mode::Alone => (equal.0, equal.1.max(1.0)),
-        };
-        if self.mode == Mode::Open && mode != Mode::Open {
-            self.bucket = TokenBucket::new(now, per_second, size, phase);
-        } else {
-            self.bucket.resize(now, per_second, size);
-        }
-        self.mode = mode;
-    }
-
-    fn add_recent(&mut self, now: Moment) {
-        let elapsed = now.0.saturating_sub(self.used_at.0) as f64 / MICROS_PER_SECOND;
-        self.recent = self.recent * (-elapsed / RECENT_SECONDS).exp() + 1.0;
-    }
-}
-
-/// What an entry knows of the home of one shard.
-#[derive(Debug, Default)]
-struct Line {
-    home: Option<Name>,
-    passed_over: Option<(Name, Moment)>,
-    number: ReportNumber,
-    sent: Vec<(ReportNumber, Moment)>,
-    /// Since when reports to the home are without an answer.
-    unanswered_since: Option<Moment>,
-    valid_until: Option<Moment>,
-    version: Version,
-    shares: HashMap<AccountHash, Share>,
-    is_urgent: bool,
-}
-
-impl Line {
-    fn is_valid(&self, now: Moment) -> bool {
-        self.valid_until.is_some_and(|until| now < until)
-    }
-
-    fn last_sent(&self) -> Option<Moment> {
-        self.sent.last().map(|(_, at)| *at)
-    }
-
-    fn is_due(&self, now: Moment, is_limited: bool) -> bool {
-        let Some(last) = self.last_sent() else {
-            return true;
-        };
-        let interval = match (self.unanswered_since.is_some(), self.is_urgent, is_limited) {
-            (true, _, _) => REPEAT_INTERVAL,
-            (false, true, _) => MIN_REPORT_INTERVAL,
-            (false, false, true) => LIMITED_REPORT_INTERVAL,
-            (false, false, false) => REPORT_INTERVAL,
-        };
-        now.since(last) >= interval
-    }
-
-    fn remember(&mut self, number: ReportNumber, now: Moment) {
-        if self.sent.len() >= REMEMBERED_REPORTS {
-            self.sent.remove(0);
-        }
-        self.sent.push((number, now));
-        self.unanswered_since.get_or_insert(now);
-        self.is_urgent = false;
-    }
-}
 
 /// Limits the requests that one entry admits of client accounts.
 #[derive(Debug)]
@@ -457,46 +315,3 @@
         }
     }
 }
-
-fn mode_of(share: &Share) -> Mode {
-    let per_second = share.millis_per_second as f64 / MILLIS_PER_SECOND;
-    if per_second * SAVING_SECONDS >= 1.0 {
-        return Mode::Limited { per_second };
-    }
-    let part = f64::from(share.chance) / CHANCE_UNITS;
-    Mode::Chance { part, per_second }
-}
-
-/// Returns the time in which a rate admits one request.
-fn time_of(per_second: f64) -> Millis {
-    let millis = MILLIS_PER_SECOND / per_second.max(f64::MIN_POSITIVE);
-    Millis(millis.min(MAX_CHANCE_WAIT.0 as f64).ceil() as u64)
-}
-
-/// Returns whether a home should hear soon of the requests that it has not answered for.
-fn is_notable(unanswered: f64, max_unanswered: f64) -> bool {
-    const MIN_NOTABLE: f64 = 2.0;
-    unanswered >= MIN_NOTABLE && unanswered * 4.0 >= max_unanswered
-}
-
-/// Chooses the home of a shard, and passes over one that has not answered for long.
-fn choose_home(now: Moment, shard: Shard, line: &mut Line, fleet: &Fleet) -> Option<Name> {
-    let is_silent = line
-        .unanswered_since
-        .is_some_and(|since| now.since(since) >= HOME_TIMEOUT);
-    if is_silent && let Some(home) = line.home.clone() {
-        line.unanswered_since = None;
-        line.passed_over = Some((home, now.after(PASS_OVER_TIME)));
-    }
-    let passed_over = line.passed_over.as_ref();
-    let passed_over = passed_over.filter(|(_, until)| now < *until);
-    fleet
-        .home(shard, passed_over.map(|(name, _)| name))
-        .cloned()
-}
-
-/// Returns a fraction of a token that differs between entries and accounts.
-fn phase(start: u64, account: AccountHash) -> f64 {
-    let mixed = crate::hash::stable(&[&start.to_be_bytes(), &account.0.to_be_bytes()]);
-    f64::from((mixed >> u32::BITS) as u32) * HASH_SCALE
-}
--- a/crates/crank-engine/src/quota/home.rs
+++ b/crates/crank-engine/src/quota/home.rs
@@ -1,29 +1,20 @@
 //! The home of shards: one token bucket an account, divided among the entries that report.
 
+mod demand;
+
 use std::collections::{BTreeMap, HashMap};
 
-use crank_protocol::config::{ClientAccount, RateLimit, Version};
-use crank_protocol::quota::{AccountHash, Grants, Report, ReportNumber, Shard, Share, Usage};
+use crank_protocol::quota::{AccountHash, Grants, Report, ReportNumber, Shard, Usage};
 use crank_protocol::{Millis, Name};
 
+use self::demand::{Book, Counters, Demand, seconds_between};
 use super::bucket::TokenBucket;
-use super::{GRANT_TTL, account_hash, part_of, shard_of};
+use super::limits::LimitTable;
+use super::{GRANT_TTL, part_of, shard_of};
 use crate::Moment;
 
-/// How far ahead the tokens of an account must cover its demand, or else it is limited: the time
-/// within which entries learn that it is.
-const OPEN_HORIZON_SECONDS: f64 = 0.6;
-/// Over what time the tokens in a bucket are handed out beside the rate, or debt is paid back.
-const BURST_SECONDS: f64 = 1.0;
-/// The time constant of the demand.
-const DEMAND_SECONDS: f64 = 0.25;
-/// How long the demand of an entry holds whose reports no longer name the account; then it decays.
-const DEMAND_TTL: Millis = Millis(750);
 /// The time for which the first news of an account at an entry stands.
 const FIRST_REPORT_SECONDS: f64 = 0.5;
-/// The part of the demand of all entries that is added to each entry's own, divided among them, so
-/// that callers who move to another entry find a share there.
-const HEADROOM: f64 = 0.1;
 /// How long a new home assumes that the entries which have not reported yet are about to.
 const GATHERING_TIME: Millis = Millis(300);
 /// Counters without news are dropped after this time.
@@ -32,84 +23,6 @@
 const MAX_SHARES: usize = 48;
 /// The shortest time between two messages to an entry that has not reported in between.
 const MIN_PUSH_INTERVAL: Millis = Millis(150);
-/// The shortest time over which a rate is computed.
-const MIN_REPORT_SECONDS: f64 = 0.02;
-const MICROS_PER_SECOND: f64 = 1_000_000.0;
-const CHANCE_UNITS: f64 = 10_000.0;
-const MILLIS_PER_UNIT: f64 = 1_000.0;
-
-/// The rate limits of one configuration, by account.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct LimitTable {
-    version: Version,
-    limits: HashMap<AccountHash, RateLimit>,
-}
-
-impl LimitTable {
-    /// Builds the table of a configuration's client accounts.
-    ///
-    /// ```
-    /// use crank_engine::quota::LimitTable;
-    /// use crank_protocol::config::Version;
-    /// assert!(LimitTable::new(Version(1), &Default::default()).is_empty());
-    /// ```
-    #[must_use]
-    pub fn new(version: Version, clients: &BTreeMap<Name, ClientAccount>) -> Self {
-        let limits = clients.iter().filter_map(|(name, client)| {
-            let limit = client.rate?;
-            Some((account_hash(name), limit))
-        });
-        Self {
-            version,
-            limits: limits.collect(),
-        }
-    }
-
-    /// Returns whether no account has a limit.
-    ///
-    /// ```
-    /// assert!(crank_engine::quota::LimitTable::default().is_empty());
-    /// ```
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.limits.is_empty()
-    }
-
-    /// Returns the version of the configuration.
-    ///
-    /// ```
-    /// # use crank_engine::quota::LimitTable;
-    /// # use crank_protocol::config::Version;
-    /// assert_eq!(LimitTable::default().version(), Version(0));
-    /// ```
-    #[must_use]
-    pub fn version(&self) -> Version {
-        self.version
-    }
-
-    /// Returns the limit of an account, if it has one.
-    ///
-    /// ```
-    /// # use crank_engine::quota::LimitTable;
-    /// # use crank_protocol::quota::AccountHash;
-    /// assert_eq!(LimitTable::default().get(AccountHash(1)), None);
-    /// ```
-    #[must_use]
-    pub fn get(&self, account: AccountHash) -> Option<RateLimit> {
-        self.limits.get(&account).copied()
-    }
-
-    /// Returns all accounts with their limits, in no particular order.
-    ///
-    /// ```
-    /// assert_eq!(crank_engine::quota::LimitTable::default().iter().count(), 0);
-    /// ```
-    pub fn iter(&self) -> impl Iterator<Item = (AccountHash, RateLimit)> + '_ {
-        self.limits
-            .iter()
-            .map(|(account, limit)| (*account, *limit))
-    }
-}
 
 /// What the home knows of an entry that reports for a shard.
 #[derive(Debug)]
@@ -120,45 +33,6 @@
     told_at: Moment,
 }
 
-/// The counters of one account at one entry, and the demand that they show.
-#[derive(Debug)]
-struct Counters {
-    since: ReportNumber,
-    start: u64,
-    wanted: u64,
-    admitted: u64,
-    demand: f64,
-    updated_at: Moment,
-}
-
-impl Counters {
-    /// Returns the demand of an entry that last reported at `heard_at`. While nothing is heard of
-    /// it, its share stays booked for as long as it may still use it.
-    fn demand(&self, now: Moment, heard_at: Option<Moment>) -> f64 {
-        let is_silent = heard_at.is_some_and(|heard_at| heard_at <= self.updated_at);
-        let held = if is_silent { GRANT_TTL } else { DEMAND_TTL };
-        let stale = seconds_between(self.updated_at.after(held), now);
-        self.demand * (-stale / DEMAND_SECONDS).exp()
-    }
-
-    /// Returns the demand after more requests have arrived; below zero if more were turned away
-    /// since the last report than have arrived.
-    fn demand_with(&self, now: Moment, wanted: f64) -> f64 {
-        let elapsed = seconds_between(self.updated_at, now).max(MIN_REPORT_SECONDS);
-        let weight = 1.0 - (-elapsed / DEMAND_SECONDS).exp();
-        self.demand * (1.0 - weight) + wanted / elapsed * weight
-    }
-}
-
-/// One account at its home.
-#[derive(Debug)]
-struct Book {
-    bucket: TokenBucket,
-    entries: BTreeMap<Name, Counters>,
-    is_limited: bool,
-    updated_at: Moment,
-}
-
 /// The home of shards. A node becomes the home of a shard by being reported to.
 #[derive(Debug, Default)]
 pub struct Home {
@@ -438,70 +312,3 @@
     /// Whether an account has just become limited, so that the other entries must learn of it.
     pub tells_others: bool,
 }
-
-/// The demand for an account: of one entry, and of all entries.
-#[derive(Debug, Clone, Copy)]
-struct Demand {
-    own: f64,
-    total: f64,
-    /// The demand less what a full service turned away, which needs no tokens. A request is often
-    /// reported in one report and taken back in the next, so entries may stand below zero here.
-    net: f64,
-}
-
-impl Demand {
-    fn of(now: Moment, book: &Book, entry: &Name, heard: &BTreeMap<Name, Moment>) -> Self {
-        let mut demand = Self {
-            own: 0.0,
-            total: 0.0,
-            net: 0.0,
-        };
-        for (name, counters) in &book.entries {
-            let of_entry = counters.demand(now, heard.get(name).copied());
-            demand.total += of_entry.max(0.0);
-            demand.net += of_entry;
-            if name == entry {
-                demand.own = of_entry.max(0.0);
-            }
-        }
-        demand
-    }
-
-    /// Returns whether the tokens cover the demand until entries could be told otherwise.
-    fn is_covered(self, now: Moment, book: &mut Book, per_second: f64) -> bool {
-        let tokens = book.bucket.tokens(now);
-        tokens + per_second * OPEN_HORIZON_SECONDS >= self.net * OPEN_HORIZON_SECONDS
-    }
-
-    /// Divides the rate, and the tokens beside it, by the demand of the entries.
-    fn share(
-        self,
-        now: Moment,
-        account: AccountHash,
-        book: &mut Book,
-        per_second: f64,
-        nodes: usize,
-    ) -> Share {
-        let available = (per_second + book.bucket.tokens(now) / BURST_SECONDS).max(0.0);
-        let equal = 1.0 / nodes.max(1) as f64;
-        let part = if self.total > 0.0 {
-            (self.own / self.total + HEADROOM * equal) / (1.0 + HEADROOM)
-        } else {
-            equal
-        };
-        let chance = if self.total > 0.0 {
-            available / self.total
-        } else {
-            1.0
-        };
-        Share {
-            account,
-            millis_per_second: (available * part * MILLIS_PER_UNIT) as u64,
-            chance: (chance.min(1.0) * CHANCE_UNITS) as u16,
-        }
-    }
-}
-
-fn seconds_between(earlier: Moment, later: Moment) -> f64 {
-    later.0.saturating_sub(earlier.0) as f64 / MICROS_PER_SECOND
-}
