Client accounts: a request whose key is taken back while it waits at a target is refused as not run

What callers saw: a request that waited in the queue of a backend server's node when a new version took its key back still ran.

Change: an entry sends the tag of the key (eight bytes of its digest) with a request on a route that isn't public. When the request gets a slot, the target looks the tag up, only if its version is newer than the one that routed the request, and answers 401, not run. A node of an earlier version doesn't know the field, as with the account's name.

Tests: a_request_whose_key_is_taken_back_while_it_waits_does_not_run fails without the check (run: assertion on the refusals); a_request_that_an_entry_with_a_newer_version_sends_is_not_checked_by_an_older_one is new and guards the other side.

--- a/crates/crank-engine/src/account.rs
+++ b/crates/crank-engine/src/account.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use crank_protocol::Name;
+use crank_protocol::call::KeyTag;
 use crank_protocol::config::{ClientAccount, Digest, Importance, RateLimit};
 use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq;
@@ -46,6 +47,17 @@
         }
     }
 
+    /// Returns the tag that names the key between nodes.
+    ///
+    /// ```
+    /// use crank_engine::account::KeyDigest;
+    /// assert_ne!(KeyDigest::of(b"a-key").tag(), KeyDigest::of(b"another").tag());
+    /// ```
+    #[must_use]
+    pub fn tag(&self) -> KeyTag {
+        KeyTag(u64::from_be_bytes(self.index()))
+    }
+
     fn from_config(digest: &Digest) -> Self {
         let mut bytes = [0; DIGEST_BYTES];
         let decoded = hex::decode_to_slice(digest.as_str(), &mut bytes);
@@ -75,6 +87,30 @@
     }
 }
 
+/// Returns whether a configuration's client accounts still have a key: that of `account`, or of
+/// another that has been given it since. Without client accounts no key is needed.
+///
+/// ```
+/// use crank_engine::account::{KeyDigest, has_key};
+/// use crank_protocol::{Name, config::ClientAccount};
+/// let keys = [KeyDigest::of(b"a-key").to_config()].into();
+/// let account = ClientAccount { keys, ..ClientAccount::default() };
+/// let name = Name::new("mill-7").unwrap();
+/// let clients = [(name.clone(), account)].into();
+/// assert!(has_key(&clients, &name, KeyDigest::of(b"a-key").tag()));
+/// assert!(!has_key(&clients, &name, KeyDigest::of(b"another").tag()));
+/// ```
+#[must_use]
+pub fn has_key(clients: &BTreeMap<Name, ClientAccount>, account: &Name, tag: KeyTag) -> bool {
+    let is_known = |client: &ClientAccount| {
+        let mut digests = client.keys.iter().map(KeyDigest::from_config);
+        digests.any(|digest| digest.tag() == tag)
+    };
+    clients.is_empty()
+        || clients.get(account).is_some_and(is_known)
+        || clients.values().any(is_known)
+}
+
 /// A client account without its keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KnownAccount {
--- a/crates/crank-mesh/tests/common/mod.rs
+++ b/crates/crank-mesh/tests/common/mod.rs
@@ -59,6 +59,7 @@
         depth: 0,
         version: Version(1),
         account: None,
+        key_tag: None,
     }
 }
 
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -354,7 +354,10 @@
                     outcome = retry::combine_outcomes(outcome, refused.outcome);
                     let retry = routed.bulkhead.should_retry(now, context, &refused);
                     lines::refused(routed, tried, &refused, retry);
-                    last_refusal = refused.refusal;
+                    // That a key was taken back is no answer for a request that may have run.
+                    if outcome == Outcome::NotRun || refused.refusal != Refusal::Unauthorized {
+                        last_refusal = refused.refusal;
+                    }
                     if !retry {
                         break;
                     }
--- a/crates/crank-node/src/entry/caller.rs
+++ b/crates/crank-node/src/entry/caller.rs
@@ -6,7 +6,7 @@
 use crank_engine::route::{ResolvedRoute, RoutingTable};
 use crank_protocol::HttpDialect;
 use crank_protocol::Name;
-use crank_protocol::call::{Refusal, Request};
+use crank_protocol::call::{KeyTag, Refusal, Request};
 use crank_protocol::config::{Importance, Version};
 
 /// Who sent a request, as its key tells.
@@ -79,6 +79,12 @@
         is_known.then_some(()).ok_or(Refusal::Unauthorized)
     }
 
+    /// Returns the tag of the key without which the request may not run.
+    pub(super) fn key_tag(&self, rule: &ResolvedRoute) -> Option<KeyTag> {
+        let (_, digest) = self.account.as_ref()?;
+        (!rule.route.public).then(|| digest.tag())
+    }
+
     pub(super) fn account(&self) -> Option<&KnownAccount> {
         self.account.as_ref().map(|(account, _)| &**account)
     }
--- a/crates/crank-node/src/entry/options.rs
+++ b/crates/crank-node/src/entry/options.rs
@@ -70,6 +70,7 @@
             depth: self.depth,
             version,
             account: caller.name().cloned(),
+            key_tag: caller.key_tag(rule),
         }
     }
 }
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use crank_engine::limit::Capacity;
-use crank_engine::{Moment, drain::DrainProgress, retry};
+use crank_engine::{Moment, account, drain::DrainProgress, retry};
 use crank_platform_client::Rows;
 use crank_protocol::call::{Header, Load, Refusal, RefusedRequest, RequestHead, Response};
 use crank_protocol::config::{Service, Snapshot};
@@ -236,6 +236,7 @@
         let deadline = self.now().after(head.time_left);
         let deadline = self.shared.admission.latest_end(deadline);
         let permit = self.admit(&head, deadline).await?;
+        self.check_key(&head)?;
         match head.idempotency_key.clone() {
             Some(key) => self.run_once(key, head, body, permit, deadline).await,
             None => self.forward(head, body, permit, deadline).await,
@@ -274,6 +275,21 @@
         })
     }
 
+    /// Refuses a request whose key was taken back while it was on its way or waited for a slot.
+    fn check_key(&self, head: &RequestHead) -> Result<(), RefusedRequest> {
+        let (Some(account), Some(tag)) = (&head.account, head.key_tag) else {
+            return Ok(());
+        };
+        let snapshot = self.shared.dependencies.config.borrow().clone();
+        let newer = snapshot.filter(|snapshot| snapshot.stamp.version > head.version);
+        let is_known =
+            newer.is_none_or(|newer| account::has_key(&newer.config.clients, account, tag));
+        if is_known {
+            return Ok(());
+        }
+        Err(self.refused(Refusal::Unauthorized))
+    }
+
     async fn forward(
         &self,
         mut head: RequestHead,
--- a/crates/crank-node/tests/admission_at_the_target.rs
+++ b/crates/crank-node/tests/admission_at_the_target.rs
@@ -2,13 +2,18 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{FakeServer, LONG_TIMEOUT, announcement, body_text, head, target_node, wait_until};
+use common::{
+    FakeServer, LONG_TIMEOUT, announcement, body_text, head, name, target_node, wait_until,
+};
+use crank_engine::account::KeyDigest;
 use crank_engine::drain::{DrainProgress, INTERNAL_CALL_GRACE};
 use crank_platform_client::Memory;
 use crank_protocol::Millis;
-use crank_protocol::call::{Outcome, Refusal};
+use crank_protocol::call::{Outcome, Refusal, RequestHead};
+use crank_protocol::config::{ClientAccount, Snapshot, Version};
 use crank_protocol::member::Stage;
 
 #[tokio::test]
@@ -121,3 +126,68 @@
     assert_eq!(refused.err().unwrap().outcome, Outcome::NotRun);
     assert_eq!(server.runs(), 0);
 }
+
+/// Returns a configuration whose only client account has these keys.
+fn with_keys(version: u64, keys: &[&[u8]]) -> Arc<Snapshot> {
+    let mut snapshot = (*common::snapshot()).clone();
+    let keys = keys.iter().map(|key| KeyDigest::of(key).to_config());
+    let client = ClientAccount {
+        keys: keys.collect(),
+        ..ClientAccount::default()
+    };
+    snapshot.stamp.version = Version(version);
+    snapshot.config.clients = [(name("mill-7"), client)].into();
+    Arc::new(snapshot)
+}
+
+fn head_with_key(request: u128, key: &[u8]) -> RequestHead {
+    RequestHead {
+        account: Some(name("mill-7")),
+        key_tag: Some(KeyDigest::of(key).tag()),
+        ..head("orders", request, None)
+    }
+}
+
+#[tokio::test]
+async fn a_request_whose_key_is_taken_back_while_it_waits_does_not_run() {
+    let server = FakeServer::blocked();
+    let node = target_node("orders", Memory::new(), server.clone());
+    node.config
+        .send_replace(Some(with_keys(1, &[b"kept", b"lost"])));
+    let mut tasks = Vec::new();
+    for (request, key) in [(1, "kept"), (2, "lost"), (3, "kept"), (4, "lost")] {
+        let target = node.target.clone();
+        let head = head_with_key(request, key.as_bytes());
+        tasks.push(tokio::spawn(async move {
+            target.run(head, "".into()).await.err()
+        }));
+        wait_until(|| node.target.load().running + node.target.load().waiting == request as u32)
+            .await;
+    }
+    wait_until(|| server.runs() == 2).await;
+    node.config.send_replace(Some(with_keys(2, &[b"kept"])));
+    server.answers.add_permits(4);
+    let mut refused = Vec::new();
+    for task in tasks {
+        refused.push(task.await.unwrap());
+    }
+    // The first two ran already; of those that waited, one has lost its key.
+    let refusals = refused
+        .iter()
+        .map(|refused| refused.as_ref().map(|refused| &refused.refusal));
+    let expected = [None, None, None, Some(&Refusal::Unauthorized)];
+    assert!(refusals.eq(expected));
+    assert_eq!(refused[3].as_ref().unwrap().outcome, Outcome::NotRun);
+    assert!(!server.runs.lock().contains_key(&4));
+    wait_until(|| node.target.load().running == 0).await;
+}
+
+#[tokio::test]
+async fn a_request_that_an_entry_with_a_newer_version_sends_is_not_checked_by_an_older_one() {
+    let server = FakeServer::new();
+    let node = target_node("orders", Memory::new(), server.clone());
+    node.config.send_replace(Some(with_keys(1, &[b"old"])));
+    let mut head = head_with_key(1, b"new");
+    head.version = Version(2);
+    assert!(node.target.run(head, "".into()).await.is_ok());
+}
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -345,6 +345,7 @@
         depth: 0,
         version: Version(1),
         account: None,
+        key_tag: None,
     }
 }
 
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -83,10 +83,20 @@
     /// The client account that the request counts for, if the configuration has client accounts.
     #[serde(rename = "client", default, skip_serializing_if = "Option::is_none")]
     pub account: Option<Name>,
+    /// The tag of the key that the request needs, if its route isn't public.
+    #[serde(rename = "key", default, skip_serializing_if = "Option::is_none")]
+    pub key_tag: Option<KeyTag>,
     /// The version of the configuration that routed the request.
     pub version: Version,
 }
 
+/// The first eight bytes of the digest of a client account's key.
+///
+/// It tells whether a configuration still has the key, and is too short to stand for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct KeyTag(pub u64);
+
 /// What is known about the execution of a request that got no response from a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/crank-server/tests/a_status_belongs_to_its_response.rs
+++ b/crates/crank-server/tests/a_status_belongs_to_its_response.rs
@@ -63,6 +63,7 @@
         depth: 2,
         version: Version(1),
         account: None,
+        key_tag: None,
     }
 }
 
--- a/crates/crank-server/tests/forwarding.rs
+++ b/crates/crank-server/tests/forwarding.rs
@@ -54,6 +54,7 @@
         depth: 2,
         version: Version(1),
         account: None,
+        key_tag: None,
     }
 }
 
