--- a/crates/crank-model/src/invariant.rs
+++ b/crates/crank-model/src/invariant.rs
@@ -27,6 +27,8 @@
     RanAfterRefusal,
     /// Nodes are told one verdict on an order.
     VerdictChanged,
+    /// No more requests of an account are admitted than its limit allows.
+    OverLimit,
 }
 
 impl fmt::Display for Invariant {
@@ -43,6 +45,7 @@
             Self::RanTwice => "a request ran twice",
             Self::RanAfterRefusal => "a request ran that was refused as not run",
             Self::VerdictChanged => "the verdict on a roll-out changed",
+            Self::OverLimit => "more requests were admitted than the limit allows",
         })
     }
 }
