A connection with very many requests ahead, or a request of very many fields, ends after its answer

Cause, traced by the statuses of the ordinary request and by perf (debug): - requests ahead: the ordinary request was answered, but with 503 (10 of 10 tries of 1.4 to 1.9 s). Each connection's 114 waiting requests took their turn at the 6 slots of the server; refusing one only brought the next. - many fields: 59 % of the processor time is hyper's parsing of heads, 24 % the service; each head is parsed once, none again as bytes trickle in. What costs is their number: 64 heads of 16 KB a connection. Change: with more than 64 requests waiting behind the running one, or a request of more than 256 fields, the present answer is the last of the connection (it lingers, so that the answer can be read). A crowd costs a request a connection.

--- a/crates/crank-caller/src/ahead/service.rs
+++ b/crates/crank-caller/src/ahead/service.rs
@@ -17,7 +17,7 @@
 use super::exchange::Exchange;
 use super::start::Starter;
 use super::target::Target;
-use crate::{Gateway, request};
+use crate::{Gateway, MAX_KEPT_FIELDS, request};
 
 /// The service of one connection.
 pub(crate) struct AheadService<S, G> {
@@ -39,6 +39,9 @@
     fn call(&self, request: Request<Incoming>) -> Self::Future {
         let mut request = request::with_path(request);
         self.starter.identify(&mut request);
+        if request.headers().len() > MAX_KEPT_FIELDS {
+            self.starter.ask_to_leave();
+        }
         let (early, guard) = self.exchange.begin(Target::new(&request));
         let early = early.filter(|early| request.body().is_end_stream() && early.is_for(&request));
         let starter = self.starter.clone();
--- a/crates/crank-caller/src/ahead/start.rs
+++ b/crates/crank-caller/src/ahead/start.rs
@@ -48,6 +48,13 @@
         self.is_leaving() || self.connection.as_ref().is_some_and(Connection::is_leaving)
     }
 
+    /// Makes the next response the last one of its connection.
+    pub(super) fn ask_to_leave(&self) {
+        if let Some(connection) = &self.connection {
+            connection.ask_to_leave();
+        }
+    }
+
     /// Lets other tasks run while a new connection waits for room. Called when a request has been
     /// dropped, so that nothing of it is held meanwhile.
     pub(super) async fn take_turns(&self) {
--- a/crates/crank-caller/src/ahead/stream.rs
+++ b/crates/crank-caller/src/ahead/stream.rs
@@ -15,7 +15,7 @@
 use super::start::Starter;
 use super::target::Target;
 use super::{MAX_AHEAD_BYTES, Service};
-use crate::Gateway;
+use crate::{Gateway, MAX_WAITING_REQUESTS};
 
 /// The number of bytes that are read at once while heads are looked for.
 const READ_BYTES: usize = 4 * 1_024;
@@ -133,6 +133,13 @@
         }
     }
 
+    /// Makes the running request the last one if too many wait behind it.
+    fn bound_requests(&self) {
+        if self.ahead.len() > MAX_WAITING_REQUESTS {
+            self.starter.ask_to_leave();
+        }
+    }
+
     /// Starts the calls of the requests at hand, up to the first that must wait for its turn.
     fn start_calls(&mut self) {
         if self.ahead.is_empty() {
@@ -187,6 +194,7 @@
                     return Poll::Ready(Ok(Step::End));
                 }
                 self.find_requests();
+                self.bound_requests();
                 self.start_calls();
                 if !self.buffer.is_empty() {
                     self.exchange.wake_when_free(context);
@@ -197,6 +205,7 @@
                 if self.ahead.is_empty() {
                     self.read_ahead(context)?;
                     self.find_requests();
+                    self.bound_requests();
                 }
                 if self.begin_next() || self.is_unclear || self.is_ended {
                     return Poll::Ready(Ok(Step::Pass));
--- a/crates/crank-caller/src/lib.rs
+++ b/crates/crank-caller/src/lib.rs
@@ -25,6 +25,13 @@
 /// The recommended maximum number of requests that run before their turn on one connection.
 pub const MAX_REQUESTS_AHEAD: usize = 8;
 
+/// The most requests that may wait behind the running one on a connection; with more, the connection
+/// closes after the running answer.
+pub const MAX_WAITING_REQUESTS: usize = 64;
+/// The most header fields of a request whose connection is kept; one with more is answered, and is
+/// the last of its connection.
+pub const MAX_KEPT_FIELDS: usize = 256;
+
 /// What became of a request that was sent ahead on its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum AheadEvent {
