--- a/crates/crank-command/src/commands/mod.rs
+++ b/crates/crank-command/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, each in its own module.
 
 mod check;
+mod diff;
 mod explain;
 mod history;
 mod notice;
@@ -19,6 +20,8 @@
 pub(crate) enum Command {
     #[options(help = "merge and check a local folder")]
     Check(check::Check),
+    #[options(help = "show what a local folder would change in the accepted version")]
+    Diff(diff::Diff),
     #[options(help = "write a local folder's changes to the store")]
     Push(push::Push),
     #[options(help = "bring the store's changes into a local folder")]
@@ -42,6 +45,7 @@
     ) -> Result<Report, Error> {
         match self {
             Self::Check(check) => check.run(),
+            Self::Diff(diff) => diff.run(open).await,
             Self::Push(push) => push.run(open).await,
             Self::Pull(pull) => pull.run(open).await,
             Self::Rm(rm) => rm.run(open).await,
@@ -54,7 +58,7 @@
 
     pub(crate) fn operands(&self) -> &'static str {
         match self {
-            Self::Check(_) | Self::Push(_) | Self::Pull(_) => "DIR",
+            Self::Check(_) | Self::Diff(_) | Self::Push(_) | Self::Pull(_) => "DIR",
             Self::Rm(_) => "NAME",
             Self::Explain(_) => "ID FILE...",
             Self::Status(_) | Self::History(_) | Self::Notice(_) => "",
@@ -64,6 +68,7 @@
     pub(crate) fn about(&self) -> &'static str {
         match self {
             Self::Check(_) => check::ABOUT,
+            Self::Diff(_) => diff::ABOUT,
             Self::Push(_) => push::ABOUT,
             Self::Pull(_) => pull::ABOUT,
             Self::Rm(_) => rm::ABOUT,
--- a/crates/crank-command/tests/exit_codes.rs
+++ b/crates/crank-command/tests/exit_codes.rs
@@ -30,6 +30,7 @@
         "check",
         "check a b",
         "check --frob a",
+        "diff a",
         "push a",
         "pull a",
         "rm a",
@@ -55,7 +56,7 @@
 #[tokio::test]
 async fn help_and_version_are_0_on_the_standard_output() {
     let commands = [
-        "check", "push", "pull", "rm", "status", "history", "notice", "explain",
+        "check", "diff", "push", "pull", "rm", "status", "history", "notice", "explain",
     ];
     for command in commands {
         let ended = crankctl(&format!("{command} --help")).await;
--- a/crates/crank-command/tests/support/mod.rs
+++ b/crates/crank-command/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use crank_engine::folder::{File, merge};
 use crank_engine::{Moment, config, publish};
 use crank_operator::{Admin, listener};
-use crank_platform_client::{Error, Memory, folder, head, verdict};
+use crank_platform_client::{Error, Memory, configs, folder, head, verdict};
 use crank_protocol::config::{Config, Owner, Stamp};
 use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
 use crank_protocol::status::{HistoryEntry, MeshStatus, NodeReport, NodeStatus, Verdict};
@@ -232,6 +232,7 @@
         let held = head::read(&platform, &account).await.unwrap();
         if let Some(step) = publish::head_update(held.as_ref(), &config::digest(&config), nonce) {
             let stamp = step.to.stamp.clone();
+            configs::write(&platform, &account, &config).await.unwrap();
             let publisher = name("n1");
             let entry = HistoryEntry {
                 stamp: stamp.clone(),
--- a/crates/crank-engine/src/folder/merge.rs
+++ b/crates/crank-engine/src/folder/merge.rs
@@ -8,6 +8,7 @@
 
 use super::{File, Problem, account, client, is_ignored_file, limits, route, service};
 use crate::ini::{self, Document, Fault, Section, value};
+use crate::lint::{self, Warning};
 
 pub(crate) const MAX_FILES: usize = 256;
 pub(crate) const MAX_FILE_BYTES: usize = 64 * 1024;
@@ -21,6 +22,8 @@
     pub config: Config,
     /// The sorted names of the files that were ignored; see [`is_ignored_file`].
     pub ignored_files: Vec<Arc<str>>,
+    /// Entries that can never match and limits that contradict each other, with their positions.
+    pub warnings: Vec<status::Fault>,
 }
 
 /// Merges the files of a folder in the byte order of their names, and checks the result.
@@ -58,6 +61,7 @@
     faults.extend(config_faults);
     match config {
         Some(config) if faults.is_empty() => Ok(Merged {
+            warnings: located_warnings(&config, &document),
             config,
             ignored_files,
         }),
@@ -65,6 +69,31 @@
     }
 }
 
+fn located_warnings(config: &Config, document: &Document) -> Vec<status::Fault> {
+    let warnings = lint::warnings(config).into_iter();
+    warnings
+        .map(|warning| located(&warning, document))
+        .collect()
+}
+
+/// Returns a warning with the file and line of its key, or of its section if the key is left out.
+fn located(warning: &Warning, document: &Document) -> status::Fault {
+    let section = document.sections.get(&warning.section);
+    let entry = section.and_then(|section| section.entries.get(warning.key));
+    let (file, line) = match (entry, section) {
+        (Some(entry), _) => (Arc::clone(&entry.file), entry.line),
+        (None, Some(section)) => (Arc::clone(&section.file), section.line),
+        (None, None) => (Arc::default(), 0),
+    };
+    status::Fault {
+        file,
+        line,
+        section: Arc::clone(&warning.section),
+        key: warning.key.into(),
+        problem: warning.problem.to_string().into(),
+    }
+}
+
 fn ignored_file_names(files: &[File]) -> Vec<Arc<str>> {
     let mut names: Vec<Arc<str>> = files
         .iter()
--- a/crates/crank-engine/src/route.rs
+++ b/crates/crank-engine/src/route.rs
@@ -285,6 +285,11 @@
     }
 }
 
+/// Returns whether a request with this path can be routed.
+pub(crate) fn is_routable(path: &str) -> bool {
+    !path.contains(['?', '#']) && validate_path(path).is_ok()
+}
+
 fn validate_path(path: &str) -> Result<(), Refusal> {
     let problem = if !path.starts_with('/') {
         "the path does not start with '/': send an absolute path"
