--- a/crates/crank-command/src/commands/check.rs
+++ b/crates/crank-command/src/commands/check.rs
@@ -35,7 +35,7 @@
             Ok(merged) => (&[][..], &merged.warnings[..]),
             Err(faults) => (&faults[..], &[][..]),
         };
-        let passes = faults.is_empty() && !(self.strict && !warnings.is_empty());
+        let passes = faults.is_empty() && (!self.strict || warnings.is_empty());
         let text = if self.json {
             serde_json::to_string_pretty(&Findings { faults, warnings })? + "\n"
         } else {
--- a/crates/crank-command/tests/a_folder_is_looked_at_before_it_is_sent.rs
+++ b/crates/crank-command/tests/a_folder_is_looked_at_before_it_is_sent.rs
@@ -40,5 +40,9 @@
     session.put("anna/40-panels.ini", "[service panels]\nslots = many\n");
     session.crankctl("check @anna --json").await;
     session.crankctl("diff @anna --settings @store.ini").await;
+
+    session.note("Nothing of this was sent.");
+    session.delete("anna/40-panels.ini");
+    session.ask("history").await;
     insta::assert_snapshot!(session.transcript());
 }
