A response that breaks off between nodes is replaced while none of it has left

Cause: EntryProxy took a head for an answer and passed it on before the body had come; a break after that is only a close.

Change: crank_engine::buffer::Limit (pure) says how much of a response is held and until when; the entry reads the body up to it as part of the attempt (entry/buffer.rs). A break in the buffer is the refusal `lost` with an unknown outcome: the decision that exists repeats a safe request within its budgets and deadline, else 502. Bodies up to 256 KiB or without a stated length are held whole, at most 2 s and half of the time left; of larger ones 32 KiB and 100 ms; 8 MiB a node, with permits that return when the caller has read or left. Without room a response is passed on as before.

--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod backoff;
 pub mod balance;
+pub mod buffer;
 pub mod burn;
 pub mod caller_budget;
 pub mod claim;
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry of the mesh: routes callers' requests, chooses targets and retries where that is safe.
 
+mod buffer;
 mod bulkhead;
 mod caller;
 mod conventions;
@@ -34,6 +35,7 @@
 use crate::clock::Clock;
 use crate::quota::RateLimiter;
 use crate::rollout::Rollouts;
+use buffer::ResponseBuffers;
 use bulkhead::Bulkhead;
 use caller::{Caller, Rejected};
 use options::RequestOptions;
@@ -112,6 +114,7 @@
     drain: Mutex<Drain>,
     rollouts: Rollouts,
     rate_limiter: RateLimiter,
+    buffers: ResponseBuffers,
     /// Cancelled when all attempts must end, because the node does.
     ending: CancellationToken,
 }
@@ -173,6 +176,7 @@
         Self {
             shared: Arc::new(Shared {
                 rate_limiter: RateLimiter::new(dependencies.clock),
+                buffers: ResponseBuffers::new(dependencies.clock),
                 dependencies,
                 node_limit,
                 table: ArcSwapOption::empty(),
@@ -330,6 +334,7 @@
                 break;
             }
             let result = self.attempt(routed, &candidate).await;
+            let result = self.buffer(routed, result).await;
             if search.record(&candidate, result.as_ref().err()) {
                 continue;
             }
@@ -422,6 +427,19 @@
         result
     }
 
+    /// Buffers the response, so that one that breaks off early counts as a refused attempt.
+    async fn buffer(
+        &self,
+        routed: &RoutedRequest,
+        result: Result<Response, RefusedRequest>,
+    ) -> Result<Response, RefusedRequest> {
+        let filling = self.shared.buffers.fill(result?, routed.deadline);
+        tokio::select! {
+            result = filling => result,
+            () = self.shared.ending.cancelled() => Err(retry::refused(Refusal::TimedOut, None)),
+        }
+    }
+
     /// Passes the response on. Its permits are held, and the request is counted, until the body
     /// ends.
     fn finish(
