Roll-outs: servers that are ill for reasons of their own no longer roll a good release back

Change: each new server has a sum of its own, bounded both ways; the total leaves out the worst (one of several, one in four of eight or more), and what speaks for the release takes at most one part away. A release is trusted before its last time only below a sixth of the threshold (a third before).

--- a/crates/crank-engine/src/rollout.rs
+++ b/crates/crank-engine/src/rollout.rs
@@ -11,6 +11,7 @@
 mod monitor;
 mod plan;
 mod share;
+mod verdict;
 mod view;
 
 pub use evidence::{Evidence, MAX_LATENCY_CLASS, latency_class};
@@ -20,4 +21,5 @@
     MOVE_TIME, completes_at, deciders, is_settled, trial_servers, trial_share, trial_window,
 };
 pub use share::ShareBudget;
+pub use verdict::verdict;
 pub use view::{Newcomers, Releases};
--- a/crates/crank-engine/src/rollout/monitor.rs
+++ b/crates/crank-engine/src/rollout/monitor.rs
@@ -1,11 +1,12 @@
 //! The sequential test of the new release against the old one.
 //!
-//! Per route, failures and slow answers are tested apart, each as a cumulative sum (Page's CUSUM)
-//! of the log likelihood ratio of two Bernoulli distributions: the rate of the old release with a
-//! margin, and that rate plus a step. The sum starts again from zero where the evidence is in
-//! favour of the release, so that a release that turns bad late is found as soon as one that is bad
-//! at once. A single server adds only a part of the threshold: servers that fail for reasons of
-//! their own are outweighed by the others, while a bad release shows on each of them.
+//! Per route, failures and slow answers are tested apart. Each server of the new release has a
+//! cumulative sum (Page's CUSUM) of the log likelihood ratio of two Bernoulli distributions: the
+//! rate of the old release with a margin, and that rate plus a step. It is bounded by a part of the
+//! threshold both ways. The worst servers are left out of the total, as many as may be ill for
+//! reasons of their own: a bad release shows on the others too. All servers in favour of the release
+//! together take one part from the total, so that a release that turns bad late is found as soon as
+//! one that is bad at once.
 
 use std::collections::BTreeMap;
 
@@ -18,14 +19,18 @@
 /// The natural logarithm of the inverse of the accepted rate of false alarms, one in 10,000.
 const THRESHOLD: f64 = 9.2;
 /// From this part of the threshold on, a release is not trusted yet.
-const SUSPICION: f64 = THRESHOLD / 3.0;
+const SUSPICION: f64 = THRESHOLD / 6.0;
+/// From this part of the threshold on, a release with few answers is more likely bad than good.
+const FEW_ANSWERS_LIKELIHOOD: f64 = THRESHOLD / 3.0;
 /// From this part of the threshold on, a release is more likely bad than good.
 const LIKELIHOOD: f64 = THRESHOLD / 2.0;
-/// How many servers must add evidence against the release, if it has that many.
+/// How many servers must add evidence against the release, if it has that many, beside those left
+/// out.
 const MIN_SERVERS: usize = 4;
-/// The time in which a server may again add its part of the threshold.
-const ALLOWANCE_TIME: Millis = Millis(3_000);
-/// The time in which an answer of the old release loses half of its weight.
+/// One in this many servers is left out of the total, and at least one of several.
+const ILL_SERVERS: usize = 4;
+/// The time in which an answer in favour of the release, or one of the old release, loses half of
+/// its weight.
 const HALF_LIFE: Millis = Millis(2_000);
 /// The margin on the old release's rate: a factor, and what is added.
 const MARGIN_FACTOR: f64 = 1.25;
@@ -74,13 +79,15 @@
     previous: BTreeMap<Subject, Tally>,
     updated_at: Moment,
     answers: u32,
+    /// The most servers of the new release that there were.
+    servers: usize,
 }
 
 #[derive(Debug, Clone, Default)]
 struct Route {
     old: OldAnswers,
-    failures: Cusum,
-    slowness: Cusum,
+    failures: Scores,
+    slowness: Scores,
 }
 
 /// The recent answers of the old release.
@@ -91,18 +98,10 @@
     latencies: Vec<f64>,
 }
 
-/// The evidence against the release.
+/// The evidence against the release by server.
 #[derive(Debug, Clone, Default)]
-struct Cusum {
-    score: f64,
-    allowances: BTreeMap<Name, Allowance>,
-}
-
-/// What a server may still add, as a part of the threshold.
-#[derive(Debug, Clone, Copy)]
-struct Allowance {
-    part: f64,
-    at: Moment,
+struct Scores {
+    servers: BTreeMap<Name, f64>,
 }
 
 /// Counts of good and bad answers.
@@ -121,8 +120,11 @@
         self.updated_at = now;
         for route in self.routes.values_mut() {
             route.old.fade(fade);
+            route.failures.fade(fade);
+            route.slowness.fade(fade);
         }
-        let parts = servers.clamp(1, MIN_SERVERS) as f64;
+        self.servers = self.servers.max(servers);
+        let part = self.part();
         // The old release's answers first, so that the new one is compared with the latest.
         let (old, new): (Vec<_>, Vec<_>) = totals
             .iter()
@@ -134,7 +136,7 @@
                 None => route.old.add(&growth),
                 Some(server) => {
                     self.answers += growth.answered + growth.failed;
-                    route.judge(now, server, &growth, THRESHOLD / parts);
+                    route.judge(server, &growth, part);
                 }
             }
         }
@@ -147,7 +149,7 @@
         let score = self.worst().map_or(0.0, |(_, score)| score);
         if score >= THRESHOLD {
             Finding::Bad
-        } else if score >= LIKELIHOOD || (score >= SUSPICION && self.answers < MANY_ANSWERS) {
+        } else if score >= self.likelihood() {
             Finding::Likely
         } else if score >= SUSPICION {
             Finding::Suspect
@@ -173,8 +175,23 @@
         })
     }
 
+    fn likelihood(&self) -> f64 {
+        if self.answers < MANY_ANSWERS {
+            FEW_ANSWERS_LIKELIHOOD
+        } else {
+            LIKELIHOOD
+        }
+    }
+
+    /// Returns the part of the threshold that one server may add.
+    fn part(&self) -> f64 {
+        let counted = self.servers - left_out(self.servers, self.servers);
+        THRESHOLD / counted.clamp(1, MIN_SERVERS) as f64
+    }
+
     fn worst(&self) -> Option<(&Name, f64)> {
-        let score = |route: &Route| route.failures.score.max(route.slowness.score);
+        let total = |scores: &Scores| scores.total(self.servers, self.part());
+        let score = |route: &Route| total(&route.failures).max(total(&route.slowness));
         let scores = self.routes.iter().map(|(name, route)| (name, score(route)));
         scores.max_by(|a, b| a.1.total_cmp(&b.1))
     }
@@ -200,18 +217,18 @@
 }
 
 impl Route {
-    fn judge(&mut self, now: Moment, server: &Name, growth: &Tally, part: f64) {
+    fn judge(&mut self, server: &Name, growth: &Tally, part: f64) {
         let failures = Counts {
             good: f64::from(growth.answered),
             bad: f64::from(growth.failed),
         };
-        self.failures
-            .add(now, server, failures, self.old.failure_rate(), part);
+        let old_rate = self.old.failure_rate();
+        self.failures.add(server, failures, old_rate, part);
         if let Some(slow_from) = self.old.slow_from() {
             let latencies = growth.latencies.iter().map(|count| f64::from(*count));
             let slowness = split(latencies, slow_from);
-            self.slowness
-                .add(now, server, slowness, self.old.slow_rate(slow_from), part);
+            let old_rate = self.old.slow_rate(slow_from);
+            self.slowness.add(server, slowness, old_rate, part);
         }
     }
 }
@@ -258,25 +275,46 @@
     }
 }
 
-impl Cusum {
-    /// Adds the answers of a server, which may add at most `part` to the score.
-    fn add(&mut self, now: Moment, server: &Name, counts: Counts, old_rate: f64, part: f64) {
+impl Scores {
+    /// Adds the answers of a server, whose score stays within `part` both ways.
+    fn add(&mut self, server: &Name, counts: Counts, old_rate: f64, part: f64) {
+        if counts.good + counts.bad == 0.0 {
+            return;
+        }
         let good_rate = (old_rate * MARGIN_FACTOR + MARGIN).min(MAX_RATE - STEP);
         let bad_rate = good_rate + STEP;
         let ratio = counts.bad * (bad_rate / good_rate).ln()
             + counts.good * ((1.0 - bad_rate) / (1.0 - good_rate)).ln();
-        let full = Allowance { part, at: now };
-        let allowance = self.allowances.entry(server.clone()).or_insert(full);
-        let refilled = now.since(allowance.at).0 as f64 / ALLOWANCE_TIME.0 as f64 * part;
-        let left = (allowance.part + refilled).min(part);
-        // Good answers take from the score, and may be made up for by the same server.
-        let added = ratio.min(left);
-        *allowance = Allowance {
-            part: (left - added).min(part),
-            at: now,
-        };
-        self.score = (self.score + added).max(0.0);
+        let score = self.servers.entry(server.clone()).or_default();
+        *score = (*score + ratio).clamp(-part, part);
+    }
+
+    /// Lets evidence in favour of the release fade: it may have turned bad since.
+    fn fade(&mut self, fade: f64) {
+        for score in self.servers.values_mut().filter(|score| **score < 0.0) {
+            *score *= fade;
+        }
     }
+
+    /// Returns the evidence of all servers but the worst, and zero if it is in favour.
+    fn total(&self, servers: usize, part: f64) -> f64 {
+        let mut scores: Vec<f64> = self.servers.values().copied().collect();
+        scores.sort_by(|a, b| b.total_cmp(a));
+        let counted = scores.get(left_out(scores.len(), servers)..);
+        let (against, in_favour): (Vec<f64>, Vec<f64>) = counted
+            .unwrap_or_default()
+            .iter()
+            .partition(|score| **score > 0.0);
+        let against: f64 = against.iter().sum();
+        let in_favour: f64 = in_favour.iter().sum();
+        (against + in_favour.max(-part)).max(0.0)
+    }
+}
+
+/// Returns how many of the worst servers are left out, where some of a release's servers were tried.
+fn left_out(tried: usize, servers: usize) -> usize {
+    let least = usize::from(servers > 1);
+    (tried / ILL_SERVERS).max(least)
 }
 
 /// Returns the weight that is left of earlier answers after this time.
--- a/crates/crank-node/src/rollout/decide.rs
+++ b/crates/crank-node/src/rollout/decide.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use crank_engine::Moment;
-use crank_engine::rollout::{
-    self, Finding, MOVE_TIME, Monitor, Releases, completes_at, is_settled,
-};
+use crank_engine::rollout::{self, Finding, Monitor, Releases, is_settled, verdict};
 use crank_mesh::{Handle, ReceivedMessage, Rollout, View};
 use crank_platform_client::rollouts::{self as rows, Decision};
 use crank_platform_client::{Error as StoreError, Rows};
@@ -26,8 +24,6 @@
 const DECIDE_INTERVAL: Duration = Duration::from_millis(250);
 /// How much later each further decider reports to the operators, in case the ones before it cannot.
 const REPORT_DELAY: Millis = Millis(700);
-/// A suspect release is decided this long before its deadline at the latest.
-const LAST_TIME: Millis = Millis(500);
 
 /// A node that may decide roll-outs.
 pub struct DecidingNode<P, B> {
@@ -322,19 +318,6 @@
     }
 }
 
-/// Returns the verdict that is due, if one is.
-fn verdict(finding: Finding, age: Millis, duration: Millis) -> Option<Phase> {
-    let is_last = age.0 + MOVE_TIME.0 + LAST_TIME.0 >= duration.0;
-    match finding {
-        Finding::Bad => Some(Phase::RolledBack),
-        Finding::Clear if age >= completes_at(duration) => Some(Phase::Completed),
-        Finding::Suspect if is_last => Some(Phase::Completed),
-        Finding::Likely if is_last => Some(Phase::RolledBack),
-        Finding::Unknown if age >= duration => Some(Phase::RolledBack),
-        Finding::Clear | Finding::Suspect | Finding::Likely | Finding::Unknown => None,
-    }
-}
-
 /// Counts the nodes that may still have requests at servers of other releases.
 fn waiting_nodes(evidence: &rollout::Evidence, view: &View) -> usize {
     let members = view
