--- a/crates/crank-engine/examples/requests/main.rs
+++ b/crates/crank-engine/examples/requests/main.rs
@@ -9,6 +9,7 @@
 mod setup;
 mod shared_limit;
 mod simulation;
+mod surge;
 mod uneven;
 
 use std::io::{self, Write};
--- a/crates/crank-engine/examples/requests/model.rs
+++ b/crates/crank-engine/examples/requests/model.rs
@@ -21,6 +21,9 @@
     RequestArrives {
         entry: usize,
     },
+    RequestReturns {
+        request: usize,
+    },
     AttemptArrives {
         attempt: usize,
     },
@@ -86,6 +89,10 @@
 pub(crate) struct Request {
     pub(crate) entry: usize,
     pub(crate) started: u64,
+    /// When the caller sent it for the first time.
+    pub(crate) first_started: u64,
+    /// How often the caller sent it again.
+    pub(crate) returns: u32,
     pub(crate) deadline: u64,
     pub(crate) tried: Vec<Name>,
     /// The targets that were asked for a free slot and had none.
--- a/crates/crank-engine/examples/requests/placement.rs
+++ b/crates/crank-engine/examples/requests/placement.rs
@@ -7,6 +7,7 @@
 use crank_protocol::call::Load;
 use rand::RngExt;
 
+use crate::model::Event;
 use crate::setup::TargetChoice;
 use crate::simulation::Simulation;
 
@@ -16,6 +17,7 @@
 const HOT_SHARE: f64 = 0.75;
 /// An offered slot is used within this time, in microseconds, or lapses.
 const OFFER_TIME: u64 = 100_000;
+const MILLI: u64 = 1_000;
 
 /// A server for an attempt, and whether the attempt may wait in its queue.
 #[derive(Debug, Clone, Copy)]
@@ -164,4 +166,33 @@
         let may_queue = false;
         Some(Placement { server, may_queue })
     }
+
+    pub(crate) fn distance(&self, attempt: usize) -> Distance {
+        let attempt_state = &self.attempts[attempt];
+        let entry = &self.entries[self.requests[attempt_state.request].entry];
+        Distance::between(&entry.place, &self.servers[attempt_state.server].place)
+    }
+
+    /// Returns the one-way network delay of an attempt in microseconds.
+    pub(crate) fn delay(&self, attempt: usize) -> u64 {
+        match self.distance(attempt) {
+            Distance::Near => MILLI / 10,
+            Distance::Region => MILLI,
+            Distance::Far => 8 * MILLI,
+        }
+    }
+
+    /// Asks the entry whether another server has started the request, which takes a round trip; the
+    /// slot is empty until then. Returns true if so.
+    pub(crate) fn is_bound(&mut self, attempt: usize) -> bool {
+        self.results.messages += 2;
+        let request = self.attempts[attempt].request;
+        let is_bound = self.requests[request].has_started;
+        self.requests[request].has_started = true;
+        if is_bound {
+            let time = self.now + 2 * self.delay(attempt);
+            self.schedule(time, Event::RunEnds { attempt });
+        }
+        is_bound
+    }
 }
--- a/crates/crank-engine/examples/requests/setup.rs
+++ b/crates/crank-engine/examples/requests/setup.rs
@@ -76,6 +76,24 @@
     pub(crate) until: f64,
 }
 
+/// More demand than usual at the start of a simulation.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Surge {
+    /// The demand until the end of the surge, as a share of the usual.
+    pub(crate) factor: f64,
+    /// The end of the surge, in seconds since the start of the simulation.
+    pub(crate) until: f64,
+}
+
+/// What callers do whose requests fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Returns {
+    /// How often a caller sends a request again.
+    pub(crate) most: u32,
+    /// The time after which it does.
+    pub(crate) pause: Millis,
+}
+
 /// The parameters of a simulation.
 #[derive(Debug, Clone)]
 pub(crate) struct Setup {
@@ -111,6 +129,10 @@
     pub(crate) objective: Millis,
     /// How many targets a request asks for a free slot before it queues at one.
     pub(crate) probes: usize,
+    /// The surge that occurs, if any.
+    pub(crate) surge: Option<Surge>,
+    /// What callers do whose requests fail.
+    pub(crate) returns: Returns,
     /// The faults that occur.
     pub(crate) fault_windows: Vec<FaultWindow>,
     /// The seed of the random number generator.
@@ -193,6 +215,11 @@
         ejection: true,
         retry_budget: Permille(200),
         warm_up: Millis(10_000),
+        surge: None,
+        returns: Returns {
+            most: 0,
+            pause: Millis(0),
+        },
         fault_windows: Vec::new(),
         unevenness: Unevenness::default(),
         objective: Millis(1_000),
--- a/crates/crank-engine/examples/requests/simulation.rs
+++ b/crates/crank-engine/examples/requests/simulation.rs
@@ -37,7 +37,7 @@
     pub(crate) entries: Vec<Entry>,
     pub(crate) servers: Vec<Server>,
     pub(crate) requests: Vec<Request>,
-    attempts: Vec<Attempt>,
+    pub(crate) attempts: Vec<Attempt>,
     pub(crate) results: Results,
 }
 
@@ -120,6 +120,7 @@
     fn handle_event(&mut self, event: Event) {
         match event {
             Event::RequestArrives { entry } => self.handle_request(entry),
+            Event::RequestReturns { request } => self.handle_return(request),
             Event::AttemptArrives { attempt } => self.handle_attempt(attempt),
             Event::RunEnds { attempt } => self.handle_run_end(attempt),
             Event::Response {
@@ -133,7 +134,7 @@
     }
 
     /// Schedules an event; events at the same time happen in the order of these calls.
-    fn schedule(&mut self, time: u64, event: Event) {
+    pub(crate) fn schedule(&mut self, time: u64, event: Event) {
         self.sequence += 1;
         self.events.push(Reverse((time, self.sequence, event)));
     }
@@ -190,16 +191,25 @@
 
     /// Returns whether a request counts in the results: the first quarter of the time is warm-up.
     fn is_counted(&self, request: usize) -> bool {
-        self.requests[request].started as f64 > self.setup.seconds * SECOND as f64 / 4.0
+        self.requests[request].first_started as f64 > self.setup.seconds * SECOND as f64 / 4.0
     }
 
     fn handle_request(&mut self, entry: usize) {
         self.schedule_next_request(entry);
+        let request = self.add_request(entry, self.now, 0);
+        self.results.offered += u64::from(self.is_counted(request));
+        self.send_attempt(request);
+    }
+
+    /// Adds a request that the caller sent first at `first_started`.
+    pub(crate) fn add_request(&mut self, entry: usize, first_started: u64, returns: u32) -> usize {
         let deadline = Moment(self.now).after(self.setup.timeout).0;
         let request = self.requests.len();
         self.requests.push(Request {
             entry,
             started: self.now,
+            first_started,
+            returns,
             deadline,
             tried: Vec::new(),
             full: Vec::new(),
@@ -209,11 +219,10 @@
         });
         self.schedule(deadline, Event::DeadlinePasses { request });
         self.entries[entry].budget.record_request();
-        self.results.offered += u64::from(self.is_counted(request));
-        self.send_attempt(request);
+        request
     }
 
-    fn send_attempt(&mut self, request: usize) {
+    pub(crate) fn send_attempt(&mut self, request: usize) {
         let Some(placement) = self.place(request) else {
             self.fail(request, false);
             return;
@@ -255,21 +264,6 @@
         );
     }
 
-    fn distance(&self, attempt: usize) -> Distance {
-        let attempt_state = &self.attempts[attempt];
-        let entry = &self.entries[self.requests[attempt_state.request].entry];
-        Distance::between(&entry.place, &self.servers[attempt_state.server].place)
-    }
-
-    /// Returns the one-way network delay of an attempt in microseconds.
-    fn delay(&self, attempt: usize) -> u64 {
-        match self.distance(attempt) {
-            Distance::Near => MILLI / 10,
-            Distance::Region => MILLI,
-            Distance::Far => 8 * MILLI,
-        }
-    }
-
     fn handle_attempt(&mut self, attempt: usize) {
         let (server, request) = (
             self.attempts[attempt].server,
@@ -352,20 +346,6 @@
         self.schedule(self.now + duration, Event::RunEnds { attempt });
     }
 
-    /// Asks the entry whether another server has started the request, which takes a round trip; the
-    /// slot is empty until then. Returns true if so.
-    fn is_bound(&mut self, attempt: usize) -> bool {
-        self.results.messages += 2;
-        let request = self.attempts[attempt].request;
-        let is_bound = self.requests[request].has_started;
-        self.requests[request].has_started = true;
-        if is_bound {
-            let time = self.now + 2 * self.delay(attempt);
-            self.schedule(time, Event::RunEnds { attempt });
-        }
-        is_bound
-    }
-
     fn load(&self, attempt: usize) -> ReportedLoad {
         let server = &self.servers[self.attempts[attempt].server];
         let mut load = server.admission.load();
@@ -477,7 +457,7 @@
     fn succeed(&mut self, request: usize) {
         self.requests[request].is_finished = true;
         if self.is_counted(request) {
-            let duration = self.now - self.requests[request].started;
+            let duration = self.now - self.requests[request].first_started;
             self.results.latencies.push(duration);
             let is_in_objective = Millis(duration / MILLI) <= self.setup.objective;
             self.results.in_objective += u64::from(is_in_objective);
@@ -486,6 +466,9 @@
 
     fn fail(&mut self, request: usize, is_unknown: bool) {
         self.requests[request].is_finished = true;
+        if self.will_return(request) {
+            return;
+        }
         if self.is_counted(request) {
             self.results.unknown += u64::from(is_unknown);
             self.results.refused += u64::from(!is_unknown);
--- a/crates/crank-engine/examples/requests/uneven.rs
+++ b/crates/crank-engine/examples/requests/uneven.rs
@@ -106,7 +106,8 @@
         let uneven = &self.setup.unevenness;
         let phase = (entry % DATA_CENTRES) as f64 / DATA_CENTRES as f64 * uneven.phase_spread;
         let turns = self.now as f64 / SECOND as f64 / WAVE_SECONDS + phase;
-        1.0 + uneven.swing * (std::f64::consts::TAU * turns).sin()
+        let swing = uneven.swing * (std::f64::consts::TAU * turns).sin();
+        self.surge_factor() * (1.0 + swing)
     }
 
     /// Adds the time until `time` to the time that requests wait, and that slots are free then.
--- a/crates/crank-engine/tests/even_load.rs
+++ b/crates/crank-engine/tests/even_load.rs
@@ -11,6 +11,8 @@
 mod setup;
 #[path = "../examples/requests/simulation.rs"]
 mod simulation;
+#[path = "../examples/requests/surge.rs"]
+mod surge;
 #[path = "../examples/requests/uneven.rs"]
 mod uneven;
 
