--- a/crates/crank-engine/src/rollout/monitor.rs
+++ b/crates/crank-engine/src/rollout/monitor.rs
@@ -1,12 +1,11 @@
 //! The sequential test of the new release against the old one.
 //!
-//! Per route, failures and slow answers are tested apart. Each server of the new release has a
-//! cumulative sum (Page's CUSUM) of the log likelihood ratio of two Bernoulli distributions: the
-//! rate of the old release with a margin, and that rate plus a step. It is bounded by a part of the
-//! threshold both ways. The worst servers are left out of the total, as many as may be ill for
-//! reasons of their own: a bad release shows on the others too. Evidence in favour is bounded for all
-//! servers together and fades, so that a release that turns bad late is found as soon as one that is
-//! bad at once.
+//! Per route, failures and slow answers are tested apart, each as a cumulative sum (Page's CUSUM)
+//! of the log likelihood ratio of two Bernoulli distributions: the rate of the old release with a
+//! margin, and that rate plus a step. The sum starts again from zero where the evidence is in
+//! favour of the release, so that a release that turns bad late is found as soon as one that is bad
+//! at once. A single server adds only a part of the threshold: servers that fail for reasons of
+//! their own are outweighed by the others, while a bad release shows on each of them.
 
 use std::collections::BTreeMap;
 
@@ -19,22 +18,13 @@
 /// The natural logarithm of the inverse of the accepted rate of false alarms, one in 10,000.
 const THRESHOLD: f64 = 9.2;
 /// From this part of the threshold on, a release is not trusted yet.
-const SUSPICION: f64 = THRESHOLD / 6.0;
-/// From this part of the threshold on, a release with few answers is more likely bad than good.
-const FEW_ANSWERS_LIKELIHOOD: f64 = THRESHOLD / 3.0;
+const SUSPICION: f64 = THRESHOLD / 3.0;
 /// From this part of the threshold on, a release is more likely bad than good.
 const LIKELIHOOD: f64 = THRESHOLD / 2.0;
-/// How many servers must add evidence against the release, if it has that many, beside those left
-/// out.
+/// How many servers must add evidence against the release, if it has that many.
 const MIN_SERVERS: usize = 4;
-/// One in this many servers is left out of the total, and at least one of several.
-const ILL_SERVERS: usize = 5;
-/// How many parts of the threshold all servers in favour of the release take away at most.
-const MAX_CREDIT: f64 = 2.0;
-/// How long the answers of a server count. The servers on trial change.
-const EVIDENCE_TIME: Millis = Millis(5_000);
-/// The time in which an answer in favour of the release loses half of its weight.
-const CREDIT_HALF_LIFE: Millis = Millis(1_000);
+/// The time in which a server may again add its part of the threshold.
+const ALLOWANCE_TIME: Millis = Millis(3_000);
 /// The time in which an answer of the old release loses half of its weight.
 const HALF_LIFE: Millis = Millis(2_000);
 /// The margin on the old release's rate: a factor, and what is added.
@@ -84,15 +74,13 @@
     previous: BTreeMap<Subject, Tally>,
     updated_at: Moment,
     answers: u32,
-    /// The most servers of the new release that there were.
-    servers: usize,
 }
 
 #[derive(Debug, Clone, Default)]
 struct Route {
     old: OldAnswers,
-    failures: Scores,
-    slowness: Scores,
+    failures: Cusum,
+    slowness: Cusum,
 }
 
 /// The recent answers of the old release.
@@ -103,17 +91,17 @@
     latencies: Vec<f64>,
 }
 
-/// The evidence against the release by server.
+/// The evidence against the release.
 #[derive(Debug, Clone, Default)]
-struct Scores {
-    servers: BTreeMap<Name, Score>,
+struct Cusum {
+    score: f64,
+    allowances: BTreeMap<Name, Allowance>,
 }
 
-/// The evidence against the release by one server, negative if in favour.
+/// What a server may still add, as a part of the threshold.
 #[derive(Debug, Clone, Copy)]
-struct Score {
-    value: f64,
-    /// When the server's last answers were counted.
+struct Allowance {
+    part: f64,
     at: Moment,
 }
 
@@ -129,17 +117,12 @@
     ///
     /// `servers` is the number of servers of the new release.
     pub fn update(&mut self, now: Moment, servers: usize, totals: &BTreeMap<Subject, Tally>) {
-        let elapsed = now.since(self.updated_at);
-        let old_fade = fade(elapsed, HALF_LIFE);
-        let credit_fade = fade(elapsed, CREDIT_HALF_LIFE);
+        let fade = fade(now.since(self.updated_at));
         self.updated_at = now;
         for route in self.routes.values_mut() {
-            route.old.fade(old_fade);
-            route.failures.fade(now, credit_fade);
-            route.slowness.fade(now, credit_fade);
+            route.old.fade(fade);
         }
-        self.servers = self.servers.max(servers);
-        let part = self.part();
+        let parts = servers.clamp(1, MIN_SERVERS) as f64;
         // The old release's answers first, so that the new one is compared with the latest.
         let (old, new): (Vec<_>, Vec<_>) = totals
             .iter()
@@ -151,7 +134,7 @@
                 None => route.old.add(&growth),
                 Some(server) => {
                     self.answers += growth.answered + growth.failed;
-                    route.judge(now, server, &growth, part);
+                    route.judge(now, server, &growth, THRESHOLD / parts);
                 }
             }
         }
@@ -164,7 +147,7 @@
         let score = self.worst().map_or(0.0, |(_, score)| score);
         if score >= THRESHOLD {
             Finding::Bad
-        } else if score >= self.likelihood() {
+        } else if score >= LIKELIHOOD || (score >= SUSPICION && self.answers < MANY_ANSWERS) {
             Finding::Likely
         } else if score >= SUSPICION {
             Finding::Suspect
@@ -190,23 +173,8 @@
         })
     }
 
-    fn likelihood(&self) -> f64 {
-        if self.answers < MANY_ANSWERS {
-            FEW_ANSWERS_LIKELIHOOD
-        } else {
-            LIKELIHOOD
-        }
-    }
-
-    /// Returns the part of the threshold that one server may add.
-    fn part(&self) -> f64 {
-        let counted = self.servers - left_out(self.servers, self.servers);
-        THRESHOLD / counted.clamp(1, MIN_SERVERS) as f64
-    }
-
     fn worst(&self) -> Option<(&Name, f64)> {
-        let total = |scores: &Scores| scores.total(self.servers, self.part());
-        let score = |route: &Route| total(&route.failures).max(total(&route.slowness));
+        let score = |route: &Route| route.failures.score.max(route.slowness.score);
         let scores = self.routes.iter().map(|(name, route)| (name, score(route)));
         scores.max_by(|a, b| a.1.total_cmp(&b.1))
     }
@@ -237,13 +205,13 @@
             good: f64::from(growth.answered),
             bad: f64::from(growth.failed),
         };
-        let old_rate = self.old.failure_rate();
-        self.failures.add(now, server, failures, old_rate, part);
+        self.failures
+            .add(now, server, failures, self.old.failure_rate(), part);
         if let Some(slow_from) = self.old.slow_from() {
             let latencies = growth.latencies.iter().map(|count| f64::from(*count));
             let slowness = split(latencies, slow_from);
-            let old_rate = self.old.slow_rate(slow_from);
-            self.slowness.add(now, server, slowness, old_rate, part);
+            self.slowness
+                .add(now, server, slowness, self.old.slow_rate(slow_from), part);
         }
     }
 }
@@ -290,60 +258,30 @@
     }
 }
 
-impl Scores {
-    /// Adds the answers of a server, whose score stays within `part` both ways.
+impl Cusum {
+    /// Adds the answers of a server, which may add at most `part` to the score.
     fn add(&mut self, now: Moment, server: &Name, counts: Counts, old_rate: f64, part: f64) {
-        if counts.good + counts.bad == 0.0 {
-            return;
-        }
         let good_rate = (old_rate * MARGIN_FACTOR + MARGIN).min(MAX_RATE - STEP);
         let bad_rate = good_rate + STEP;
         let ratio = counts.bad * (bad_rate / good_rate).ln()
             + counts.good * ((1.0 - bad_rate) / (1.0 - good_rate)).ln();
-        let fresh = Score {
-            value: 0.0,
+        let full = Allowance { part, at: now };
+        let allowance = self.allowances.entry(server.clone()).or_insert(full);
+        let refilled = now.since(allowance.at).0 as f64 / ALLOWANCE_TIME.0 as f64 * part;
+        let left = (allowance.part + refilled).min(part);
+        // Good answers take from the score, and may be made up for by the same server.
+        let added = ratio.min(left);
+        *allowance = Allowance {
+            part: (left - added).min(part),
             at: now,
         };
-        let score = self.servers.entry(server.clone()).or_insert(fresh);
-        score.value = (score.value + ratio).clamp(-part, part);
-        score.at = now;
+        self.score = (self.score + added).max(0.0);
     }
-
-    /// Forgets servers without answers for a while, and lets evidence in favour of the release fade:
-    /// it may have turned bad since.
-    fn fade(&mut self, now: Moment, fade: f64) {
-        self.servers
-            .retain(|_, score| now < score.at.after(EVIDENCE_TIME));
-        let scores = self.servers.values_mut();
-        for score in scores.filter(|score| score.value < 0.0) {
-            score.value *= fade;
-        }
-    }
-
-    /// Returns the evidence of all servers but the worst, and zero if it is in favour.
-    fn total(&self, servers: usize, part: f64) -> f64 {
-        let mut scores: Vec<f64> = self.servers.values().map(|score| score.value).collect();
-        scores.sort_by(|a, b| b.total_cmp(a));
-        let counted = scores.get(left_out(scores.len(), servers)..);
-        let (against, in_favour): (Vec<f64>, Vec<f64>) = counted
-            .unwrap_or_default()
-            .iter()
-            .partition(|score| **score > 0.0);
-        let against: f64 = against.iter().sum();
-        let in_favour: f64 = in_favour.iter().sum();
-        (against + in_favour.max(-part * MAX_CREDIT)).max(0.0)
-    }
-}
-
-/// Returns how many of the worst servers are left out, where some of a release's servers were tried.
-fn left_out(tried: usize, servers: usize) -> usize {
-    let least = usize::from(servers > 1);
-    (tried / ILL_SERVERS).max(least)
 }
 
 /// Returns the weight that is left of earlier answers after this time.
-fn fade(elapsed: Millis, half_life: Millis) -> f64 {
-    0.5_f64.powf(elapsed.0 as f64 / half_life.0 as f64)
+fn fade(elapsed: Millis) -> f64 {
+    0.5_f64.powf(elapsed.0 as f64 / HALF_LIFE.0 as f64)
 }
 
 fn split(latencies: impl Iterator<Item = f64>, slow_from: usize) -> Counts {
--- a/crates/crank-engine/tests/quota_holds_over_all_nodes.rs
+++ b/crates/crank-engine/tests/quota_holds_over_all_nodes.rs
@@ -314,6 +314,16 @@
     }
 }
 
+#[test]
+fn a_small_account_has_its_share_as_soon_as_a_full_service_has_room_again() {
+    for seed in [21, 22] {
+        let mut world = turned_away(seed, 10 * SECOND, 14 * SECOND);
+        world.turned_away = 0.0;
+        world.run_until(22 * SECOND, ACCOUNTS, |account, _| evenly(account) * 4.0);
+        assert_nearly_ideal(&world, SMALL, SMALL_LIMIT, 15 * SECOND, 22 * SECOND);
+    }
+}
+
 fn turned_away_from(from: u64) -> World {
     turned_away(18, from - SECOND, 20 * SECOND)
 }
