Entry: a client's retry counts from its first attempt

Cause: the entry counted the objective anew from each attempt of a client. A request that had been refused and came back queued among new ones as if it had all its time, and ran in their place.

Change: the entry remembers what failed by route, client account and the moment at which the client gives up, which is the same for all of its attempts.

--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod burn;
 pub mod caller_budget;
 pub mod claim;
+pub mod client_retry;
 pub mod config;
 pub mod difference;
 pub mod drain;
--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -19,6 +19,7 @@
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use crank_engine::balance::ChosenTarget;
+use crank_engine::client_retry::{ClientRequest, ClientRetries};
 use crank_engine::drain::Drain;
 use crank_engine::limit::Capacity;
 use crank_engine::route::{ResolvedRoute, RoutingTable};
@@ -115,6 +116,7 @@
     rollouts: Rollouts,
     rate_limiter: RateLimiter,
     buffers: ResponseBuffers,
+    client_retries: Mutex<ClientRetries>,
     /// Cancelled when all attempts must end, because the node does.
     ending: CancellationToken,
 }
@@ -183,6 +185,7 @@
                 bulkheads: Mutex::new(BTreeMap::new()),
                 drain: Mutex::new(drain),
                 rollouts,
+                client_retries: Mutex::default(),
                 ending: CancellationToken::new(),
             }),
         }
@@ -226,9 +229,15 @@
         })?;
         let result = self.try_targets(&routed).await;
         match result {
-            Ok(response) => Ok(self.finish(routed, permits, response)),
+            Ok(response) => {
+                if response.head.status >= MIN_SERVER_ERROR_STATUS {
+                    self.record_failure(&routed.client, routed.first_arrival);
+                }
+                Ok(self.finish(routed, permits, response))
+            }
             Err(refused) => {
                 routed.return_token(&refused);
+                self.record_failure(&routed.client, routed.first_arrival);
                 self.count_refusal(&routed.rule, &refused, started_at);
                 Err(refused)
             }
@@ -250,11 +259,21 @@
         if options.depth == 0 {
             self.shared.drain.lock().admit(started_at, options.depth)?;
         }
+        let client = ClientRequest {
+            deadline: started_at.after(options.caller_timeout),
+            route: rule.name.clone(),
+            account: caller.name().cloned(),
+        };
+        let first_arrival = self.first_arrival(started_at, &client);
+        let rejected = |refusal| {
+            self.record_failure(&client, first_arrival);
+            caller.rejected(refusal)
+        };
         let token = caller
             .name()
             .map(|account| self.shared.rate_limiter.admit(account))
             .transpose()
-            .map_err(|refusal| caller.rejected(refusal))?;
+            .map_err(rejected)?;
         let deadline = started_at.after(options.timeout);
         let deadline = self.shared.drain.lock().latest_end(deadline);
         let bulkhead = self.bulkhead(&rule);
@@ -264,10 +283,11 @@
             .await;
         let permits = permits.map_err(|refusal| {
             self.record(&rule, false, started_at);
-            caller.rejected(refusal)
+            rejected(refusal)
         })?;
         let routed = RoutedRequest {
-            caller_gives_up_at: started_at.after(options.caller_timeout),
+            client,
+            first_arrival,
             label: lines::request_label(&request.headers, &conventions.dialect),
             head: options.head(&request, &rule, table.version(), &caller, conventions),
             body: request.body,
@@ -325,6 +345,18 @@
         transfer.pass_on(response, routed.deadline)
     }
 
+    /// Returns when the first attempt of a client's request arrived.
+    fn first_arrival(&self, now: Moment, client: &ClientRequest) -> Moment {
+        let mut retries = self.shared.client_retries.lock();
+        retries.first_arrival(now, client)
+    }
+
+    /// Remembers a request that the client may retry.
+    fn record_failure(&self, client: &ClientRequest, first_arrival: Moment) {
+        let mut retries = self.shared.client_retries.lock();
+        retries.record_failure(self.now(), client.clone(), first_arrival);
+    }
+
     fn table(&self) -> Result<Arc<RoutingTable>, Refusal> {
         if !*self.shared.dependencies.ready.borrow() {
             return Err(Refusal::NotReady);
--- a/crates/crank-node/src/entry/attempt.rs
+++ b/crates/crank-node/src/entry/attempt.rs
@@ -1,7 +1,6 @@
 //! The attempts of a request: one target after another, while a retry is safe and within the budget.
 
 use crank_engine::retry;
-use crank_protocol::Millis;
 use crank_protocol::call::{Outcome, Refusal, RefusedRequest, Response};
 
 use super::routed::RoutedRequest;
@@ -28,10 +27,14 @@
                 .rollouts
                 .barred(&routed.rule.route.service, &view);
             let (now, depth) = (self.now(), routed.head.depth);
+            let may_queue = routed.can_meet_objective(now);
             let candidate = barred
                 .iter()
-                .find_map(|barred| search.next(&routed.bulkhead, now, depth, barred));
+                .find_map(|barred| search.next(&routed.bulkhead, now, depth, may_queue, barred));
             let Some(candidate) = candidate else {
+                if !may_queue && last_refusal == Refusal::NoServer {
+                    last_refusal = routed.bulkhead.refusal_without_free_slot();
+                }
                 break;
             };
             if let Err(refusal) = self.check_caller(routed) {
@@ -96,10 +99,10 @@
         head.expected_run_time = expectation.run_time;
         head.expected_response_bytes = expectation.response_bytes;
         head.time_left = routed.deadline.since(started_at);
-        let spent = started_at.since(routed.started_at);
-        head.latency_target = head
-            .latency_target
-            .map(|target| Millis(target.0.saturating_sub(spent.0)));
+        // A request that is too late for its objective may run until its deadline.
+        head.latency_target = routed
+            .latency_left(started_at)
+            .filter(|_| routed.can_meet_objective(started_at));
         routed.spend_token();
         let attempt = bulkhead::InFlightAttempt::new(
             &routed.bulkhead,
--- a/crates/crank-node/src/entry/bulkhead.rs
+++ b/crates/crank-node/src/entry/bulkhead.rs
@@ -132,6 +132,14 @@
             .choose_with_free_slot(now, excluded, &mut rand::rng())
     }
 
+    /// Returns the refusal of a request that waits for no slot, if none appears to be free.
+    pub(super) fn refusal_without_free_slot(&self) -> Refusal {
+        if self.state.lock().pool.slots() == 0 {
+            return Refusal::NoServer;
+        }
+        self.admission.overload_refusal()
+    }
+
     /// Returns what a request of a route is expected to be like.
     pub(super) fn expectation(&self, route: &Name) -> Expectation {
         let state = self.state.lock();
--- a/crates/crank-node/src/entry/routed.rs
+++ b/crates/crank-node/src/entry/routed.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use crank_engine::client_retry::ClientRequest;
 use crank_engine::route::ResolvedRoute;
 use crank_engine::{Moment, retry};
 use crank_protocol::call::{Outcome, Refusal, RefusedRequest, RequestHead};
@@ -27,8 +28,10 @@
     pub(super) started_at: Moment,
     /// The moment at which the request times out.
     pub(super) deadline: Moment,
-    /// The moment at which the caller gives up.
-    pub(super) caller_gives_up_at: Moment,
+    /// The request as its client retries it, if it fails.
+    pub(super) client: ClientRequest,
+    /// When the client's first attempt arrived, from which the objective counts.
+    pub(super) first_arrival: Moment,
     /// The request ID as the caller wrote it.
     pub(super) label: Arc<str>,
 }
@@ -57,6 +60,22 @@
         }
     }
 
+    /// Returns how much of the objective's latency is left, if the route has an objective.
+    pub(super) fn latency_left(&self, now: Moment) -> Option<Millis> {
+        let latency = self.head.latency_target?;
+        let spent = now.since(self.first_arrival);
+        Some(Millis(latency.0.saturating_sub(spent.0)))
+    }
+
+    /// Returns whether the request can still meet its objective.
+    ///
+    /// One that can't waits for no slot: it would run in the place of one that can.
+    pub(super) fn can_meet_objective(&self, now: Moment) -> bool {
+        let run_time = self.bulkhead.expectation(&self.rule.name).run_time;
+        self.latency_left(now)
+            .is_none_or(|left| left > run_time.unwrap_or_default())
+    }
+
     /// Builds the refusal for the caller. A request that did not run within the route's time
     /// becomes retryable if the caller still waits.
     pub(super) fn refused(
@@ -67,7 +86,7 @@
         reached: bool,
     ) -> RefusedRequest {
         let refusal = match refusal {
-            Refusal::TooLate if outcome == Outcome::NotRun && now < self.caller_gives_up_at => {
+            Refusal::TooLate if outcome == Outcome::NotRun && now < self.client.deadline => {
                 Refusal::Overloaded {
                     retry_after: LATE_RETRY_AFTER,
                 }
--- a/crates/crank-node/src/entry/search.rs
+++ b/crates/crank-node/src/entry/search.rs
@@ -39,6 +39,7 @@
         bulkhead: &Bulkhead,
         now: Moment,
         depth: u32,
+        may_queue: bool,
         barred: &[Name],
     ) -> Option<Candidate> {
         let max_probes = if depth == 0 {
@@ -49,16 +50,18 @@
         if self.full.len() < max_probes {
             let asked = [self.tried.as_slice(), self.full.as_slice(), barred].concat();
             if let Some(choice) = bulkhead.choose_with_free_slot(now, &asked) {
-                let may_queue = false;
-                return Some(Candidate { choice, may_queue });
+                return Some(Candidate {
+                    choice,
+                    may_queue: false,
+                });
             }
         }
+        if !may_queue {
+            return None;
+        }
         let excluded = [self.tried.as_slice(), barred].concat();
         let choice = bulkhead.choose(now, &excluded)?;
-        Some(Candidate {
-            choice,
-            may_queue: true,
-        })
+        Some(Candidate { choice, may_queue })
     }
 
     /// Records an attempt; returns true if it only looked for a free slot and found none.
