--- a/crates/crank-node/tests/retries_of_clients.rs
+++ b/crates/crank-node/tests/retries_of_clients.rs
@@ -1,6 +1,8 @@
 //! A client's retry counts from the client's first attempt, and waits for no slot if that is too
 //! long ago for its objective.
 
+#![allow(clippy::panic, clippy::unwrap_used)]
+
 mod common;
 
 use std::sync::Arc;
