Mesh listener: bound connections before their hello, and call connections

Cause: only handshakes in progress were bounded. After it a control connection could wait for its first frame until the mesh's next look at it, nobody counted call connections, and a first frame could have 4 MiB or 2 MiB.

Change: a connection is a newcomer until its hello is accepted: a table of its own (crank_stream::Door; a sixteenth of the descriptors, 16 to 512), 10 s, 32 KiB with the handshake; the oldest gives way after a second where another waits. Newcomers don't count against the control connections that are accepted (a sixteenth, 16 to 256; 256 as before from 4,096 descriptors on). Call connections: 5/32 of the descriptors (640 at 4,100), 8 a node; the decision is crank_engine::peer_budget, without I/O. The order of messages is unchanged.

Control and accepted call connections now take turns (FairStream). RequestHold and ResponseSender moved to modules of their own, unchanged.

--- a/crates/crank-engine/src/caller_budget.rs
+++ b/crates/crank-engine/src/caller_budget.rs
@@ -91,6 +91,26 @@
             bytes_for_small: 0,
         }
     }
+
+    /// Returns the bounds for connections of other nodes that have not said hello yet.
+    ///
+    /// ```
+    /// use crank_engine::caller_budget::{Bounds, MachineLimits};
+    /// assert_eq!(Bounds::for_newcomers(MachineLimits::default()).connections, 512);
+    /// ```
+    #[must_use]
+    pub fn for_newcomers(machine: MachineLimits) -> Self {
+        const MAX_NEWCOMERS: usize = 512;
+        const DESCRIPTOR_SHARE: usize = 16;
+        let by_descriptors = machine
+            .descriptors
+            .map_or(MAX_NEWCOMERS, |all| all as usize / DESCRIPTOR_SHARE);
+        Self {
+            connections: by_descriptors.clamp(MIN_CONNECTIONS, MAX_NEWCOMERS),
+            bytes: 0,
+            bytes_for_small: 0,
+        }
+    }
 }
 
 /// What a connection does.
--- a/crates/crank-engine/src/lib.rs
+++ b/crates/crank-engine/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod member;
 pub mod notice;
 pub mod overlay;
+pub mod peer_budget;
 pub mod publish;
 pub mod quota;
 pub mod registration;
--- a/crates/crank-mesh/src/actor.rs
+++ b/crates/crank-mesh/src/actor.rs
@@ -22,8 +22,9 @@
 use tokio::time::MissedTickBehavior;
 use xtra::{Mailbox, WeakAddress};
 
+use crate::call::Inbound;
 use crate::handle::Handle;
-use crate::listen::{self, Listener, Socket};
+use crate::listen::{self, Listener};
 use crate::settings::Settings;
 use state::Outputs;
 
@@ -33,7 +34,11 @@
 const MAX_QUEUED_MESSAGES: usize = 256;
 
 /// Starts the actor and the tasks that feed it.
-pub(crate) fn spawn(settings: Settings, listener: Listener, calls: mpsc::Sender<Socket>) -> Handle {
+pub(crate) fn spawn(
+    settings: Settings,
+    listener: Listener,
+    calls: mpsc::Sender<Inbound>,
+) -> Handle {
     let Listener { address, tcp, udp } = listener;
     let (outputs, receivers) = Outputs::new(&settings.id);
     let (local_status, local_status_receiver) = watch::channel(crate::LocalStatus::default());
@@ -41,6 +46,7 @@
     let weak_address = sender.downgrade();
     let traffic = outputs.traffic.clone();
     let error_counters = outputs.error_counters.clone();
+    let machine = settings.machine;
     let mesh = Mesh::new(
         settings,
         address,
@@ -50,7 +56,7 @@
         weak_address.clone(),
     );
     tokio::spawn(xtra::run(mailbox, mesh));
-    let accepting = listen::accept(tcp, weak_address.clone(), calls);
+    let accepting = listen::accept(tcp, machine, weak_address.clone(), calls);
     let receiving = listen::receive(udp, weak_address.clone());
     tokio::spawn(feed_actor(accepting, receiving, weak_address));
     Handle {
--- a/crates/crank-mesh/src/actor/links.rs
+++ b/crates/crank-mesh/src/actor/links.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use crank_engine::Moment;
-use crank_engine::overlay;
+use crank_engine::{overlay, peer_budget};
 use crank_protocol::member::{Member, State};
 use crank_protocol::wire::{Control, Members};
 use crank_protocol::{Millis, Name};
@@ -17,8 +17,6 @@
 use crate::control;
 use crate::traffic::Reach;
 
-/// The number of control connections at which a node accepts no more from others.
-const MAX_CONNECTIONS: usize = 256;
 /// How long a connection that is no longer needed stays open.
 const UNNEEDED_CONNECTION_TIMEOUT: Millis = Millis(5_000);
 /// How long a connection to another region may receive nothing before it is closed.
@@ -43,7 +41,7 @@
         opened: ConnectionOpened,
         _: &mut xtra::Context<Self>,
     ) -> Option<u64> {
-        if opened.dial_target.is_none() && self.connections.len() >= MAX_CONNECTIONS {
+        if opened.dial_target.is_none() && self.has_all_connections() {
             return None;
         }
         let now = self.now();
@@ -104,6 +102,17 @@
 }
 
 impl Mesh {
+    /// Returns whether there are so many connections that none is accepted; newcomers are counted
+    /// elsewhere.
+    fn has_all_connections(&self) -> bool {
+        let connections = self.connections.values();
+        let is_counted = |connection: &&ControlConnection| {
+            connection.peer.is_some() || connection.dial_target.is_some()
+        };
+        let bounds = peer_budget::Bounds::new(self.settings.machine);
+        connections.filter(is_counted).count() >= bounds.controls
+    }
+
     /// Returns the other members that are alive or suspect.
     pub(crate) fn others(&self) -> impl Iterator<Item = &Member> {
         self.table.members().filter(|member| {
--- a/crates/crank-mesh/src/call/mod.rs
+++ b/crates/crank-mesh/src/call/mod.rs
@@ -9,10 +9,12 @@
 
 mod attempt;
 mod frame;
+mod inbound;
 mod link;
 mod monitor;
 mod pool;
 mod reader;
+mod response;
 mod server;
 mod uplink;
 mod writer;
@@ -20,6 +22,8 @@
 use std::time::Duration;
 
 pub use frame::socket_config;
+pub use inbound::Inbound;
+pub(crate) use inbound::Registry;
 pub use link::Connection;
 pub use pool::{Peer, Pool};
 pub use server::{RequestHandler, serve};
--- a/crates/crank-mesh/src/call/server.rs
+++ b/crates/crank-mesh/src/call/server.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::Future;
-use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::sync::Arc;
 
@@ -10,10 +9,9 @@
 use crank_protocol::call::{Outcome, Refusal, RefusedRequest, RequestHead, Response};
 use crank_protocol::wire::{Call, Hello};
 use futures::stream::{SplitSink, SplitStream};
-use futures::{FutureExt, SinkExt, StreamExt};
+use futures::{SinkExt, StreamExt};
 use parking_lot::Mutex;
-use serde_bytes::ByteBuf;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
@@ -21,17 +19,16 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_util::sync::CancellationToken;
 
-use super::attempt::{lost_refusal, refused_request};
+use super::attempt::refused_request;
 use super::frame::{self, Incoming};
-use super::uplink::{Booking, Pace, SharedUplink};
+use super::response::ResponseSender;
+use super::uplink::SharedUplink;
 use super::{
     CLOSE_TIMEOUT, DRAIN_QUIET_TIME, FLOW_CONTROL_WINDOW_BYTES, MAX_IN_FLIGHT, SERVER_IDLE_TIMEOUT,
     STALL_TIMEOUT,
 };
 use crate::Error;
 
-type Socket = WebSocketStream<TcpStream>;
-
 /// The capacity of the send queue of a connection.
 const MAX_QUEUED_FRAMES: usize = 64;
 /// The number of recent attempt ids that are remembered to detect duplicates.
@@ -76,15 +73,32 @@
 ///     call::serve(socket, hello, handler, uplink, draining).await
 /// }
 /// ```
-pub async fn serve(
-    mut socket: Socket,
+pub async fn serve<S>(
+    mut socket: WebSocketStream<S>,
     hello: &Hello,
     handler: impl RequestHandler,
     uplink: SharedUplink,
     draining: CancellationToken,
-) -> Result<(), Error> {
-    let _ = socket.get_ref().set_nodelay(true);
+) -> Result<(), Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     frame::exchange_hellos(&mut socket, hello).await?;
+    exchange_calls(socket, handler, uplink, draining, std::future::pending()).await
+}
+
+/// Serves the requests of a connection on which both sides have said hello, until `replaced` is
+/// ready at the latest.
+pub(super) async fn exchange_calls<S>(
+    socket: WebSocketStream<S>,
+    handler: impl RequestHandler,
+    uplink: SharedUplink,
+    draining: CancellationToken,
+    replaced: impl Future<Output = ()>,
+) -> Result<(), Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     let (sink, mut stream) = socket.split();
     let (outgoing, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
     let running = Arc::new(Mutex::new(RunningAttempts::default()));
@@ -100,6 +114,7 @@
     let result = tokio::select! {
         result = &mut writing => result.map(|()| ReadEnd::Closed),
         result = connection.read_all(&mut stream) => result,
+        () = replaced => Ok(ReadEnd::Closed),
     };
     running.lock().abort_all();
     if result? == ReadEnd::Drained {
@@ -118,7 +133,7 @@
 
 /// The attempts that are being handled, and the ids of recent ones.
 #[derive(Default)]
-struct RunningAttempts {
+pub(super) struct RunningAttempts {
     tasks: HashMap<u64, Task>,
     recent_ids: HashSet<u64>,
     /// The recent ids from the oldest to the newest.
@@ -147,6 +162,10 @@
         true
     }
 
+    pub(super) fn remove(&mut self, attempt: u64) {
+        self.tasks.remove(&attempt);
+    }
+
     fn abort_all(&mut self) {
         for (_, task) in self.tasks.drain() {
             task.abort.abort();
@@ -166,7 +185,13 @@
 
 impl<T: RequestHandler> ServerConnection<T> {
     /// Handles frames until the connection is closed or drained.
-    async fn read_all(mut self, stream: &mut SplitStream<Socket>) -> Result<ReadEnd, Error> {
+    async fn read_all<S>(
+        mut self,
+        stream: &mut SplitStream<WebSocketStream<S>>,
+    ) -> Result<ReadEnd, Error>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
         loop {
             let incoming = match timeout(DRAIN_QUIET_TIME, frame::read_message(stream)).await {
                 Ok(incoming) => incoming?,
@@ -264,10 +289,13 @@
 
 /// Writes queued frames until the queue is closed, then sends the close message of a drained
 /// server.
-async fn write_all(
-    mut sink: SplitSink<Socket, Message>,
+async fn write_all<S>(
+    mut sink: SplitSink<WebSocketStream<S>, Message>,
     mut queue: mpsc::Receiver<Call>,
-) -> Result<(), Error> {
+) -> Result<(), Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     while let Some(first) = queue.recv().await {
         let mut next = Some(first);
         while let Some(call) = next {
@@ -286,100 +314,9 @@
 ///
 /// Closing a socket with unread data resets the connection, and the other side could lose the close
 /// message.
-async fn read_until_closed(stream: &mut SplitStream<Socket>) {
+async fn read_until_closed<S>(stream: &mut SplitStream<WebSocketStream<S>>)
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     while let Some(Ok(_)) = stream.next().await {}
 }
-
-/// Sends the response of one attempt.
-struct ResponseSender {
-    attempt: u64,
-    outgoing: mpsc::Sender<Call>,
-    credit: Arc<Semaphore>,
-    running: Arc<Mutex<RunningAttempts>>,
-}
-
-impl ResponseSender {
-    /// Runs the handler and sends its result; a panic counts as an unknown outcome.
-    async fn run(
-        self,
-        handler: impl RequestHandler,
-        head: RequestHead,
-        body: Bytes,
-        booking: Booking,
-    ) {
-        let running = AssertUnwindSafe(handler.handle(head, body)).catch_unwind();
-        match running.await {
-            Ok(Ok(response)) => self.send_response(response, booking).await,
-            Ok(Err(refused)) => self.refuse(refused).await,
-            Err(_) => self.refuse(lost_refusal()).await,
-        }
-    }
-
-    async fn refuse(self, refused: RefusedRequest) {
-        let frame = Call::Refused {
-            attempt: self.attempt,
-            refusal: refused.refusal,
-            outcome: refused.outcome,
-            load: refused.load,
-            reached: refused.reached,
-        };
-        let _ = self.outgoing.send(frame).await;
-    }
-
-    async fn send_response(self, response: Response, booking: Booking) {
-        let Response { head, mut body } = response;
-        let attempt = self.attempt;
-        let mut pace = booking.start(head.length);
-        let head = Box::new(head);
-        if !self.send_frame(Call::Answer { attempt, head }).await {
-            return;
-        }
-        let mut length = 0;
-        while let Some(chunk) = body.next().await {
-            match chunk {
-                Ok(data) => {
-                    length += data.len() as u64;
-                    if !self.send_body(data, &mut pace).await {
-                        return self
-                            .refuse(refused_request(Refusal::Cut, Outcome::Ran))
-                            .await;
-                    }
-                }
-                Err(refusal) => return self.refuse(refused_request(refusal, Outcome::Ran)).await,
-            }
-        }
-        self.send_frame(Call::End { attempt, length }).await;
-    }
-
-    /// Sends a part of the body as credit allows and the link has room; returns false if no credit
-    /// arrives in time or the connection has ended.
-    async fn send_body(&self, mut data: Bytes, pace: &mut Pace) -> bool {
-        while !data.is_empty() {
-            let chunk = data.split_to(data.len().min(pace.max_part_bytes()));
-            let credit = self.credit.acquire_many(chunk.len() as u32);
-            let Ok(Ok(permit)) = timeout(STALL_TIMEOUT, credit).await else {
-                return false;
-            };
-            permit.forget();
-            pace.wait(chunk.len() as u64).await;
-            let frame = Call::Body {
-                attempt: self.attempt,
-                data: ByteBuf::from(Vec::from(chunk)),
-            };
-            if !self.send_frame(frame).await {
-                return false;
-            }
-        }
-        true
-    }
-
-    async fn send_frame(&self, frame: Call) -> bool {
-        self.outgoing.send(frame).await.is_ok()
-    }
-}
-
-impl Drop for ResponseSender {
-    fn drop(&mut self) {
-        self.running.lock().tasks.remove(&self.attempt);
-    }
-}
--- a/crates/crank-mesh/src/control.rs
+++ b/crates/crank-mesh/src/control.rs
@@ -2,16 +2,17 @@
 
 use bytes::Bytes;
 use crank_protocol::wire::{Control, MAX_CONTROL_FRAME_BYTES};
-use futures::{SinkExt, StreamExt};
+use futures::{SinkExt, Stream, StreamExt};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
-use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::CloseFrame;
 use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
+use tokio_tungstenite::tungstenite::{Error as SocketError, Message};
 use xtra::WeakAddress;
 
 use crate::actor::{ConnectionClosed, ConnectionOpened, DialTarget, FrameReceived, Mesh};
 use crate::listen::{self, HANDSHAKE_TIMEOUT, Socket};
+use crate::newcomer::Newcomer;
 use crate::{Error, codec};
 
 /// The capacity of the send queue of a connection; the connection is closed when it is full.
@@ -24,7 +25,7 @@
     mesh: WeakAddress<Mesh>,
 ) {
     match listen::connect(address).await {
-        Ok(socket) => run(socket, Some(dial_target), mesh).await,
+        Ok(socket) => run(socket, Some(dial_target), None, mesh).await,
         Err(error) => {
             let connection_id = None;
             let dial_target = Some(dial_target);
@@ -40,10 +41,16 @@
     }
 }
 
+/// Serves a control connection that another node has opened until it ends.
+pub(crate) async fn accept(socket: Socket, newcomer: Newcomer, mesh: WeakAddress<Mesh>) {
+    run(socket, None, Some(newcomer), mesh).await;
+}
+
 /// Serves an open control connection until either side closes it.
-pub(crate) async fn run(
+async fn run(
     mut socket: Socket,
     dial_target: Option<DialTarget>,
+    newcomer: Option<Newcomer>,
     mesh: WeakAddress<Mesh>,
 ) {
     let (sender, frames) = mpsc::channel(MAX_QUEUED_FRAMES);
@@ -54,7 +61,7 @@
     let Ok(Some(connection_id)) = mesh.send(opened).await else {
         return;
     };
-    let result = exchange(&mut socket, connection_id, frames, &mesh).await;
+    let result = exchange(&mut socket, connection_id, newcomer, frames, &mesh).await;
     let error = result.err();
     let close = CloseFrame {
         code: error.as_ref().map_or(CloseCode::Normal, close_code),
@@ -75,6 +82,7 @@
 async fn exchange(
     socket: &mut Socket,
     connection_id: u64,
+    mut newcomer: Option<Newcomer>,
     mut frames: mpsc::Receiver<Bytes>,
     mesh: &WeakAddress<Mesh>,
 ) -> Result<(), Error> {
@@ -86,8 +94,8 @@
         Ok(())
     };
     let reading = async {
-        while let Some(message) = read.next().await {
-            match message? {
+        while let Some(message) = next_message(&mut read, newcomer.as_ref()).await? {
+            match message {
                 Message::Binary(bytes) => {
                     let frame = codec::decode::<Control>(&bytes, MAX_CONTROL_FRAME_BYTES)?;
                     let bytes = bytes.len();
@@ -99,6 +107,10 @@
                         })
                         .await;
                     handled.map_err(|_| Error::Stopped)??;
+                    // The first frame can only be a hello.
+                    if let Some(newcomer) = newcomer.take() {
+                        newcomer.welcome();
+                    }
                 }
                 Message::Ping(_) | Message::Pong(_) => {}
                 Message::Close(_) => break,
@@ -116,6 +128,24 @@
     }
 }
 
+/// Reads the next message; a newcomer has to send it before it gives way.
+async fn next_message<S>(
+    read: &mut S,
+    newcomer: Option<&Newcomer>,
+) -> Result<Option<Message>, Error>
+where
+    S: Stream<Item = Result<Message, SocketError>> + Unpin,
+{
+    let message = match newcomer {
+        Some(newcomer) => tokio::select! {
+            message = read.next() => message,
+            () = newcomer.closed() => return Err(Error::PeerTimeout),
+        },
+        None => read.next().await,
+    };
+    Ok(message.transpose()?)
+}
+
 /// Returns the WebSocket close code that tells the other side about an error.
 fn close_code(error: &Error) -> CloseCode {
     match error {
--- a/crates/crank-mesh/src/error.rs
+++ b/crates/crank-mesh/src/error.rs
@@ -101,6 +101,14 @@
         /// The name of the node that answered.
         actual: Name,
     },
+    /// A node has opened more call connections than there is room for.
+    #[error(
+        "node '{node}' finds no room for a call connection; check the descriptors in the settings"
+    )]
+    TooManyConnections {
+        /// The name of the node.
+        node: Name,
+    },
     /// The mesh of this process has stopped.
     #[error("this node has left the mesh; restart it to rejoin")]
     Stopped,
--- a/crates/crank-mesh/src/lib.rs
+++ b/crates/crank-mesh/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod handle;
 mod listen;
+mod newcomer;
 mod settings;
 mod traffic;
 mod view;
@@ -27,6 +28,8 @@
 
 use tokio::sync::mpsc;
 
+use call::Inbound;
+
 /// Joins the mesh, and sends the call connections that other nodes open to `calls`.
 ///
 /// # Errors
@@ -47,7 +50,7 @@
 /// # Ok(())
 /// # }
 /// ```
-pub async fn start(settings: Settings, calls: mpsc::Sender<Socket>) -> Result<Handle, Error> {
+pub async fn start(settings: Settings, calls: mpsc::Sender<Inbound>) -> Result<Handle, Error> {
     let listener = listen::bind(settings.listen_address).await?;
     Ok(actor::spawn(settings, listener, calls))
 }
--- a/crates/crank-mesh/src/listen.rs
+++ b/crates/crank-mesh/src/listen.rs
@@ -5,11 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crank_engine::caller_budget::MachineLimits;
+use crank_engine::peer_budget::Bounds;
 use crank_protocol::wire::{
     Datagram, MAX_CALL_FRAME_BYTES, MAX_CONTROL_FRAME_BYTES, MAX_DATAGRAM_BYTES,
 };
+use crank_stream::FairStream;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::handshake::server::{ErrorResponse, Request, Response};
@@ -18,6 +21,8 @@
 use xtra::WeakAddress;
 
 use crate::actor::{DatagramReceived, DatagramRejected, Mesh};
+use crate::call::{Inbound, Registry};
+use crate::newcomer::{self, Newcomer};
 use crate::{Error, codec, control};
 
 /// The HTTP path of control connections.
@@ -27,8 +32,6 @@
 
 /// How long the opening handshake of a connection may take.
 pub(crate) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
-/// The most incoming connections whose handshake is in progress at once.
-const MAX_PENDING_HANDSHAKES: usize = 128;
 /// The most attempts to find a port that is free for both UDP and TCP.
 const MAX_PORT_ATTEMPTS: usize = 16;
 /// The delay after the operating system failed to accept a connection or to receive a datagram.
@@ -39,7 +42,7 @@
 const CALL_WRITE_BUFFER_BYTES: usize = 64 * 1_024;
 
 /// A WebSocket connection between two nodes.
-pub type Socket = WebSocketStream<TcpStream>;
+pub type Socket = WebSocketStream<FairStream<TcpStream>>;
 
 /// The bound sockets of a node and their common address.
 pub(crate) struct Listener {
@@ -99,26 +102,41 @@
 }
 
 /// Accepts connections until the actor stops.
-pub(crate) async fn accept(tcp: TcpListener, mesh: WeakAddress<Mesh>, calls: mpsc::Sender<Socket>) {
-    let handshakes = Arc::new(Semaphore::new(MAX_PENDING_HANDSHAKES));
-    while mesh.is_connected() {
-        let Ok((stream, address)) = tcp.accept().await else {
-            tokio::time::sleep(SYSTEM_ERROR_DELAY).await;
-            continue;
-        };
-        let Ok(permit) = handshakes.clone().acquire_owned().await else {
-            return;
-        };
-        let (mesh, calls) = (mesh.clone(), calls.clone());
-        tokio::spawn(async move {
-            let opened = open(stream, address).await;
-            drop(permit);
-            match opened {
-                Ok((socket, Purpose::Control)) => control::run(socket, None, mesh).await,
-                Ok((socket, Purpose::Call)) => drop(calls.send(socket).await),
-                Err(error) => log::debug!(event = "handshake_failed", peer:% = address; "{error}"),
-            }
-        });
+pub(crate) async fn accept(
+    tcp: TcpListener,
+    machine: MachineLimits,
+    mesh: WeakAddress<Mesh>,
+    calls: mpsc::Sender<Inbound>,
+) {
+    let door = newcomer::new_door(machine);
+    let registry = Registry::new(Bounds::new(machine));
+    let accepting = async {
+        while mesh.is_connected() {
+            let Ok((stream, address)) = tcp.accept().await else {
+                tokio::time::sleep(SYSTEM_ERROR_DELAY).await;
+                continue;
+            };
+            let newcomer = Newcomer::enter(&door).await;
+            let (registry, mesh, calls) = (registry.clone(), mesh.clone(), calls.clone());
+            tokio::spawn(async move {
+                match open(stream, address, &newcomer).await {
+                    Ok((socket, Purpose::Control)) => {
+                        control::accept(socket, newcomer, mesh).await;
+                    }
+                    Ok((socket, Purpose::Call)) => {
+                        let inbound = Inbound::new(socket, newcomer, registry);
+                        let _ = calls.send(inbound).await;
+                    }
+                    Err(error) => {
+                        log::debug!(event = "handshake_failed", peer:% = address; "{error}");
+                    }
+                }
+            });
+        }
+    };
+    tokio::select! {
+        () = accepting => {}
+        () = door.sweep() => {}
     }
 }
 
@@ -130,8 +148,13 @@
 }
 
 /// Completes the handshake of an incoming connection; an unknown path is answered with 404.
-async fn open(stream: TcpStream, address: SocketAddr) -> Result<(Socket, Purpose), Error> {
+async fn open(
+    stream: TcpStream,
+    address: SocketAddr,
+    newcomer: &Newcomer,
+) -> Result<(Socket, Purpose), Error> {
     let _ = stream.set_nodelay(true);
+    let stream = newcomer.guard(stream);
     let mut purpose = None;
     #[expect(clippy::result_large_err, reason = "the library's signature")]
     let check_path = |request: &Request, response: Response| {
@@ -152,9 +175,12 @@
         check_path,
         Some(socket_config(Purpose::Control)),
     );
-    let socket = timeout(HANDSHAKE_TIMEOUT, handshake)
-        .await
-        .map_err(|_| Error::HandshakeTimeout { address })??;
+    let socket = tokio::select! {
+        opened = timeout(HANDSHAKE_TIMEOUT, handshake) => {
+            opened.map_err(|_| Error::HandshakeTimeout { address })??
+        }
+        () = newcomer.closed() => return Err(Error::HandshakeTimeout { address }),
+    };
     let purpose = purpose.ok_or(Error::HandshakeTimeout { address })?;
     if purpose == Purpose::Control {
         return Ok((socket, purpose));
@@ -175,6 +201,7 @@
         let _ = stream.set_nodelay(true);
         let url = format!("ws://{address}{CONTROL_PATH}");
         let config = Some(socket_config(Purpose::Control));
+        let stream = FairStream::new(stream);
         let (socket, _) = tokio_tungstenite::client_async_with_config(url, stream, config).await?;
         Ok(socket)
     };
--- a/crates/crank-mesh/src/settings.rs
+++ b/crates/crank-mesh/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crank_engine::caller_budget::MachineLimits;
 use crank_protocol::Name;
 use crank_protocol::member::Place;
 use parking_lot::RwLock;
@@ -22,6 +23,8 @@
     pub listen_address: SocketAddr,
     /// The capacity of the node's network link in Mbit/s; 0 if unknown.
     pub link_mbits: u32,
+    /// What the process may use of its machine, from which the bounds for connections follow.
+    pub machine: MachineLimits,
     /// Addresses of nodes through which the node joins.
     pub seeds: Vec<SocketAddr>,
     /// Addresses that the node neither sends to nor receives from; used by tests.
@@ -50,6 +53,7 @@
             place,
             listen_address,
             link_mbits: 0,
+            machine: MachineLimits::default(),
             seeds: Vec::new(),
             blocked: BlockedAddresses::default(),
             random_seed: None,
@@ -75,6 +79,27 @@
         self
     }
 
+    /// Sets what the process may use of its machine.
+    ///
+    /// ```
+    /// # use crank_mesh::Settings;
+    /// # use crank_protocol::{Name, member::Place};
+    /// # let region = Name::new("almaty").unwrap();
+    /// # let data_centre = Name::new("almaty-1").unwrap();
+    /// # let place = Place { region, data_centre };
+    /// # let listen = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    /// # let (account, id) = (Name::new("sutkent").unwrap(), Name::new("node-1").unwrap());
+    /// # let settings = Settings::new(account, id, place, listen);
+    /// use crank_engine::caller_budget::MachineLimits;
+    /// let machine = MachineLimits { memory_bytes: None, descriptors: Some(4_100) };
+    /// assert_eq!(settings.with_machine(machine).machine, machine);
+    /// ```
+    #[must_use]
+    pub fn with_machine(mut self, machine: MachineLimits) -> Self {
+        self.machine = machine;
+        self
+    }
+
     /// Sets the addresses of the nodes through which the node joins.
     ///
     /// ```
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use crank_engine::burn::BurnCounter;
-use crank_engine::caller_budget::Bounds;
+use crank_engine::caller_budget::{Bounds, MachineLimits};
 use crank_engine::drain::DrainProgress;
-use crank_mesh::call::{self, Pool, SharedUplink};
-use crank_mesh::{Handle, Socket};
+use crank_mesh::Handle;
+use crank_mesh::call::{Inbound, Pool, SharedUplink};
 use crank_platform_client::Rows;
 use crank_protocol::member::{Member, Place, State};
 use crank_protocol::wire::{Hello, PROTOCOL_VERSION};
@@ -49,6 +49,8 @@
     pub mesh_address: SocketAddr,
     /// The bandwidth of the node's network link in Mbit/s; 0 if unknown.
     pub link_mbits: u32,
+    /// What the process may use of its machine.
+    pub machine: MachineLimits,
     /// Addresses of nodes through which to join the mesh.
     pub seeds: Vec<SocketAddr>,
     /// How long a leaving node may take to finish the requests in flight.
@@ -388,6 +390,7 @@
         options.mesh_address,
     )
     .with_link_mbits(options.link_mbits)
+    .with_machine(options.machine)
     .with_seeds(options.seeds.clone())
 }
 
@@ -429,12 +432,13 @@
 }
 
 impl<P: Rows> CallServer<P> {
-    async fn run(self, mut accepted: mpsc::Receiver<Socket>) {
-        while let Some(socket) = accepted.recv().await {
+    async fn run(self, mut accepted: mpsc::Receiver<Inbound>) {
+        while let Some(inbound) = accepted.recv().await {
             let (hello, target) = (self.hello.clone(), self.target.clone());
             let (uplink, closing) = (self.uplink.clone(), self.closing.clone());
             self.connections.spawn(async move {
-                if let Err(error) = call::serve(socket, &hello, target, uplink, closing).await {
+                let served = inbound.serve(&hello, target, uplink, closing).await;
+                if let Err(error) = served {
                     log::debug!(error:% = error; "call connection closed");
                 }
             });
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crank_engine::caller_budget::MachineLimits;
 use crank_platform_client::Remote;
 use crank_protocol::Millis;
 use crank_server::AnnouncementListener;
@@ -71,6 +72,7 @@
     let callers = listeners.edge.address();
     let node = Node::start(NodeOptions {
         link_mbits: 0,
+        machine: MachineLimits::default(),
         account: settings.platform.account.clone(),
         name: settings.name.clone(),
         place: settings.place.clone(),
--- a/crates/crank-stream/src/connection.rs
+++ b/crates/crank-stream/src/connection.rs
@@ -5,10 +5,11 @@
 use crank_engine::Moment;
 use crank_engine::caller_budget::{Activity, ConnectionUse, Wish};
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
-use crate::GuardedStream;
 use crate::door::Table;
+use crate::{GuardedStream, RequestHold};
 
 /// What a connection is charged while its peer does not take an answer: the bytes that wait for it
 /// between the backend server and the peer.
@@ -17,6 +18,7 @@
 /// The state of a connection, shared by its table, its stream and its requests.
 pub(crate) struct Shared {
     id: u64,
+    closed: Notify,
     state: Mutex<State>,
 }
 
@@ -66,6 +68,7 @@
         };
         Self {
             id,
+            closed: Notify::new(),
             state: Mutex::new(state),
         }
     }
@@ -114,6 +117,7 @@
     pub(crate) fn close(&self) -> u64 {
         let mut state = self.state.lock();
         state.is_closed = true;
+        self.closed.notify_one();
         std::mem::take(&mut state.held)
     }
 }
@@ -166,6 +170,36 @@
         self.inner.table.set_task(self.inner.shared.id, task);
     }
 
+    /// Waits until the connection has to give way; the alternative to [`Connection::set_task`] for
+    /// one task at a time that has to clean up.
+    ///
+    /// ```
+    /// async fn run(connection: &crank_stream::Connection, work: impl Future<Output = ()>) {
+    ///     tokio::select! {
+    ///         () = work => {}
+    ///         () = connection.closed() => {}
+    ///     }
+    /// }
+    /// ```
+    pub async fn closed(&self) {
+        self.inner.shared.closed.notified().await;
+    }
+
+    /// Counts the connection as one whose peer is to send the head of a message, even if no byte
+    /// has come yet.
+    ///
+    /// ```
+    /// fn expect(connection: &crank_stream::Connection) {
+    ///     connection.expect_head();
+    /// }
+    /// ```
+    pub fn expect_head(&self) {
+        let now = self.inner.table.now();
+        let mut state = self.inner.shared.state.lock();
+        state.is_in_head = true;
+        (state.since, state.bytes) = (now, 0);
+    }
+
     /// Returns whether the next answer is to be the last one, so that others get a turn.
     ///
     /// ```
@@ -230,10 +264,23 @@
         state.is_in_head = false;
         (state.since, state.bytes, state.last_byte_at) = (now, 0, now);
         drop(state);
-        RequestHold {
-            connection: self.clone(),
-            held: 0,
-        }
+        RequestHold::new(self.clone())
+    }
+
+    pub(crate) fn end_receiving(&self) {
+        self.inner.shared.state.lock().is_receiving = false;
+    }
+
+    pub(crate) fn leave_unread(&self) {
+        self.inner.shared.state.lock().is_unread = true;
+    }
+
+    pub(crate) fn end_request(&self) {
+        let now = self.inner.table.now();
+        let mut state = self.inner.shared.state.lock();
+        state.requests -= 1;
+        state.is_receiving = false;
+        (state.since, state.bytes) = (now, 0);
     }
 
     pub(crate) fn record_read(&self, bytes: usize) {
@@ -287,7 +334,7 @@
         }
     }
 
-    fn reserve(&self, bytes: u64) -> bool {
+    pub(crate) fn reserve(&self, bytes: u64) -> bool {
         let held = self.inner.shared.state.lock().held;
         let id = self.inner.shared.id;
         if !self.inner.table.reserve(Wish { id, held, bytes }) {
@@ -297,7 +344,7 @@
         true
     }
 
-    fn release(&self, bytes: u64) {
+    pub(crate) fn release(&self, bytes: u64) {
         let mut state = self.inner.shared.state.lock();
         if !state.is_closed {
             state.held -= bytes;
@@ -305,79 +352,3 @@
         }
     }
 }
-
-/// A request of a connection and the bytes that it holds, which are given back when it is dropped.
-pub struct RequestHold {
-    connection: Connection,
-    held: u64,
-}
-
-impl RequestHold {
-    /// Takes bytes for the request; false if there is no room, so that it must be refused.
-    ///
-    /// ```
-    /// # use crank_stream::RequestHold;
-    /// fn keep(request: &mut RequestHold, chunk: &[u8]) -> bool {
-    ///     request.reserve(chunk.len() as u64)
-    /// }
-    /// ```
-    #[must_use]
-    pub fn reserve(&mut self, bytes: u64) -> bool {
-        let is_granted = self.connection.reserve(bytes);
-        if is_granted {
-            self.held += bytes;
-        }
-        is_granted
-    }
-
-    /// Records that the request is whole in hand.
-    ///
-    /// ```
-    /// # use crank_stream::RequestHold;
-    /// fn run(request: &RequestHold) {
-    ///     request.record_received();
-    /// }
-    /// ```
-    pub fn record_received(&self) {
-        let shared = &self.connection.inner.shared;
-        shared.state.lock().is_receiving = false;
-    }
-
-    /// Records that the request is refused though not all of it has been read, so that the
-    /// connection lingers when it closes.
-    ///
-    /// ```
-    /// # use crank_stream::RequestHold;
-    /// fn refuse(request: &RequestHold) {
-    ///     request.record_refused();
-    /// }
-    /// ```
-    pub fn record_refused(&self) {
-        let shared = &self.connection.inner.shared;
-        shared.state.lock().is_unread = true;
-    }
-
-    /// Gives the bytes back: the request is answered, or can no longer be sent again.
-    ///
-    /// ```
-    /// # use crank_stream::RequestHold;
-    /// fn end(request: &mut RequestHold) {
-    ///     request.release();
-    /// }
-    /// ```
-    pub fn release(&mut self) {
-        self.connection.release(std::mem::take(&mut self.held));
-    }
-}
-
-impl Drop for RequestHold {
-    fn drop(&mut self) {
-        let now = self.connection.inner.table.now();
-        let mut state = self.connection.inner.shared.state.lock();
-        state.requests -= 1;
-        state.is_receiving = false;
-        (state.since, state.bytes) = (now, 0);
-        drop(state);
-        self.release();
-    }
-}
--- a/crates/crank-stream/src/progress.rs
+++ b/crates/crank-stream/src/progress.rs
@@ -1,7 +1,7 @@
 //! Progress on a connection: whether the bytes that arrive are of any use.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 /// Reports progress on a connection to its [`crate::FairStream`]; clones share the state.
 ///
@@ -12,6 +12,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Progress {
     unused_bytes: Arc<AtomicU64>,
+    is_unlimited: Arc<AtomicBool>,
 }
 
 impl Progress {
@@ -34,8 +35,20 @@
         self.unused_bytes.store(0, Ordering::Relaxed);
     }
 
+    /// Lifts the limit for good: whatever arrives from now on counts as progress.
+    ///
+    /// ```
+    /// crank_stream::Progress::new().lift_limit();
+    /// ```
+    pub fn lift_limit(&self) {
+        self.is_unlimited.store(true, Ordering::Relaxed);
+    }
+
     /// Counts bytes that have arrived; returns the number since the last progress.
     pub(crate) fn add(&self, bytes: usize) -> u64 {
+        if self.is_unlimited.load(Ordering::Relaxed) {
+            return 0;
+        }
         let bytes = bytes as u64;
         self.unused_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes
     }
--- a/crates/crank-stream/tests/a_stream_leaves_time_for_other_tasks.rs
+++ b/crates/crank-stream/tests/a_stream_leaves_time_for_other_tasks.rs
@@ -55,6 +55,15 @@
     }
 }
 
+#[test]
+fn a_stream_whose_limit_is_lifted_passes_whole_turns() {
+    let progress = Progress::new();
+    let stream = FairStream::new(tokio::io::repeat(b'0'));
+    let mut stream = stream.with_limit(progress.clone(), MAX_UNUSED_BYTES);
+    progress.lift_limit();
+    assert_eq!(read_one_turn(&mut stream), (MAX_TURN_BYTES, Poll::Pending));
+}
+
 #[tokio::test]
 async fn the_bytes_of_a_finite_stream_arrive_whole() {
     let sent: Vec<u8> = (0..3 * MAX_TURN_BYTES + 7)
