Backend servers: bound the number of interim responses before one answer

Change: after 64 interim responses to one request the connection's next read fails, and an answer that came behind them in the same piece isn't taken. As for endless bytes the outcome is unknown (Lost), the connection is closed, and the node logs it. The HTTP library counts them (on_informational); the count starts anew with each request.

Not covered: the store's connections, which are the HTTP client library's own.

--- a/crates/crank-server/src/connection.rs
+++ b/crates/crank-server/src/connection.rs
@@ -7,6 +7,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,25 +31,47 @@
 /// as interim responses: far more than the longest head that is accepted.
 const MAX_UNUSED_BYTES: u64 = 1_024 * 1_024;
 
+/// The most interim responses (1xx) that a server may send before the response to a request.
+const MAX_INTERIM_RESPONSES: u32 = 64;
+
 /// An HTTP connection that carries one request at a time.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     progress: Progress,
+    /// The interim responses since the last request was sent.
+    interim_responses: Arc<AtomicU32>,
 }
 
 impl Connection {
     /// Sends a request and waits for the head of its response.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
         self.progress.record();
+        self.count_interim_responses(&mut request);
         let response = self.sender.try_send_request(request).await?;
         self.progress.record();
         Ok(response)
     }
 
+    /// Counts the interim responses to a request; ends the connection after too many.
+    fn count_interim_responses(&self, request: &mut Request<Full<Bytes>>) {
+        self.interim_responses.store(0, Ordering::Relaxed);
+        let (count, progress) = (self.interim_responses.clone(), self.progress.clone());
+        hyper::ext::on_informational(request, move |_| {
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+                progress.end();
+            }
+        });
+    }
+
+    /// Returns whether the server has sent too many interim responses to the last request.
+    pub(crate) fn has_too_many_interim_responses(&self) -> bool {
+        self.interim_responses.load(Ordering::Relaxed) > MAX_INTERIM_RESPONSES
+    }
+
     /// Records that a part of a response's body was received.
     pub(crate) fn record_progress(&self) {
         self.progress.record();
@@ -133,7 +156,11 @@
                 report_failure(address, &error);
             }
         });
-        Some(Connection { sender, progress })
+        Some(Connection {
+            sender,
+            progress,
+            interim_responses: Arc::default(),
+        })
     }
 }
 
--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -174,6 +174,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<(HttpResponse<Incoming>, Connection), Refusal> {
         let (response, connection) = self.send_on_connection(address, request).await?;
+        if connection.has_too_many_interim_responses() {
+            log::warn!(address:% = address; "too many interim responses: connection dropped");
+            return Err(Refusal::Lost);
+        }
         if is_spliced(&response) {
             log::warn!(address:% = address; "response head made of two: connection dropped");
             return Err(Refusal::Lost);
--- a/crates/crank-stream/src/fair_stream.rs
+++ b/crates/crank-stream/src/fair_stream.rs
@@ -48,7 +48,7 @@
     }
 
     /// Makes reading fail with [`ErrorKind::InvalidData`] once more than `max_unused_bytes` have
-    /// arrived since the last progress.
+    /// arrived since the last progress, or after [`Progress::end`].
     ///
     /// ```
     /// # use crank_stream::{FairStream, Progress};
@@ -64,6 +64,16 @@
         Self { limit, ..self }
     }
 
+    fn check_end(&self) -> Result<()> {
+        match &self.limit {
+            Some(limit) if limit.progress.is_ended() => {
+                let problem = "what has arrived makes up no message";
+                Err(Error::new(ErrorKind::InvalidData, problem))
+            }
+            _ => Ok(()),
+        }
+    }
+
     fn count(&mut self, bytes: usize) -> Result<()> {
         self.turn_bytes += bytes;
         let Some(limit) = &self.limit else {
@@ -84,6 +94,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
+        self.check_end()?;
         let left = MAX_TURN_BYTES.saturating_sub(self.turn_bytes);
         if left == 0 {
             self.turn_bytes = 0;
--- a/crates/crank-stream/src/progress.rs
+++ b/crates/crank-stream/src/progress.rs
@@ -13,6 +13,7 @@
 pub struct Progress {
     unused_bytes: Arc<AtomicU64>,
     is_unlimited: Arc<AtomicBool>,
+    is_ended: Arc<AtomicBool>,
 }
 
 impl Progress {
@@ -44,6 +45,19 @@
         self.is_unlimited.store(true, Ordering::Relaxed);
     }
 
+    /// Ends the connection: its next read fails, whatever has arrived.
+    ///
+    /// ```
+    /// crank_stream::Progress::new().end();
+    /// ```
+    pub fn end(&self) {
+        self.is_ended.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_ended(&self) -> bool {
+        self.is_ended.load(Ordering::Relaxed)
+    }
+
     /// Counts bytes that have arrived; returns the number since the last progress.
     pub(crate) fn add(&self, bytes: usize) -> u64 {
         if self.is_unlimited.load(Ordering::Relaxed) {
--- a/crates/crank-stream/tests/a_stream_leaves_time_for_other_tasks.rs
+++ b/crates/crank-stream/tests/a_stream_leaves_time_for_other_tasks.rs
@@ -55,6 +55,16 @@
     }
 }
 
+#[test]
+fn an_ended_stream_fails_before_it_reads_more() {
+    let progress = Progress::new();
+    let stream = FairStream::new(tokio::io::repeat(b'0'));
+    let mut stream = stream.with_limit(progress.clone(), u64::MAX);
+    progress.end();
+    let (bytes, end) = read_one_turn(&mut stream);
+    assert_eq!((bytes, end), (0, Poll::Ready(ErrorKind::InvalidData)));
+}
+
 #[test]
 fn a_stream_whose_limit_is_lifted_passes_whole_turns() {
     let progress = Progress::new();
