Heartbeats: accept any framing of their bodies

Cause: the listeners asked each body for its length in order to bound it.

Change: crank_server::report_body reads a body of any framing up to its bound (64 KiB as before; 4 KiB at /announce) and refuses a longer one before it is kept: 413, also in chunks. A listener that answers 413 lingers, so that the reset caused by the unread rest doesn't overtake the answer.

--- a/crates/crank-server/src/announcements.rs
+++ b/crates/crank-server/src/announcements.rs
@@ -14,9 +14,9 @@
 use warp::Filter;
 use warp::reply::{Reply, Response};
 
-use crate::{Announcement, Error, HeartbeatReport, HeartbeatTracker};
+use crate::{Announcement, Error, HeartbeatReport, HeartbeatTracker, report_body};
 
-const MAX_REPORT_BYTES: u64 = 4_096;
+const MAX_REPORT_BYTES: usize = 4_096;
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -125,8 +125,7 @@
 ) -> impl Filter<Extract = (Response,), Error = Infallible> + Clone {
     warp::path!("announce")
         .and(warp::post())
-        .and(warp::body::content_length_limit(MAX_REPORT_BYTES))
-        .and(warp::body::bytes())
+        .and(report_body(MAX_REPORT_BYTES))
         .map(move |body: bytes::Bytes| receive_report(&tracker, &body))
         .recover(|rejection: warp::Rejection| async move {
             log::debug!(rejection:? = rejection; "announcement refused: the request is unreadable");
--- a/crates/crank-server/src/lib.rs
+++ b/crates/crank-server/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod forwarder;
 mod heartbeat_tracker;
+mod report_body;
 mod response_head;
 
 pub use announcements::AnnouncementListener;
@@ -15,3 +16,4 @@
 pub use error::Error;
 pub use forwarder::{Forwarder, Health};
 pub use heartbeat_tracker::HeartbeatTracker;
+pub use report_body::{TooLong, report_body};
--- a/crates/crank-server/tests/announcements.rs
+++ b/crates/crank-server/tests/announcements.rs
@@ -71,3 +71,30 @@
         .err();
     assert!(matches!(error, Some(Error::NotLoopback { .. })));
 }
+
+// Guards against a listener that asks every report for its length.
+#[tokio::test]
+async fn an_announcement_in_chunks_is_accepted_up_to_the_longest() {
+    const MAX_REPORT_BYTES: usize = 4_096;
+    let announcements = AnnouncementListener::new(([127, 0, 0, 1], 0).into())
+        .await
+        .unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let report = json!({"service": "recipes", "stage": "ready", "slots": 6, "address": address});
+    let report = report.to_string();
+    for (length, status) in [
+        (report.len(), 204),
+        (MAX_REPORT_BYTES, 204),
+        (MAX_REPORT_BYTES + 1, 404),
+    ] {
+        let body = format!("{report:length$}");
+        let chunks: Vec<_> = body.as_bytes().chunks(50).map(<[u8]>::to_vec).collect();
+        let chunks = futures::stream::iter(chunks.into_iter().map(Ok::<_, std::io::Error>));
+        let request = reqwest::Client::new()
+            .post(format!("http://{}/announce", announcements.address()))
+            .body(reqwest::Body::wrap_stream(chunks));
+        let answered = request.send().await.unwrap();
+        assert_eq!(answered.status().as_u16(), status, "{length} bytes");
+    }
+}
--- a/crates/crank-stream/src/serve.rs
+++ b/crates/crank-stream/src/serve.rs
@@ -7,7 +7,7 @@
 use crank_engine::caller_budget::{Bounds, Timeouts};
 use crank_protocol::Millis;
 use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response, Uri};
+use http::{HeaderValue, Request, Response, StatusCode, Uri};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -115,6 +115,10 @@
         async move {
             requests.take_turns().await;
             let answer = timeout(REQUEST_TIMEOUT, answering).await;
+            if matches!(&answer, Ok(Ok(answer)) if answer.status() == StatusCode::PAYLOAD_TOO_LARGE)
+            {
+                hold.record_refused();
+            }
             drop(hold);
             answer.map(|Ok(mut answer)| {
                 close_if_leaving(&requests, &mut answer);
