Roll-outs: few answers complete a good release, and no bad one on one of its routes

Operators of a service with few requests saw good releases rolled back at the deadline, as 25 answers in all were asked for. Others could have seen a bad one completed: the sum against a release starts anew after good answers, so that few answers on one route looked like none against it, however many of them were bad.

Now each route in use has to prove the release by Wald's sequential test (error of one in 100), for failures and slow answers apart, until it has 50 answers.

--- a/crates/crank-engine/src/rollout/monitor.rs
+++ b/crates/crank-engine/src/rollout/monitor.rs
@@ -6,6 +6,9 @@
 //! favour of the release, so that a release that turns bad late is found as soon as one that is bad
 //! at once. A single server adds only a part of the threshold: servers that fail for reasons of
 //! their own are outweighed by the others, while a bad release shows on each of them.
+//!
+//! Few answers that add no evidence against a release are none for it: a route with few of them
+//! counts only after the sequential test of its rate has accepted the release (Wald's lower bound).
 
 use std::collections::BTreeMap;
 
@@ -40,8 +43,15 @@
 const SLOW_CLASSES: usize = 3;
 /// How many answers of the old release there must be to judge slowness.
 const MIN_COMPARED: f64 = 10.0;
-/// How many answers the new release must have given to be trusted.
-const MIN_ANSWERS: u32 = 25;
+/// The natural logarithm of the inverse of the accepted rate of bad releases that pass, one in 100.
+const PROOF: f64 = 4.6;
+/// The difference between the rates of a good and a bad release that a proof is made for.
+const PROOF_STEP: f64 = 0.3;
+/// From so many answers of a route on, the sums alone find what is bad.
+const MANY_COMPARED: f64 = 50.0;
+/// A route with a smaller part of the old release's answers is not waited for.
+const MIN_ROUTE_PERCENT: u64 = 20;
+const PERCENT: u64 = 100;
 /// With fewer answers than this a bad release may not have reached half of the threshold.
 const MANY_ANSWERS: u32 = 100;
 
@@ -79,6 +89,8 @@
 #[derive(Debug, Clone, Default)]
 struct Route {
     old: OldAnswers,
+    /// The answers of the old release since the order.
+    old_answers: u64,
     failures: Cusum,
     slowness: Cusum,
 }
@@ -95,6 +107,10 @@
 #[derive(Debug, Clone, Default)]
 struct Cusum {
     score: f64,
+    /// The lowest log likelihood ratio of all answers so far, and the current one.
+    lowest_ratio: f64,
+    ratio: f64,
+    answers: f64,
     allowances: BTreeMap<Name, Allowance>,
 }
 
@@ -112,6 +128,14 @@
     bad: f64,
 }
 
+impl Counts {
+    /// Returns the log likelihood ratio of these counts at the two rates of bad ones.
+    fn ratio(&self, good_rate: f64, bad_rate: f64) -> f64 {
+        self.bad * (bad_rate / good_rate).ln()
+            + self.good * ((1.0 - bad_rate) / (1.0 - good_rate)).ln()
+    }
+}
+
 impl Monitor {
     /// Takes in what was counted since the last update.
     ///
@@ -131,7 +155,10 @@
             let growth = growth(tally, self.previous.get(subject));
             let route = self.routes.entry(subject.route.clone()).or_default();
             match &subject.server {
-                None => route.old.add(&growth),
+                None => {
+                    route.old_answers += u64::from(growth.answered) + u64::from(growth.failed);
+                    route.old.add(&growth);
+                }
                 Some(server) => {
                     self.answers += growth.answered + growth.failed;
                     route.judge(now, server, &growth, THRESHOLD / parts);
@@ -151,13 +178,21 @@
             Finding::Likely
         } else if score >= SUSPICION {
             Finding::Suspect
-        } else if self.answers < MIN_ANSWERS {
-            Finding::Unknown
-        } else {
+        } else if self.is_proved() {
             Finding::Clear
+        } else {
+            Finding::Unknown
         }
     }
 
+    /// Returns whether each route in use has shown that the release is not bad on it.
+    fn is_proved(&self) -> bool {
+        let total: u64 = self.routes.values().map(|route| route.old_answers).sum();
+        let is_used = |route: &&Route| route.old_answers * PERCENT >= total * MIN_ROUTE_PERCENT;
+        let mut used = self.routes.values().filter(is_used).peekable();
+        used.peek().is_some() && used.all(Route::is_proved)
+    }
+
     /// Returns the route with the most evidence against the release, and its score as a part of
     /// the threshold in thousandths.
     ///
@@ -200,6 +235,12 @@
 }
 
 impl Route {
+    /// Returns whether the release is not bad on this route, as far as it can be compared.
+    fn is_proved(&self) -> bool {
+        let can_compare = self.old.slow_from().is_some();
+        self.failures.is_proved() && (self.slowness.is_proved() || !can_compare)
+    }
+
     fn judge(&mut self, now: Moment, server: &Name, growth: &Tally, part: f64) {
         let failures = Counts {
             good: f64::from(growth.answered),
@@ -259,12 +300,18 @@
 }
 
 impl Cusum {
+    /// Returns whether there are enough answers, or they speak clearly for the release.
+    fn is_proved(&self) -> bool {
+        self.answers >= MANY_COMPARED || self.lowest_ratio <= -PROOF
+    }
+
     /// Adds the answers of a server, which may add at most `part` to the score.
     fn add(&mut self, now: Moment, server: &Name, counts: Counts, old_rate: f64, part: f64) {
-        let good_rate = (old_rate * MARGIN_FACTOR + MARGIN).min(MAX_RATE - STEP);
-        let bad_rate = good_rate + STEP;
-        let ratio = counts.bad * (bad_rate / good_rate).ln()
-            + counts.good * ((1.0 - bad_rate) / (1.0 - good_rate)).ln();
+        let good_rate = (old_rate * MARGIN_FACTOR + MARGIN).min(MAX_RATE - PROOF_STEP);
+        self.answers += counts.good + counts.bad;
+        self.ratio += counts.ratio(good_rate, good_rate + PROOF_STEP);
+        self.lowest_ratio = self.lowest_ratio.min(self.ratio);
+        let ratio = counts.ratio(good_rate, good_rate + STEP);
         let full = Allowance { part, at: now };
         let allowance = self.allowances.entry(server.clone()).or_insert(full);
         let refilled = now.since(allowance.at).0 as f64 / ALLOWANCE_TIME.0 as f64 * part;
--- a/crates/crank-engine/tests/rollouts.rs
+++ b/crates/crank-engine/tests/rollouts.rs
@@ -53,8 +53,10 @@
 /// How the servers behave.
 #[derive(Debug, Clone, Copy)]
 struct Replay {
-    /// Requests a second for the service, on two routes.
+    /// Requests a second for the service.
     rate: f64,
+    /// The routes of the service, with as many requests each.
+    routes: usize,
     /// The share of bad answers of the new release.
     bad: f64,
     /// Whether they are slow instead of failures.
@@ -78,6 +80,7 @@
 
 const GOOD: Replay = Replay {
     rate: 500.0,
+    routes: 2,
     bad: 0.0,
     slow: false,
     one_route: false,
@@ -139,7 +142,7 @@
         let share = trial_share(age, DURATION, ExposureLimit::default(), SERVERS);
         let window = trial_window(&servers, trial_servers(share, SERVERS), age);
         for _ in 0..(replay.rate * TICK.0 as f64 / 1_000.0) as usize {
-            let route = rng.random_range(0..2);
+            let route = rng.random_range(0..replay.routes);
             let is_new = rng.random_bool(f64::from(share.0) / 1_000.0);
             let server = is_new.then(|| window[rng.random_range(0..window.len())]);
             let number = server.map(|server| servers.iter().position(|one| one == server).unwrap());
@@ -223,19 +226,25 @@
     ends.filter(is_blamed).count()
 }
 
-/// Asserts that a bad release is nearly always found, and in time.
-fn assert_found(kind: Replay) {
+/// Asserts that a bad release is nearly always rolled back at last; returns the ends.
+fn assert_rolled_back(kind: Replay) -> Vec<End> {
     let ends: Vec<End> = (0..SEEDS).map(|seed| replay(kind, seed)).collect();
     let missed = ends
         .iter()
         .filter(|end| end.verdict == Phase::Completed)
         .count();
-    let late = ends.iter().filter(|end| end.is_late());
-    let late = late.count();
     assert!(
         missed <= MAX_ERRORS,
         "{missed} of {SEEDS} completed: {kind:?}"
     );
+    ends
+}
+
+/// Asserts that a bad release is nearly always found, and in time.
+fn assert_found(kind: Replay) {
+    let ends = assert_rolled_back(kind);
+    let late = ends.iter().filter(|end| end.is_late());
+    let late = late.count();
     assert!(late <= MAX_ERRORS, "{late} of {SEEDS} found late: {kind:?}");
 }
 
@@ -369,6 +378,33 @@
     });
 }
 
+#[test]
+fn a_good_release_of_a_service_with_few_requests_is_completed() {
+    for (rate, routes) in [(36.0, 1), (64.0, 2), (100.0, 2)] {
+        assert_completed(Replay {
+            rate,
+            routes,
+            ..GOOD
+        });
+    }
+}
+
+#[test]
+fn a_bad_release_of_a_service_with_few_requests_is_rolled_back() {
+    for rate in [16.0, 24.0, 36.0, 48.0, 64.0, 100.0, 150.0, 200.0] {
+        for (routes, slow) in [(1, false), (1, true), (2, false), (2, true)] {
+            assert_rolled_back(Replay {
+                rate,
+                routes,
+                bad: 0.33,
+                slow,
+                one_route: true,
+                ..GOOD
+            });
+        }
+    }
+}
+
 #[test]
 fn the_share_holds_over_all_nodes_without_coordination() {
     let limit = ExposureLimit::default();
