Roll-outs: the time of an order goes on while all nodes are down

After a restart of all nodes an order began anew: a release whose deadline had passed was tried again and completed long after it, and callers met an unproven release for longer than the operators allowed. A single node that started anew also took the order to be as old as its own process, as an age was kept as a moment of the process's clock, which has none before its start.

The first decider now records in a Start row when the order was first read, in the time of the store (now_ms), before it posts running; later ones tell the mesh the greater age. The ledger keeps the age itself, and a greater one is news.

--- a/crates/crank-engine/src/rollout/ledger.rs
+++ b/crates/crank-engine/src/rollout/ledger.rs
@@ -2,18 +2,39 @@
 
 use std::collections::BTreeMap;
 
-use crank_protocol::Name;
 use crank_protocol::rollout::RolloutState;
+use crank_protocol::{Millis, Name};
 
 use crate::Moment;
 
+/// By how much an age must be greater than the known one to be news: ages that came over different
+/// ways differ by the time on the way.
+const AGE_TOLERANCE: Millis = Millis(500);
+
 /// A roll-out as one node knows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KnownRollout {
-    /// The state; its age is that at the moment at which the node learned of it.
+    /// The state; its age is that at `learned_at`.
     pub state: RolloutState,
-    /// When the first node learned of the order, on this node's clock.
-    pub ordered_at: Moment,
+    /// When this node learned of it. The order itself may be older than the process.
+    pub learned_at: Moment,
+}
+
+impl KnownRollout {
+    /// Returns the time since the first node learned of the order.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, rollout::KnownRollout};
+    /// # use crank_protocol::Millis;
+    /// fn is_overdue(known: &KnownRollout, now: Moment) -> bool {
+    ///     known.age(now) > known.state.order.duration
+    /// }
+    /// ```
+    #[must_use]
+    pub fn age(&self, now: Moment) -> Millis {
+        let since = now.since(self.learned_at);
+        Millis(self.state.age.0.saturating_add(since.0))
+    }
 }
 
 /// The newest order of each service and how far it has come.
@@ -40,39 +61,40 @@
 }
 
 impl Ledger {
-    /// Merges a state; returns whether it told anything that other nodes need to know.
+    /// Merges a state; returns whether it told anything that other nodes need to know: a later
+    /// order, a more advanced phase, or that the order is older than known.
     ///
     /// An order that repeats the unfinished one of the service keeps the time of the first.
     pub fn merge(&mut self, state: RolloutState, now: Moment) -> bool {
-        let ordered_at = now.before(state.age);
         let service = state.order.service.clone();
         let Some(known) = self.rollouts.get_mut(&service) else {
-            let known = KnownRollout { state, ordered_at };
-            self.rollouts.insert(service, known);
+            let learned_at = now;
+            self.rollouts
+                .insert(service, KnownRollout { state, learned_at });
             return true;
         };
+        let known_age = known.age(now);
         let (order, phase) = (&known.state.order, known.state.phase);
-        if state.order.revision > order.revision {
-            let repeats = order.target == state.order.target
-                && order.duration == state.order.duration
-                && !phase.is_final();
-            let ordered_at = if repeats {
-                ordered_at.min(known.ordered_at)
-            } else {
-                ordered_at
-            };
-            *known = KnownRollout { state, ordered_at };
-            return true;
-        }
         if state.order.revision < order.revision {
             return false;
         }
-        known.ordered_at = known.ordered_at.min(ordered_at);
-        if state.phase <= phase {
-            return false;
+        let is_later = state.order.revision > order.revision;
+        let repeats = order.target == state.order.target
+            && order.duration == state.order.duration
+            && !phase.is_final();
+        let age = if is_later && !repeats {
+            state.age
+        } else {
+            state.age.max(known_age)
+        };
+        let advances = is_later || state.phase > phase;
+        let is_older = age.0 > known_age.0.saturating_add(AGE_TOLERANCE.0);
+        if advances {
+            known.state = state;
         }
-        known.state = state;
-        true
+        known.state.age = age;
+        known.learned_at = now;
+        advances || is_older
     }
 
     /// Returns the newest roll-out of each service.
@@ -93,7 +115,7 @@
     #[must_use]
     pub fn states(&self, now: Moment) -> Vec<RolloutState> {
         let state = |known: &KnownRollout| RolloutState {
-            age: now.since(known.ordered_at),
+            age: known.age(now),
             ..known.state.clone()
         };
         self.rollouts.values().map(state).collect()
--- a/crates/crank-engine/tests/rollouts.rs
+++ b/crates/crank-engine/tests/rollouts.rs
@@ -6,8 +6,8 @@
 
 use crank_engine::Moment;
 use crank_engine::rollout::{
-    Evidence, Ledger, Monitor, Newcomers, Releases, ShareBudget, completes_at, latency_class,
-    trial_servers, trial_share, trial_window, verdict,
+    Evidence, Finding, Ledger, Monitor, Newcomers, Releases, ShareBudget, completes_at,
+    latency_class, trial_servers, trial_share, trial_window, verdict,
 };
 use crank_protocol::config::Revision;
 use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
@@ -466,7 +466,59 @@
     ledger.merge(state(7, Phase::Trial), Moment(0));
     ledger.merge(state(8, Phase::Trial), later);
     let known = ledger.rollouts().next().unwrap();
-    assert_eq!(known.ordered_at, Moment(0));
+    assert_eq!(known.age(later), Millis(4_000));
+}
+
+#[test]
+fn an_order_that_is_older_than_the_process_keeps_its_age() {
+    let mut ledger = Ledger::default();
+    let age = Millis(9_000);
+    let now = Moment(0).after(Millis(500));
+    let older = RolloutState {
+        age,
+        ..state(7, Phase::Trial)
+    };
+    ledger.merge(older, now);
+    assert_eq!(ledger.states(now.after(Millis(250)))[0].age, Millis(9_250));
+}
+
+#[test]
+fn a_greater_age_of_an_order_is_news_once() {
+    let mut ledger = Ledger::default();
+    let aged = |millis| RolloutState {
+        age: Millis(millis),
+        ..state(7, Phase::Trial)
+    };
+    let now = Moment(0).after(Millis(500));
+    assert!(ledger.merge(aged(0), now));
+    assert!(
+        !ledger.merge(aged(300), now),
+        "as long as it was on its way"
+    );
+    assert!(ledger.merge(aged(9_000), now));
+    assert!(!ledger.merge(aged(9_000), now));
+    assert!(!ledger.merge(aged(2_000), now));
+    assert_eq!(ledger.states(now)[0].age, Millis(9_000));
+}
+
+#[test]
+fn a_release_whose_latencies_could_not_be_compared_is_not_trusted() {
+    let old = (0..400).map(|_| (None, 60_000));
+    let new = (0..60).map(|number| (Some(name(&format!("n{}", number % 4))), 60_000));
+    let mut tallies = BTreeMap::new();
+    for (server, micros) in old.chain(new) {
+        count(&mut tallies, 0, server.as_ref(), false, micros);
+    }
+    let mut monitor = Monitor::default();
+    monitor.update(Moment(1_000), 4, &tallies);
+    assert_eq!(monitor.finding(), Finding::Clear);
+    let of_new = |tally: &&mut Tally| tally.subject.server.is_some();
+    for tally in tallies.values_mut().filter(of_new) {
+        tally.latencies.clear();
+    }
+    let mut monitor = Monitor::default();
+    monitor.update(Moment(1_000), 4, &tallies);
+    assert_eq!(monitor.finding(), Finding::Unknown);
 }
 
 #[test]
--- a/crates/crank-mesh/src/actor/message.rs
+++ b/crates/crank-mesh/src/actor/message.rs
@@ -7,7 +7,7 @@
 use crank_protocol::Name;
 use crank_protocol::config::Snapshot;
 use crank_protocol::member::{Endpoint, Member};
-use crank_protocol::rollout::{Phase, RolloutOrder};
+use crank_protocol::rollout::RolloutState;
 use crank_protocol::status::NodeStatus;
 use crank_protocol::wire::{Confirmation, Control, Datagram, PeerMessage};
 use tokio::sync::mpsc;
@@ -119,8 +119,7 @@
 
 /// Tells all nodes of a roll-out.
 pub(crate) struct OfferRollout {
-    pub(crate) order: RolloutOrder,
-    pub(crate) phase: Phase,
+    pub(crate) state: RolloutState,
 }
 
 /// Announces to the other nodes that this node leaves.
--- a/crates/crank-mesh/src/actor/rollouts.rs
+++ b/crates/crank-mesh/src/actor/rollouts.rs
@@ -5,7 +5,6 @@
 
 use crank_engine::Moment;
 use crank_engine::rollout::KnownRollout;
-use crank_protocol::Millis;
 use crank_protocol::rollout::RolloutState;
 use crank_protocol::wire::Control;
 use xtra::Handler;
@@ -55,7 +54,7 @@
     fn publish_rollouts(&self, now: Moment) {
         let instant = Instant::now();
         let rollout = |known: &KnownRollout| {
-            let age = Duration::from(now.since(known.ordered_at));
+            let age = Duration::from(known.age(now));
             Rollout {
                 order: known.state.order.clone(),
                 phase: known.state.phase,
@@ -72,11 +71,6 @@
 
     async fn handle(&mut self, message: OfferRollout, _: &mut xtra::Context<Self>) {
         let now = self.now();
-        let state = RolloutState {
-            order: message.order,
-            phase: message.phase,
-            age: Millis(0),
-        };
-        self.learn_rollout(state, None, now);
+        self.learn_rollout(message.state, None, now);
     }
 }
--- a/crates/crank-mesh/src/handle/rollouts.rs
+++ b/crates/crank-mesh/src/handle/rollouts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crank_protocol::rollout::{Phase, RolloutOrder};
+use crank_protocol::rollout::{Phase, RolloutOrder, RolloutState};
 use tokio::sync::watch;
 
 use super::Handle;
@@ -24,20 +24,20 @@
 impl Handle {
     /// Tells all nodes of an order, or of how far its roll-out has come.
     ///
-    /// An older order or a less advanced phase changes nothing.
+    /// An older order, a less advanced phase or a smaller age changes nothing.
     ///
     /// # Errors
     /// Returns [`Error::Stopped`] after [`Handle::leave`].
     ///
     /// ```
     /// # use crank_mesh::Handle;
-    /// # use crank_protocol::rollout::{Phase, RolloutOrder};
+    /// # use crank_protocol::rollout::{RolloutOrder, RolloutState};
     /// async fn start(mesh: &Handle, order: RolloutOrder) -> Result<(), crank_mesh::Error> {
-    ///     mesh.offer_rollout(order, Phase::Trial).await
+    ///     mesh.offer_rollout(RolloutState::new(order)).await
     /// }
     /// ```
-    pub async fn offer_rollout(&self, order: RolloutOrder, phase: Phase) -> Result<(), Error> {
-        let message = OfferRollout { order, phase };
+    pub async fn offer_rollout(&self, state: RolloutState) -> Result<(), Error> {
+        let message = OfferRollout { state };
         self.mesh.send(message).await.map_err(|_| Error::Stopped)
     }
 
--- a/crates/crank-node/src/rollout.rs
+++ b/crates/crank-node/src/rollout.rs
@@ -4,10 +4,12 @@
 mod collector;
 mod decide;
 mod report;
+mod start;
 
 use std::sync::Arc;
 
 use crank_platform_client::Error as StoreError;
+use crank_platform_client::rollouts::StoreTime;
 use crank_protocol::Name;
 use crank_protocol::config::Revision;
 use crank_protocol::rollout::RolloutReport;
@@ -24,6 +26,8 @@
     pub revision: Revision,
     /// Its content, as the platform writes it.
     pub content: Option<Arc<str>>,
+    /// When it was read, on the store's own clock; `None` if the store tells no time.
+    pub read_at: Option<StoreTime>,
 }
 
 /// Tells operators how far roll-outs have come.
--- a/crates/crank-node/src/rollout/decide.rs
+++ b/crates/crank-node/src/rollout/decide.rs
@@ -10,7 +10,7 @@
 use crank_platform_client::{Error as StoreError, Rows};
 use crank_protocol::config::Revision;
 use crank_protocol::member::State;
-use crank_protocol::rollout::{Evidence, Phase, RolloutReport};
+use crank_protocol::rollout::{Evidence, Phase, RolloutReport, RolloutState};
 use crank_protocol::wire::Topic;
 use crank_protocol::{Millis, Name};
 use tokio::sync::broadcast::error::RecvError;
@@ -266,7 +266,14 @@
                 self.offer(rollout, held.phase).await;
             }
             Ok(Some(held)) if held.order > order.revision => {}
-            Ok(Some(_) | None) => {
+            Ok(held) => {
+                if let Err(error) = self.keep_start(rollout, &posting, held.as_ref()).await {
+                    log::warn!(
+                        service:% = order.service, error:% = error;
+                        "the start of a roll-out is not kept yet"
+                    );
+                    return;
+                }
                 self.post(rollout, case, Phase::Trial, &posting).await;
             }
             Err(error) => {
@@ -310,8 +317,17 @@
         }
     }
 
-    async fn offer(&self, rollout: &Rollout, phase: Phase) {
-        let offered = self.mesh.offer_rollout(rollout.order.clone(), phase).await;
+    pub(super) async fn offer(&self, rollout: &Rollout, phase: Phase) {
+        let age = Millis::from(rollout.ordered_at.elapsed());
+        self.offer_at(rollout, phase, age).await;
+    }
+
+    pub(super) async fn offer_at(&self, rollout: &Rollout, phase: Phase, age: Millis) {
+        let order = rollout.order.clone();
+        let offered = self
+            .mesh
+            .offer_rollout(RolloutState { order, phase, age })
+            .await;
         if let Err(error) = offered {
             log::error!(error:% = error; "a roll-out could not be told to the mesh");
         }
--- a/crates/crank-node/src/source.rs
+++ b/crates/crank-node/src/source.rs
@@ -11,7 +11,7 @@
 use crank_mesh::{Handle, StoreCheck, StoreHead};
 use crank_protocol::Millis;
 use crank_protocol::config::{Config, Revision, Snapshot, Stamp, Version};
-use crank_protocol::rollout::{Phase, RolloutOrder};
+use crank_protocol::rollout::{RolloutOrder, RolloutState};
 use crank_protocol::wire::Confirmation;
 use thiserror::Error as ThisError;
 use tokio::time::Instant;
@@ -217,7 +217,7 @@
 /// Tells the mesh of the orders in an update.
 async fn offer_rollouts(update: &SourceUpdate, mesh: &Handle) {
     for order in &update.rollouts {
-        if let Err(error) = mesh.offer_rollout(order.clone(), Phase::Trial).await {
+        if let Err(error) = mesh.offer_rollout(RolloutState::new(order.clone())).await {
             log::error!(error:% = error; "an order could not be told to the mesh");
         }
     }
--- a/crates/crank-protocol/src/rollout.rs
+++ b/crates/crank-protocol/src/rollout.rs
@@ -66,6 +66,28 @@
     pub age: Millis,
 }
 
+impl RolloutState {
+    /// Creates the state of an order that has just been read.
+    ///
+    /// ```
+    /// use crank_protocol::{Millis, Name, config::Revision};
+    /// use crank_protocol::rollout::{Phase, RolloutOrder, RolloutState};
+    /// let service = Name::new("vat")?;
+    /// let (target, duration, revision) = ("v2".into(), Millis(12_000), Revision(7));
+    /// let state = RolloutState::new(RolloutOrder { service, target, duration, revision });
+    /// assert_eq!((state.phase, state.age), (Phase::Trial, Millis(0)));
+    /// # Ok::<(), crank_protocol::Error>(())
+    /// ```
+    #[must_use]
+    pub fn new(order: RolloutOrder) -> Self {
+        Self {
+            order,
+            phase: Phase::Trial,
+            age: Millis(0),
+        }
+    }
+}
+
 /// The bounds on the requests that an unproven release gets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
