Roll-outs with crank-node: crankctl rollout start, status and abort

Operators of crank-node could not roll a release out at all: nothing read an order but the hosted platform's adapter, and the deciders did not run.

An order is now a row in the project's own table, written under a condition by crankctl; the nodes that may publish read it each second, with the verdict on it, and tell the mesh. The deciders are those of the hosted node. An abort is a verdict like any other: the first one stays. Servers announce their release (start.release in /announce, which was read already). Errors name the service and the release, and what to do.

The age of an order isn't kept over a restart of all nodes here, as this table tells no time.

The stand-in of a server can announce a release.

--- a/crates/crank-command/src/commands/mod.rs
+++ b/crates/crank-command/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod pull;
 mod push;
 mod rm;
+mod rollout;
 mod status;
 
 use crank_platform_client::{Platform, Settings};
@@ -28,6 +29,8 @@
     Pull(pull::Pull),
     #[options(help = "remove a file from the folder in the store")]
     Rm(rm::Rm),
+    #[options(help = "move a service to another release")]
+    Rollout(rollout::Rollout),
     #[options(help = "show versions, nodes and the last refused folder")]
     Status(status::Status),
     #[options(help = "show the accepted versions")]
@@ -49,6 +52,7 @@
             Self::Push(push) => push.run(open).await,
             Self::Pull(pull) => pull.run(open).await,
             Self::Rm(rm) => rm.run(open).await,
+            Self::Rollout(rollout) => rollout.run(open).await,
             Self::Status(status) => status.run().await,
             Self::History(history) => history.run().await,
             Self::Notice(notice) => notice.run().await,
@@ -60,6 +64,7 @@
         match self {
             Self::Check(_) | Self::Diff(_) | Self::Push(_) | Self::Pull(_) => "DIR",
             Self::Rm(_) => "NAME",
+            Self::Rollout(_) => "start|status|abort SERVICE [RELEASE]",
             Self::Explain(_) => "ID FILE...",
             Self::Status(_) | Self::History(_) | Self::Notice(_) => "",
         }
@@ -72,6 +77,7 @@
             Self::Push(_) => push::ABOUT,
             Self::Pull(_) => pull::ABOUT,
             Self::Rm(_) => rm::ABOUT,
+            Self::Rollout(_) => rollout::ABOUT,
             Self::Status(_) => status::ABOUT,
             Self::History(_) => history::ABOUT,
             Self::Notice(_) => notice::ABOUT,
--- a/crates/crank-command/src/words.rs
+++ b/crates/crank-command/src/words.rs
@@ -2,12 +2,15 @@
 
 use std::sync::Arc;
 
+use crank_protocol::Millis;
 use crank_protocol::config::{Digest, Stamp};
 use crank_protocol::member::{Stage, State};
 use time::OffsetDateTime;
 use time::format_description::well_known::Rfc3339;
 
 const SHORT_DIGEST_DIGITS: usize = 12;
+const MILLIS_PER_SECOND: u64 = 1_000;
+const MILLIS_PER_MINUTE: u64 = 60_000;
 const SECONDS_PER_MINUTE: u64 = 60;
 const SECONDS_PER_HOUR: u64 = 3_600;
 const SECONDS_PER_DAY: u64 = 86_400;
@@ -48,6 +51,19 @@
     )
 }
 
+/// Writes a duration in the unit in which it is a whole number.
+pub(crate) fn duration(millis: Millis) -> String {
+    match millis.0 {
+        whole if whole.is_multiple_of(MILLIS_PER_MINUTE) => {
+            format!("{}m", whole / MILLIS_PER_MINUTE)
+        }
+        whole if whole.is_multiple_of(MILLIS_PER_SECOND) => {
+            format!("{}s", whole / MILLIS_PER_SECOND)
+        }
+        _ => millis.to_string(),
+    }
+}
+
 pub(crate) fn time(at: OffsetDateTime) -> String {
     let seconds = at.replace_nanosecond(0).unwrap_or(at);
     seconds
--- a/crates/crank-command/tests/exit_codes.rs
+++ b/crates/crank-command/tests/exit_codes.rs
@@ -34,6 +34,10 @@
         "push a",
         "pull a",
         "rm a",
+        "rollout",
+        "rollout start",
+        "rollout status",
+        "rollout abort a",
         "push --settings",
         "status",
         "history",
@@ -56,7 +60,7 @@
 #[tokio::test]
 async fn help_and_version_are_0_on_the_standard_output() {
     let commands = [
-        "check", "diff", "push", "pull", "rm", "status", "history", "notice", "explain",
+        "check", "diff", "push", "pull", "rm", "rollout", "status", "history", "notice", "explain",
     ];
     for command in commands {
         let ended = crankctl(&format!("{command} --help")).await;
--- a/crates/crank-node/src/rollout.rs
+++ b/crates/crank-node/src/rollout.rs
@@ -3,6 +3,7 @@
 mod account;
 mod collector;
 mod decide;
+mod orders;
 mod report;
 mod start;
 
@@ -17,6 +18,7 @@
 pub use account::{Attempt, Rollouts};
 pub(crate) use collector::RolloutCollector;
 pub use decide::{DecidingNode, decide};
+pub use orders::{VerdictBoard, follow_orders};
 pub use report::report;
 
 /// The report that operators see of a service's roll-out.
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -14,6 +14,7 @@
 use crate::entry::Conventions;
 use crate::join::{Bootstrap, PeerDiscovery};
 use crate::node::{Node, NodeOptions};
+use crate::rollout::{self, VerdictBoard};
 use crate::{Error, Settings, follow, publisher};
 
 const NO_LINGER: Millis = Millis(0);
@@ -100,7 +101,11 @@
     };
     tokio::spawn(bootstrap.run_until_ready());
     tokio::spawn(discovery.keep_registered());
-    start_publisher(&settings, &node, platform);
+    let account = settings.platform.account.clone();
+    node.start_deciding(account.clone(), platform.clone(), VerdictBoard);
+    let is_candidate = start_publisher(&settings, &node, platform.clone());
+    let orders = rollout::follow_orders(account, platform, node.mesh().clone(), is_candidate);
+    tokio::spawn(orders);
     let operators = follow::reachable_address(settings.listen.operators, node.mesh());
     node.start_announcing(Some(operators));
     Ok((node, listeners.announcements))
@@ -127,12 +132,17 @@
     tokio::spawn(crank_operator::listener::serve(listener, api, closing));
 }
 
-fn start_publisher(settings: &Settings, node: &Node<Remote>, platform: Remote) {
+/// Starts the publisher; returns whether this node is one of the few that read the store for all.
+fn start_publisher(
+    settings: &Settings,
+    node: &Node<Remote>,
+    platform: Remote,
+) -> watch::Receiver<bool> {
     let account = settings.platform.account.clone();
     let publisher_settings = publisher::Settings::new(account, settings.name.clone());
     let (candidate, is_candidate) = watch::channel(false);
     let (accepted, accepted_snapshots) = mpsc::channel(1);
-    let publisher = publisher::start(platform, publisher_settings, is_candidate, accepted);
+    let publisher = publisher::start(platform, publisher_settings, is_candidate.clone(), accepted);
     let (mesh, region) = (node.mesh().clone(), settings.platform.region.clone());
     let draining = node.draining();
     tokio::spawn(async move {
@@ -146,6 +156,7 @@
         accepted_snapshots,
         node.mesh().clone(),
     ));
+    is_candidate
 }
 
 #[expect(
--- a/crates/crank-operator/src/error.rs
+++ b/crates/crank-operator/src/error.rs
@@ -128,6 +128,60 @@
     /// The folder in the store changed during every attempt to read it.
     #[error("the folder in the store is being changed: try again in a moment")]
     UnstableFolder,
+    /// The accepted configuration does not define the service.
+    #[error(
+        "the accepted configuration has no service {service}: check the name, or push '[service {service}]' first"
+    )]
+    UnknownService {
+        /// The name that was given.
+        service: Name,
+    },
+    /// An earlier order for the service has no verdict yet.
+    #[error(
+        "a roll-out of {service} to {target} is running: wait for its end, or end it with 'crankctl rollout abort {service} {target}'"
+    )]
+    RolloutRuns {
+        /// The service.
+        service: Name,
+        /// The release of the running order.
+        target: Arc<str>,
+    },
+    /// There was never an order for the service.
+    #[error("no roll-out of {service} was ordered: see 'crankctl rollout --help'")]
+    NoRollout {
+        /// The service.
+        service: Name,
+    },
+    /// The latest order is for another release than the given one.
+    #[error(
+        "the latest order moves {service} to {target}, not to {given}; nothing was done: see 'crankctl rollout status {service}'"
+    )]
+    OtherRelease {
+        /// The service.
+        service: Name,
+        /// The release of the order.
+        target: Arc<str>,
+        /// The release that was given.
+        given: Arc<str>,
+    },
+    /// The roll-out has a verdict, which stays.
+    #[error(
+        "the roll-out of {service} has already {outcome}; nothing was done: to go back, order the earlier release"
+    )]
+    RolloutEnded {
+        /// The service.
+        service: Name,
+        /// The verdict.
+        outcome: &'static str,
+    },
+    /// Another operator or a verdict came first, or the store lost the write.
+    #[error(
+        "the roll-out of {service} changed at this moment; nothing was done: see 'crankctl rollout status {service}'"
+    )]
+    RolloutChanged {
+        /// The service.
+        service: Name,
+    },
     /// A request to the platform's store failed.
     #[error(transparent)]
     Store(#[from] crank_platform_client::Error),
--- a/crates/crank-operator/src/lib.rs
+++ b/crates/crank-operator/src/lib.rs
@@ -1,4 +1,5 @@
-//! Operator access: the configuration folder in the store, and a node's status, history and notice.
+//! Operator access: the configuration folder and roll-outs in the store, and a node's status, history
+//! and notice.
 
 pub mod listener;
 
@@ -7,6 +8,7 @@
 mod error;
 mod local;
 mod push;
+mod rollout;
 mod store;
 mod trouble;
 
@@ -14,5 +16,6 @@
 pub use client::Client;
 pub use error::Error;
 pub use local::{LocalFolder, read_local_folder};
+pub use rollout::{Progress, Rollouts};
 pub use store::{Pull, Push, Store};
 pub use trouble::ErrorResponse;
--- a/crates/crank-platform-client/src/rollouts.rs
+++ b/crates/crank-platform-client/src/rollouts.rs
@@ -1,5 +1,7 @@
 //! The rows about roll-outs, two a service: when the order was read, and the decision.
 
+mod order;
+
 use std::sync::Arc;
 
 use crank_protocol::config::Revision;
@@ -10,6 +12,8 @@
 use crate::table::{self, Guard};
 use crate::{Error, Key, Rows};
 
+pub use order::{Order, read_order, read_orders, write_order};
+
 const ROLLOUTS: &str = "rollouts";
 /// The start of the keys of the rows that tell when an order began.
 const START_PREFIX: &str = "start/";
--- a/standins/crank-backend/src/announcer.rs
+++ b/standins/crank-backend/src/announcer.rs
@@ -1,6 +1,7 @@
 //! Announces the stand-in to its node.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crank_protocol::Name;
@@ -18,6 +19,14 @@
     stage: Stage,
     slots: u32,
     address: SocketAddr,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    start: Option<Start>,
+}
+
+/// What is known of the process.
+#[derive(Serialize)]
+struct Start {
+    release: Arc<str>,
 }
 
 /// Announces at once, at each change, and as a heartbeat.
@@ -32,10 +41,8 @@
 
 /// Announces once.
 pub(crate) async fn post(state: &State, client: &reqwest::Client, address: SocketAddr) {
-    let (is_silent, is_lying) = {
-        let control = state.control.lock();
-        (control.silent == Some(true), control.lie == Some(true))
-    };
+    let control = state.control.lock().clone();
+    let (is_silent, is_lying) = (control.silent == Some(true), control.lie == Some(true));
     let Some(node) = state.options.node.filter(|_| !is_silent) else {
         return;
     };
@@ -48,6 +55,7 @@
         },
         slots: state.options.slots,
         address,
+        start: control.release.map(|release| Start { release }),
     };
     let request = client.post(format!("http://{node}/announce"));
     let sent = request.json(&report).timeout(POST_LIMIT).send().await;
--- a/standins/crank-backend/src/state.rs
+++ b/standins/crank-backend/src/state.rs
@@ -27,6 +27,8 @@
     pub status: Option<u16>,
     /// Enter this stage of life.
     pub stage: Option<Stage>,
+    /// Announce this release of its software.
+    pub release: Option<Arc<str>>,
 }
 
 impl Control {
@@ -46,6 +48,7 @@
         self.silent = other.silent.or(self.silent);
         self.status = other.status.or(self.status);
         self.stage = other.stage.or(self.stage);
+        self.release = other.release.or(self.release.take());
     }
 }
 
