Roll-outs: half of the slack goes to services with few requests; the setting rollback is gone

[rollout] slack and rollback were read and used by nothing. With many requests nothing changes, so that servers on trial get no more load.

The end of an attempt stands in a module of its own.

--- a/crates/crank-engine/src/rollout/plan.rs
+++ b/crates/crank-engine/src/rollout/plan.rs
@@ -22,6 +22,9 @@
 /// the rest covers nodes that learn of the order late.
 const FIRST_SHARE_PERCENT: u32 = 45;
 const SECOND_SHARE_PERCENT: u32 = 75;
+/// The part of the exposure limit's slack that is granted by time. The rest covers what nodes count
+/// twice, as when they start anew.
+const GRANTED_SLACK_PERCENT: u64 = 50;
 /// How many nodes collect the evidence on an order and may decide it.
 const DECIDERS: usize = 5;
 const PERCENT: u32 = 100;
@@ -59,6 +62,27 @@
     Permille(share.0.min(u32::try_from(fair).unwrap_or(u32::MAX)))
 }
 
+/// Returns what each of `nodes` nodes may send to the new release up to this age of an order even if
+/// the share is less, in thousandths of a request.
+///
+/// All nodes together grant a part of the slack, so that a release gets some answers also where the
+/// service has few requests.
+///
+/// ```
+/// use crank_engine::rollout::trial_credit;
+/// use crank_protocol::{Millis, rollout::ExposureLimit};
+/// let limit = ExposureLimit::default();
+/// let credit = |age| trial_credit(Millis(age), Millis(16_000), limit, 10);
+/// assert_eq!([credit(0), credit(5_500), credit(11_000), credit(15_000)], [0, 1_250, 2_500, 2_500]);
+/// ```
+#[must_use]
+pub fn trial_credit(age: Millis, duration: Millis, limit: ExposureLimit, nodes: usize) -> u64 {
+    let trial = completes_at(duration).0.max(1);
+    let granted = u64::from(limit.slack) * THOUSANDTHS as u64 * GRANTED_SLACK_PERCENT;
+    let each = granted / u64::from(PERCENT) / (nodes.max(1) as u64);
+    each * age.0.min(trial) / trial
+}
+
 /// Returns how many servers a share of the requests loads as much as the old ones are loaded.
 ///
 /// ```
--- a/crates/crank-engine/tests/rollouts.rs
+++ b/crates/crank-engine/tests/rollouts.rs
@@ -7,7 +7,7 @@
 use crank_engine::Moment;
 use crank_engine::rollout::{
     Evidence, Finding, Ledger, Monitor, Newcomers, Releases, ShareBudget, completes_at,
-    latency_class, trial_servers, trial_share, trial_window, verdict,
+    latency_class, trial_credit, trial_servers, trial_share, trial_window, verdict,
 };
 use crank_protocol::config::Revision;
 use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
@@ -426,6 +426,57 @@
     assert!(exposed < total / 10, "{exposed} of {total}");
 }
 
+/// Sends requests of a trial over nodes at random; returns how many went to the new release.
+fn exposed(nodes: usize, requests: u64, with_credit: bool, seed: u64) -> u64 {
+    let limit = ExposureLimit::default();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let seeds: Vec<u64> = (0..nodes).map(|_| rng.random_range(0..1_000)).collect();
+    let mut budgets: Vec<ShareBudget> = seeds.into_iter().map(ShareBudget::new).collect();
+    let mut exposed = 0;
+    for request in 0..requests {
+        let age = Millis(completes_at(DURATION).0 * request / requests);
+        let budget = &mut budgets[rng.random_range(0..nodes)];
+        if with_credit {
+            budget.grant(trial_credit(age, DURATION, limit, nodes));
+        }
+        if budget.allows() {
+            budget.spend();
+            exposed += 1;
+        }
+        budget.earn(trial_share(age, DURATION, limit, SERVERS));
+    }
+    exposed
+}
+
+#[test]
+fn a_service_with_few_requests_gets_some_of_the_slack() {
+    let limit = ExposureLimit::default();
+    for seed in 0..SEEDS {
+        for nodes in [5, 10, 76] {
+            let requests = 90;
+            let exposed = exposed(nodes, requests, true, seed);
+            let allowed = requests * u64::from(limit.share.0) / 1_000 + u64::from(limit.slack);
+            assert!(
+                exposed <= allowed,
+                "{exposed} on {nodes} nodes, seed {seed}"
+            );
+            assert!(
+                nodes > 10 || exposed >= 12,
+                "{exposed} on {nodes} nodes, seed {seed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_service_with_many_requests_gets_its_share_only() {
+    for seed in 0..20 {
+        let exposed = |with_credit| exposed(10, 6_000, with_credit, seed);
+        let more = exposed(true).abs_diff(exposed(false));
+        assert!(more <= 10, "{more}, a request a node at most");
+    }
+}
+
 #[test]
 fn after_the_deadline_the_share_is_nothing() {
     let limit = ExposureLimit::default();
--- a/crates/crank-node/src/rollout.rs
+++ b/crates/crank-node/src/rollout.rs
@@ -1,6 +1,7 @@
 //! Roll-outs on a node: which servers its entry may choose, what it counts, and the verdict.
 
 mod account;
+mod attempt;
 mod collector;
 mod decide;
 mod orders;
@@ -15,7 +16,8 @@
 use crank_protocol::config::Revision;
 use crank_protocol::rollout::RolloutReport;
 
-pub use account::{Attempt, Rollouts};
+pub use account::Rollouts;
+pub use attempt::Attempt;
 pub(crate) use collector::RolloutCollector;
 pub use decide::{DecidingNode, decide};
 pub use orders::{VerdictBoard, follow_orders};
--- a/crates/crank-node/src/rollout/account.rs
+++ b/crates/crank-node/src/rollout/account.rs
@@ -5,24 +5,21 @@
 
 use crank_engine::Moment;
 use crank_engine::rollout::{
-    MAX_LATENCY_CLASS, Newcomers, Releases, ShareBudget, latency_class, trial_servers, trial_share,
-    trial_window,
+    MAX_LATENCY_CLASS, Newcomers, Releases, ShareBudget, latency_class, trial_credit,
+    trial_servers, trial_share, trial_window,
 };
 use crank_mesh::{Rollout, View};
-use crank_protocol::call::{Refusal, RefusedRequest, Response};
-use crank_protocol::config::Revision;
 use crank_protocol::rollout::{Evidence, ExposureLimit, Phase, Subject, Tally};
-use crank_protocol::{Millis, Name, Permille};
+use crank_protocol::{Millis, Name};
 use parking_lot::Mutex;
 
+use super::attempt::{Answer, Attempt, Counted, End};
 use crate::clock::Clock;
 
 /// A server is slow at its start: its latencies count from this time after it appeared.
 const COLD_TIME: Millis = Millis(3_000);
 /// How long after the deadline of a completed roll-out servers of other releases get no requests.
 const BARRED_TIME: Millis = Millis(60_000);
-const MIN_SERVER_ERROR_STATUS: u16 = 500;
-const WHOLE_SHARE: Permille = Permille(1_000);
 
 /// The roll-outs that an entry takes part in; clones share their state.
 #[derive(Debug, Clone)]
@@ -48,6 +45,10 @@
     releases: Releases,
     first_seen: BTreeMap<Name, Moment>,
     budget: ShareBudget,
+    /// The order's age when this node learned of it.
+    known_from: Millis,
+    /// The number of nodes in reach.
+    nodes: usize,
     in_flight: u32,
     tallies: BTreeMap<Subject, Tally>,
 }
@@ -118,7 +119,7 @@
             None => services.entry(service.clone()).or_default(),
         };
         account.refresh(now, service, view);
-        match &account.rollout {
+        match &mut account.rollout {
             Some(account) => account.barred(self.limit()),
             None if self.limit.is_none() => vec![Vec::new()],
             None => vec![account.newcomers.held().to_vec()],
@@ -146,7 +147,19 @@
                 started_at,
             }
         });
-        Attempt { counted }
+        Attempt::new(counted)
+    }
+
+    /// Counts the end of an attempt, unless another order has come since its start.
+    pub(super) fn finish_attempt(&self, counted: &Counted, end: End) {
+        let now = self.clock.now();
+        let mut services = self.services.lock();
+        let account = services.get_mut(&counted.service);
+        let account = account.and_then(|account| account.rollout.as_mut());
+        let account = account.filter(|account| account.rollout.order.revision == counted.order);
+        if let Some(account) = account {
+            account.finish(now, self.limit(), counted, end);
+        }
     }
 
     /// Returns what this node has seen of each roll-out, with all its counters.
@@ -186,6 +199,7 @@
         let reachable = || view.members().filter(|member| view.is_reachable(member));
         match &mut self.rollout {
             Some(account) => {
+                account.nodes = reachable().count();
                 account.releases = Releases::new(&account.rollout.order, reachable());
                 for node in &account.releases.new {
                     account.first_seen.entry(node.clone()).or_insert(now);
@@ -199,7 +213,9 @@
 impl Account {
     fn new(rollout: Rollout, process: u64) -> Self {
         Self {
+            known_from: Millis::from(rollout.ordered_at.elapsed()),
             rollout,
+            nodes: 0,
             releases: Releases::default(),
             first_seen: BTreeMap::new(),
             budget: ShareBudget::new(process),
@@ -212,7 +228,18 @@
         Millis::from(self.rollout.ordered_at.elapsed())
     }
 
-    fn barred(&self, limit: ExposureLimit) -> Vec<Vec<Name>> {
+    /// Adds to the budget what the order's age grants.
+    fn grant(&mut self, limit: ExposureLimit) {
+        let duration = self.rollout.order.duration;
+        let credit = |age| trial_credit(age, duration, limit, self.nodes);
+        let granted = credit(self.age()).saturating_sub(credit(self.known_from));
+        self.budget.grant(granted);
+    }
+
+    fn barred(&mut self, limit: ExposureLimit) -> Vec<Vec<Name>> {
+        if self.rollout.phase == Phase::Trial {
+            self.grant(limit);
+        }
         let Releases { old, new } = &self.releases;
         if old.is_empty() && self.rollout.phase != Phase::RolledBack {
             return vec![Vec::new()];
@@ -260,7 +287,7 @@
             End::Dropped => return,
             End::NotReached => {
                 if counted.is_new {
-                    self.budget.earn(WHOLE_SHARE);
+                    self.budget.refund();
                 }
                 return;
             }
@@ -307,79 +334,3 @@
         }
     }
 }
-
-/// How an attempt ended.
-#[derive(Debug, Clone, Copy)]
-enum End {
-    /// Nothing is known, because the caller gave up.
-    Dropped,
-    /// The server did not get the request.
-    NotReached,
-    /// The server may have got the request, and what this says about it.
-    Reached(Option<Answer>),
-}
-
-/// What an attempt says about the server.
-#[derive(Debug, Clone, Copy)]
-enum Answer {
-    Good,
-    Failed,
-    Late,
-}
-
-/// An attempt that counts for a roll-out until it ends.
-pub struct Attempt {
-    counted: Option<Counted>,
-}
-
-struct Counted {
-    rollouts: Rollouts,
-    service: Name,
-    order: Revision,
-    is_new: bool,
-    subject: Subject,
-    node: Name,
-    started_at: Moment,
-}
-
-impl Attempt {
-    /// Counts the result of the attempt. An attempt that is dropped says nothing about the server.
-    pub(crate) fn finish(mut self, result: &Result<Response, RefusedRequest>) {
-        let end = match result {
-            Ok(response) if response.head.status < MIN_SERVER_ERROR_STATUS => {
-                End::Reached(Some(Answer::Good))
-            }
-            Ok(_) => End::Reached(Some(Answer::Failed)),
-            Err(refused) if !refused.reached => End::NotReached,
-            Err(refused) => End::Reached(match refused.refusal {
-                Refusal::TimedOut => Some(Answer::Late),
-                Refusal::Lost | Refusal::Cut => Some(Answer::Failed),
-                _ => None,
-            }),
-        };
-        if let Some(counted) = self.counted.take() {
-            counted.finish(end);
-        }
-    }
-}
-
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        if let Some(counted) = self.counted.take() {
-            counted.finish(End::Dropped);
-        }
-    }
-}
-
-impl Counted {
-    fn finish(&self, end: End) {
-        let now = self.rollouts.clock.now();
-        let mut services = self.rollouts.services.lock();
-        let account = services.get_mut(&self.service);
-        let account = account.and_then(|account| account.rollout.as_mut());
-        let account = account.filter(|account| account.rollout.order.revision == self.order);
-        if let Some(account) = account {
-            account.finish(now, self.rollouts.limit(), self, end);
-        }
-    }
-}
--- a/crates/crank-protocol/src/rollout.rs
+++ b/crates/crank-protocol/src/rollout.rs
@@ -96,8 +96,6 @@
     pub share: Permille,
     /// The requests allowed beyond the share, by all nodes together.
     pub slack: u32,
-    /// How long after its first failures a bad release may still get requests.
-    pub rollback: Millis,
 }
 
 impl Default for ExposureLimit {
@@ -105,7 +103,6 @@
         Self {
             share: Permille(100),
             slack: 50,
-            rollback: Millis(5_000),
         }
     }
 }
