Roll-outs: ill servers of a good release no longer roll it back

The sum is the same with other constants: a step of 0.3 (a third of bad answers), a part in 4.5 of the threshold for each server within 5 s, three quarters at the last time, and windows of 0.7 s, which make up for the time.

--- a/crates/crank-engine/src/rollout/monitor.rs
+++ b/crates/crank-engine/src/rollout/monitor.rs
@@ -23,18 +23,20 @@
 /// From this part of the threshold on, a release is not trusted yet.
 const SUSPICION: f64 = THRESHOLD / 3.0;
 /// From this part of the threshold on, a release is more likely bad than good.
-const LIKELIHOOD: f64 = THRESHOLD / 2.0;
-/// How many servers must add evidence against the release, if it has that many.
-const MIN_SERVERS: usize = 4;
+const LIKELIHOOD: f64 = THRESHOLD * 0.75;
+/// How many servers must add evidence against the release, if it has that many: four in a row that
+/// are ill for reasons of their own are not enough.
+const MIN_SERVERS: f64 = 4.5;
 /// The time in which a server may again add its part of the threshold.
-const ALLOWANCE_TIME: Millis = Millis(3_000);
+const ALLOWANCE_TIME: Millis = Millis(5_000);
 /// The time in which an answer of the old release loses half of its weight.
 const HALF_LIFE: Millis = Millis(2_000);
 /// The margin on the old release's rate: a factor, and what is added.
 const MARGIN_FACTOR: f64 = 1.25;
-const MARGIN: f64 = 0.03;
-/// The difference between the rates of a good and a bad release that the test is made for.
-const STEP: f64 = 0.2;
+const MARGIN: f64 = 0.02;
+/// The difference between the rates of a good and a bad release that the test is made for: a bad
+/// one gives a third of bad answers.
+const STEP: f64 = 0.3;
 const MAX_RATE: f64 = 0.95;
 /// How many answers without failure the old release is credited with before there are any.
 const PRIOR_ANSWERS: f64 = 20.0;
@@ -45,15 +47,13 @@
 const MIN_COMPARED: f64 = 10.0;
 /// The natural logarithm of the inverse of the accepted rate of bad releases that pass, one in 100.
 const PROOF: f64 = 4.6;
-/// The difference between the rates of a good and a bad release that a proof is made for.
-const PROOF_STEP: f64 = 0.3;
 /// From so many answers of a route on, the sums alone find what is bad.
-const MANY_COMPARED: f64 = 50.0;
+const MANY_COMPARED: f64 = 60.0;
 /// A route with a smaller part of the old release's answers is not waited for.
 const MIN_ROUTE_PERCENT: u64 = 20;
 const PERCENT: u64 = 100;
-/// With fewer answers than this a bad release may not have reached half of the threshold.
-const MANY_ANSWERS: u32 = 100;
+/// With fewer answers than this a bad release may not have reached [`LIKELIHOOD`].
+const MANY_ANSWERS: u32 = 130;
 
 /// What the evidence shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -146,7 +146,7 @@
         for route in self.routes.values_mut() {
             route.old.fade(fade);
         }
-        let parts = servers.clamp(1, MIN_SERVERS) as f64;
+        let parts = (servers as f64).clamp(1.0, MIN_SERVERS);
         // The old release's answers first, so that the new one is compared with the latest.
         let (old, new): (Vec<_>, Vec<_>) = totals
             .iter()
@@ -307,11 +307,11 @@
 
     /// Adds the answers of a server, which may add at most `part` to the score.
     fn add(&mut self, now: Moment, server: &Name, counts: Counts, old_rate: f64, part: f64) {
-        let good_rate = (old_rate * MARGIN_FACTOR + MARGIN).min(MAX_RATE - PROOF_STEP);
+        let good_rate = (old_rate * MARGIN_FACTOR + MARGIN).min(MAX_RATE - STEP);
         self.answers += counts.good + counts.bad;
-        self.ratio += counts.ratio(good_rate, good_rate + PROOF_STEP);
-        self.lowest_ratio = self.lowest_ratio.min(self.ratio);
         let ratio = counts.ratio(good_rate, good_rate + STEP);
+        self.ratio += ratio;
+        self.lowest_ratio = self.lowest_ratio.min(self.ratio);
         let full = Allowance { part, at: now };
         let allowance = self.allowances.entry(server.clone()).or_insert(full);
         let refilled = now.since(allowance.at).0 as f64 / ALLOWANCE_TIME.0 as f64 * part;
--- a/crates/crank-engine/src/rollout/plan.rs
+++ b/crates/crank-engine/src/rollout/plan.rs
@@ -17,7 +17,7 @@
 const END_TIME: Millis = Millis(5_000);
 /// How long a trial server gets requests before the next one does. A server at a time gets the
 /// load of an old one, and the verdict does not hang on a single server.
-const WINDOW_TIME: Millis = Millis(1_000);
+const WINDOW_TIME: Millis = Millis(700);
 /// The share of the exposure limit that is planned for the first and the second half of the trial;
 /// the rest covers nodes that learn of the order late.
 const FIRST_SHARE_PERCENT: u32 = 45;
