crankctl accounts: limits, use, homes and keys of the client accounts over all nodes

What operators saw: whether an account was at its limit had to be summed from the metrics of all nodes, its home stood nowhere, and whether a key that was taken back is valid somewhere could only be read from log lines.

Change: nodes answer /accounts on the operators' listener: each account's limit in force, admitted and over its limit in the last 10 s (the first 100 accounts by name), the home that the node reports to, how many keys are valid and how many were taken back while the process ran; never a key. No message between nodes is added.

Not covered: nodes of the hosted platform serve metrics only, no operators' listener, as for `crankctl status`. A node that started after a key was taken back doesn't count it. Requests without a valid key (401) are not counted by account.

The commands' test support and two tests of the operators' interface answer /accounts too; nothing else in them changed.

--- a/crates/crank-command/src/commands/mod.rs
+++ b/crates/crank-command/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, each in its own module.
 
+mod accounts;
 mod check;
 mod diff;
 mod explain;
@@ -33,6 +34,8 @@
     Rollout(rollout::Rollout),
     #[options(help = "show versions, nodes and the last refused folder")]
     Status(status::Status),
+    #[options(help = "show the client accounts: limits, use, homes and how many keys")]
+    Accounts(accounts::Accounts),
     #[options(help = "show the accepted versions")]
     History(history::History),
     #[options(help = "show what the end of the notice period still waits for")]
@@ -54,6 +57,7 @@
             Self::Rm(rm) => rm.run(open).await,
             Self::Rollout(rollout) => rollout.run(open).await,
             Self::Status(status) => status.run().await,
+            Self::Accounts(accounts) => accounts.run().await,
             Self::History(history) => history.run().await,
             Self::Notice(notice) => notice.run().await,
             Self::Explain(explain) => explain.run(),
@@ -66,7 +70,7 @@
             Self::Rm(_) => "NAME",
             Self::Rollout(_) => "start|status|abort SERVICE [RELEASE]",
             Self::Explain(_) => "ID FILE...",
-            Self::Status(_) | Self::History(_) | Self::Notice(_) => "",
+            Self::Status(_) | Self::Accounts(_) | Self::History(_) | Self::Notice(_) => "",
         }
     }
 
@@ -79,6 +83,7 @@
             Self::Rm(_) => rm::ABOUT,
             Self::Rollout(_) => rollout::ABOUT,
             Self::Status(_) => status::ABOUT,
+            Self::Accounts(_) => accounts::ABOUT,
             Self::History(_) => history::ABOUT,
             Self::Notice(_) => notice::ABOUT,
             Self::Explain(_) => explain::ABOUT,
--- a/crates/crank-command/tests/support/mod.rs
+++ b/crates/crank-command/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Simulates operators' terminals, with the in-memory platform and a node that publishes on demand.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use crank_command::run;
@@ -12,7 +13,9 @@
 use crank_platform_client::{Error, Memory, configs, folder, head, verdict};
 use crank_protocol::config::{Config, Owner, Stamp};
 use crank_protocol::member::{Endpoint, Member, Place, Stage, State};
-use crank_protocol::status::{HistoryEntry, MeshStatus, NodeReport, NodeStatus, Verdict};
+use crank_protocol::status::{
+    HistoryEntry, MeshStatus, NodeAccounts, NodeReport, NodeStatus, Verdict,
+};
 use crank_protocol::{Millis, Name};
 use tempfile::TempDir;
 use time::OffsetDateTime;
@@ -35,6 +38,9 @@
     pub(crate) stage: Stage,
     pub(crate) in_flight: u32,
     pub(crate) silent: bool,
+    /// The client accounts at this node, and at another one.
+    pub(crate) accounts: NodeAccounts,
+    pub(crate) other: Option<(SocketAddr, NodeAccounts)>,
 }
 
 impl Desktop {
@@ -46,6 +52,13 @@
             stage: Stage::Ready,
             in_flight: 2,
             silent: false,
+            accounts: NodeAccounts {
+                node: name("n1"),
+                version: None,
+                window: Millis(10_000),
+                accounts: Vec::new(),
+            },
+            other: None,
         }
     }
 
@@ -79,6 +92,15 @@
             operators: None,
         };
         let mut nodes = vec![NodeReport::Node(node)];
+        if let Some((operators, accounts)) = &self.other {
+            nodes.push(NodeReport::Node(NodeStatus {
+                member: self.member(accounts.node.as_str(), State::Alive),
+                applied: self.applied.clone(),
+                ready: true,
+                in_flight: 0,
+                operators: Some(*operators),
+            }));
+        }
         if self.silent {
             nodes.push(NodeReport::Silent(self.member("n2", State::Suspect)));
         }
@@ -114,6 +136,10 @@
         self.config.as_ref().map(|config| config.account.clone())
     }
 
+    fn accounts(&self) -> NodeAccounts {
+        self.accounts.clone()
+    }
+
     fn burn(&self) -> BurnReport {
         BurnCounter::new(Moment(0)).report(name("n1"), None, Moment(0))
     }
--- a/crates/crank-engine/src/quota.rs
+++ b/crates/crank-engine/src/quota.rs
@@ -16,6 +16,7 @@
 mod home;
 mod limits;
 mod place;
+mod recent;
 
 use crank_protocol::config::RateLimit;
 use crank_protocol::quota::{AccountHash, Shard};
@@ -26,6 +27,7 @@
 pub use home::{Answer, Home};
 pub use limits::LimitTable;
 pub use place::Fleet;
+pub use recent::{RECENT_WINDOW, RecentCounter};
 
 use crate::hash;
 
--- a/crates/crank-engine/src/quota/entry.rs
+++ b/crates/crank-engine/src/quota/entry.rs
@@ -167,6 +167,19 @@
         }
     }
 
+    /// Returns the node that this entry takes for an account's home.
+    ///
+    /// ```
+    /// # use crank_protocol::quota::AccountHash;
+    /// let limiter = crank_engine::quota::EntryLimiter::new(7);
+    /// assert_eq!(limiter.home(AccountHash(1)), None);
+    /// ```
+    #[must_use]
+    pub fn home(&self, account: AccountHash) -> Option<&Name> {
+        self.limits.get(account)?;
+        self.lines.get(&shard_of(account))?.home.as_ref()
+    }
+
     /// Returns whether a report should be sent before the next regular one.
     ///
     /// ```
--- a/crates/crank-node/src/admin.rs
+++ b/crates/crank-node/src/admin.rs
@@ -10,12 +10,13 @@
 use crank_platform_client::{Error, Platform, head, verdict};
 use crank_protocol::Name;
 use crank_protocol::config::Owner;
-use crank_protocol::status::{HistoryEntry, MeshStatus, NodeReport, Verdict};
+use crank_protocol::status::{HistoryEntry, MeshStatus, NodeAccounts, NodeReport, Verdict};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::quota::RateLimiter;
 
 /// Answers operators' queries from the mesh and the store.
 #[derive(Clone)]
@@ -34,6 +35,8 @@
     pub ready: watch::Receiver<bool>,
     /// The counts of good and bad responses for each service.
     pub burn: Arc<Mutex<BurnCounter>>,
+    /// The limiter of the client accounts' requests.
+    pub accounts: RateLimiter,
     /// The metrics of this node.
     pub metrics: Arc<Metrics>,
 }
@@ -75,6 +78,10 @@
             .map(|snapshot| snapshot.config.account.clone())
     }
 
+    fn accounts(&self) -> NodeAccounts {
+        self.accounts.status(self.node.clone())
+    }
+
     fn burn(&self) -> BurnReport {
         let snapshot = self.mesh.config().borrow().clone();
         let config = snapshot
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -25,6 +25,7 @@
 use crate::entry::{self, Conventions, EntryProxy};
 use crate::gateway::MeteredGateway;
 use crate::metrics::Metrics;
+use crate::quota::RateLimiter;
 use crate::source::RefusedConfig;
 use crate::target::{self, Target};
 use crate::transport::MeshTransport;
@@ -293,6 +294,11 @@
         (self.clock, self.burn.clone(), self.metrics.clone())
     }
 
+    /// Returns the limiter of the client accounts' requests.
+    pub(crate) fn rate_limiter(&self) -> RateLimiter {
+        self.entry.rate_limiter()
+    }
+
     /// Serves the metrics as text, at any path of the listener.
     ///
     /// ```no_run
--- a/crates/crank-node/src/quota.rs
+++ b/crates/crank-node/src/quota.rs
@@ -2,14 +2,17 @@
 //! homes, and counts what was admitted.
 
 pub(crate) mod accounts;
+mod changes;
+mod status;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use crank_engine::Moment;
 use crank_engine::quota::{
-    EntryLimiter, Fleet, Home, LimitTable, MIN_REPORT_INTERVAL, account_hash,
+    EntryLimiter, Fleet, Home, LimitTable, MIN_REPORT_INTERVAL, RecentCounter, account_hash,
 };
 use crank_mesh::{Handle, ReceivedMessage};
 use crank_protocol::Name;
@@ -21,6 +24,7 @@
 use tokio::sync::{Notify, broadcast, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
+use self::changes::{TakenBack, log_changes};
 use crate::clock::Clock;
 
 /// How often it is looked whether reports are due.
@@ -29,8 +33,6 @@
 const FORGET_INTERVAL: Duration = Duration::from_secs(1);
 /// The most accounts that are counted by name; the others are counted together.
 const MAX_COUNTED_ACCOUNTS: usize = 100;
-/// The most accounts that get a log line of their own when a configuration changes them.
-const MAX_CHANGE_LINES: usize = 20;
 
 /// The requests of one client account at this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -54,7 +56,9 @@
     version: Option<Version>,
     clients: BTreeMap<Name, ClientAccount>,
     counts: BTreeMap<Name, AccountCounts>,
+    recent: BTreeMap<Name, RecentCounter>,
     others: AccountCounts,
+    taken_back: TakenBack,
 }
 
 impl State {
@@ -65,6 +69,13 @@
         }
         &mut self.others
     }
+
+    fn count_recent(&mut self, now: Moment, account: &Name, is_admitted: bool) {
+        if self.counts.contains_key(account) {
+            let recent = self.recent.entry(account.clone()).or_default();
+            recent.add(now, is_admitted);
+        }
+    }
 }
 
 /// The right to send one request of an account. Dropping it gives the token back, unless the
@@ -112,6 +123,8 @@
             version: None,
             clients: BTreeMap::new(),
             counts: BTreeMap::new(),
+            recent: BTreeMap::new(),
+            taken_back: TakenBack::default(),
             others: AccountCounts::default(),
         };
         Self {
@@ -144,6 +157,7 @@
             Ok(()) => counts.admitted += 1,
             Err(_) => counts.over_rate += 1,
         }
+        state.count_recent(now, account, admitted.is_ok());
         drop(state);
         if is_urgent {
             self.urgent.notify_one();
@@ -169,6 +183,12 @@
             log_changes(&state.clients, clients, version);
             let limits = LimitTable::new(version, clients);
             state.limiter.set_limits(limits);
+            let State {
+                taken_back,
+                clients: before,
+                ..
+            } = &mut *state;
+            taken_back.update(before, clients);
             state.clients.clone_from(clients);
         }
         state.version = Some(version);
@@ -368,45 +388,3 @@
         }
     }
 }
-
-/// Logs which accounts a configuration changes, by the number of their keys and their limits.
-fn log_changes(
-    old: &BTreeMap<Name, ClientAccount>,
-    new: &BTreeMap<Name, ClientAccount>,
-    version: Version,
-) {
-    let keys: usize = new.values().map(|client| client.keys.len()).sum();
-    let limited = new.values().filter(|client| client.rate.is_some()).count();
-    log::info!(
-        version = version.0,
-        accounts = new.len(),
-        keys = keys,
-        limited = limited;
-        "client accounts in force"
-    );
-    if old.is_empty() {
-        return;
-    }
-    let names: std::collections::BTreeSet<&Name> = old.keys().chain(new.keys()).collect();
-    let changed = names
-        .into_iter()
-        .filter(|name| old.get(*name) != new.get(*name));
-    for name in changed.take(MAX_CHANGE_LINES) {
-        let (before, after) = (old.get(name), new.get(name));
-        let keys = |client: Option<&ClientAccount>| client.map_or(0, |client| client.keys.len());
-        let rate = |client: Option<&ClientAccount>| client.and_then(|client| client.rate);
-        let kept = before.zip(after).map_or(0, |(before, after)| {
-            before.keys.intersection(&after.keys).count()
-        });
-        log::info!(
-            version = version.0,
-            account:% = name,
-            keys = keys(after),
-            keys_added = keys(after) - kept,
-            keys_removed = keys(before) - kept,
-            rate:? = rate(after),
-            rate_before:? = rate(before);
-            "client account changed"
-        );
-    }
-}
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -126,6 +126,7 @@
         mesh: node.mesh().clone(),
         ready: node.ready(),
         burn,
+        accounts: node.rate_limiter(),
         metrics,
     };
     let closing = node.closing().cancelled_owned();
--- a/crates/crank-operator/src/admin.rs
+++ b/crates/crank-operator/src/admin.rs
@@ -4,7 +4,7 @@
 
 use crank_engine::burn::BurnReport;
 use crank_protocol::config::Owner;
-use crank_protocol::status::{HistoryEntry, MeshStatus};
+use crank_protocol::status::{HistoryEntry, MeshStatus, NodeAccounts};
 
 /// Provides the data that the operators' listener serves.
 pub trait Admin: Clone + Send + Sync + 'static {
@@ -24,6 +24,9 @@
     /// first one.
     fn account(&self) -> Option<Owner>;
 
+    /// Returns the client accounts as this node sees them.
+    fn accounts(&self) -> NodeAccounts;
+
     /// Returns the service-level counts of the requests that callers sent to this node.
     fn burn(&self) -> BurnReport;
 
--- a/crates/crank-operator/src/client.rs
+++ b/crates/crank-operator/src/client.rs
@@ -5,7 +5,7 @@
 
 use crank_engine::burn::BurnReport;
 use crank_engine::notice::NoticeProgress;
-use crank_protocol::status::{HistoryEntry, MeshStatus};
+use crank_protocol::status::{HistoryEntry, MeshStatus, NodeAccounts};
 use serde::de::DeserializeOwned;
 
 use crate::{Error, ErrorResponse};
@@ -94,6 +94,21 @@
         self.get("notice").await
     }
 
+    /// Fetches the client accounts as this node sees them.
+    ///
+    /// # Errors
+    /// Returns [`Error::Unreachable`], [`Error::Refused`] or [`Error::Malformed`].
+    ///
+    /// ```no_run
+    /// # async fn ask() -> Result<(), crank_operator::Error> {
+    /// let accounts = crank_operator::Client::new("127.0.0.1:7003")?.accounts().await?;
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub async fn accounts(&self) -> Result<NodeAccounts, Error> {
+        self.get("accounts").await
+    }
+
     /// Fetches the service-level counts of the requests that callers sent to this node.
     ///
     /// # Errors
--- a/crates/crank-operator/src/listener.rs
+++ b/crates/crank-operator/src/listener.rs
@@ -24,8 +24,8 @@
 
 /// Serves operators on `listener` until `stop` completes, then finishes the responses in progress.
 ///
-/// Serves `/status`, `/history?limit=N`, `/notice` and `/burn` as JSON, and `/metrics`, `/healthz`
-/// and `/readyz` as text.
+/// Serves `/status`, `/history?limit=N`, `/notice`, `/accounts` and `/burn` as JSON, and `/metrics`,
+/// `/healthz` and `/readyz` as text.
 ///
 /// ```no_run
 /// # async fn run(admin: impl crank_operator::Admin) -> std::io::Result<()> {
@@ -65,8 +65,9 @@
         .and(warp::query::<HistoryQuery>())
         .then(history::<D>);
     let notice = get_path("notice", &admin).then(notice::<D>);
+    let accounts = get_path("accounts", &admin).map(|admin: D| json(&admin.accounts()));
     let burn = get_path("burn", &admin).map(|admin: D| json(&admin.burn()));
-    status.or(history).or(notice).or(burn)
+    status.or(history).or(notice).or(accounts).or(burn)
 }
 
 fn text_routes<D: Admin>(
--- a/crates/crank-operator/tests/listener_answers_operators.rs
+++ b/crates/crank-operator/tests/listener_answers_operators.rs
@@ -6,7 +6,7 @@
 use crank_engine::burn::{BurnCounter, BurnReport};
 use crank_operator::{Admin, Client, Error, listener};
 use crank_protocol::config::Owner;
-use crank_protocol::status::{HistoryEntry, MeshStatus};
+use crank_protocol::status::{HistoryEntry, MeshStatus, NodeAccounts};
 use crank_protocol::{Millis, Name};
 use tokio::net::TcpListener;
 
@@ -47,6 +47,15 @@
         })
     }
 
+    fn accounts(&self) -> NodeAccounts {
+        NodeAccounts {
+            node: name("n1"),
+            version: None,
+            window: Millis(10_000),
+            accounts: Vec::new(),
+        }
+    }
+
     fn burn(&self) -> BurnReport {
         let mut burn = BurnCounter::new(Moment(0));
         burn.record(&name("recipes"), true, Moment(1));
@@ -79,6 +88,7 @@
 async fn what_a_node_says_comes_back_typed() {
     let client = Client::new(&start(true).await).unwrap();
     assert_eq!(client.status().await.unwrap().asked, name("n1"));
+    assert_eq!(client.accounts().await.unwrap().node, name("n1"));
     assert_eq!(client.burn().await.unwrap().node, name("n1"));
     assert!(!client.notice().await.unwrap().complete);
 }
--- a/crates/crank-protocol/src/status.rs
+++ b/crates/crank-protocol/src/status.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use time::OffsetDateTime;
 
-use crate::config::{Stamp, Version};
+use crate::config::{RateLimit, Stamp, Version};
 use crate::member::Member;
 use crate::{Millis, Name};
 
@@ -37,6 +37,49 @@
     Silent(Member),
 }
 
+/// The client accounts as one node sees them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeAccounts {
+    /// The name of the node.
+    pub node: Name,
+    /// The version of the configuration that holds on the node; absent before the first one.
+    pub version: Option<Version>,
+    /// The time over which recent requests are counted.
+    pub window: Millis,
+    /// The accounts in force and those of which keys were taken back, by name.
+    pub accounts: Vec<AccountStatus>,
+}
+
+/// A client account as one node sees it. Its keys are counted, never shown.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AccountStatus {
+    /// The name of the account.
+    pub account: Name,
+    /// How many keys are valid.
+    pub keys: u32,
+    /// How many keys were taken back while the node ran, and are not valid again.
+    pub keys_taken_back: u32,
+    /// The rate limit in force, if there is one.
+    pub limit: Option<RateLimit>,
+    /// The node that divides the rate limit, as far as this one knows it.
+    pub home: Option<Name>,
+    /// The account's recent requests at this node; absent if they are only counted together with
+    /// those of other accounts.
+    pub recent: Option<RecentRequests>,
+}
+
+/// The requests of a client account at one node within a short time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RecentRequests {
+    /// Requests that were let in.
+    pub admitted: u64,
+    /// Requests refused because the account had used up its rate limit.
+    pub over_rate: u64,
+}
+
 /// A fault in a folder.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/crank-report/tests/silence_is_not_good.rs
+++ b/crates/crank-report/tests/silence_is_not_good.rs
@@ -8,7 +8,7 @@
 use crank_operator::{Admin, listener};
 use crank_protocol::config::{Owner, Version};
 use crank_protocol::member::{Member, Place, State};
-use crank_protocol::status::{HistoryEntry, MeshStatus, NodeReport};
+use crank_protocol::status::{HistoryEntry, MeshStatus, NodeAccounts, NodeReport};
 use crank_protocol::{Millis, Name};
 use tokio::net::TcpListener;
 
@@ -64,6 +64,15 @@
         None
     }
 
+    fn accounts(&self) -> NodeAccounts {
+        NodeAccounts {
+            node: self.id.clone(),
+            version: None,
+            window: Millis(10_000),
+            accounts: Vec::new(),
+        }
+    }
+
     fn burn(&self) -> BurnReport {
         let file = File {
             name: "all.ini".into(),
--- a/tests/operators_with_real_processes.rs
+++ b/tests/operators_with_real_processes.rs
@@ -8,7 +8,7 @@
 
 use crank_engine::notice::NoticeProgress;
 use crank_load::fleet::{Fleet, Layout, Signal, wait};
-use crank_protocol::status::MeshStatus;
+use crank_protocol::status::{AccountStatus, MeshStatus, NodeAccounts};
 use tempfile::TempDir;
 
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -326,3 +326,69 @@
     assert_eq!(two.code, 1);
     assert!(two.out.contains("unheard    node2"), "{}", two.out);
 }
+
+const KEPT_KEY: &str = "kept-key-of-mill-7";
+const OLD_KEY: &str = "old-key-of-mill-7";
+
+fn put_client(office: &Office, keys: &[&str]) {
+    let text = format!(
+        "[client mill-7]\nkeys = {}\nrate = 50\nburst = 100\n",
+        keys.join(" ")
+    );
+    std::fs::write(office.folder("anna").join("60-clients.ini"), text).unwrap();
+    let pushed = office.in_folder("push", "anna");
+    assert_eq!(pushed.code, 0, "{}", pushed.err);
+}
+
+/// Returns what each node says of the client account, after a look that no key is shown.
+fn account_on_nodes(office: &Office) -> Vec<AccountStatus> {
+    let node = office.fleet.nodes[2].operators();
+    for arguments in [
+        &["accounts", "--node", &node][..],
+        &["accounts", "--json", "--node", &node],
+    ] {
+        let said = run("crankctl", arguments);
+        assert_eq!(said.code, 0, "{}", said.err);
+        assert!(!said.out.contains("key-of-mill-7"), "{}", said.out);
+    }
+    let said = run("crankctl", &["accounts", "--json", "--node", &node]);
+    let fleet: serde_json::Value = serde_json::from_str(&said.out).unwrap();
+    let nodes: Vec<NodeAccounts> = serde_json::from_value(fleet["nodes"].clone()).unwrap();
+    assert_eq!(nodes.len(), SERVICES.len());
+    let accounts = nodes.into_iter().flat_map(|node| node.accounts);
+    accounts.collect()
+}
+
+async fn send(office: &Office, node: usize, key: &str) -> u16 {
+    let url = format!("{}/recipes/7", office.fleet.nodes[node].callers());
+    let request = reqwest::Client::new().get(url).header("crank-key", key);
+    request.send().await.unwrap().status().as_u16()
+}
+
+#[tokio::test]
+async fn operators_see_client_accounts_of_all_nodes_and_a_key_that_is_taken_back() {
+    let office = Office::open().await;
+    copy_example(&office.folder("anna"));
+    put_client(&office, &[KEPT_KEY, OLD_KEY]);
+    office.until_in_force(1).await;
+    for node in 0..SERVICES.len() {
+        let is_served = async || send(&office, node, OLD_KEY).await == 200;
+        wait("a served request", PATIENCE, is_served).await.unwrap();
+    }
+    let accounts = account_on_nodes(&office);
+    assert_eq!(accounts.len(), SERVICES.len());
+    for account in &accounts {
+        assert_eq!((account.keys, account.keys_taken_back), (2, 0));
+        assert_eq!(account.limit.unwrap().per_second, 50);
+        assert!(account.recent.unwrap().admitted >= 1, "{account:?}");
+        assert!(account.home.is_some(), "{account:?}");
+    }
+
+    put_client(&office, &[KEPT_KEY]);
+    office.until_in_force(2).await;
+    assert_eq!(send(&office, 0, OLD_KEY).await, 401);
+    assert_eq!(send(&office, 0, KEPT_KEY).await, 200);
+    for account in account_on_nodes(&office) {
+        assert_eq!((account.keys, account.keys_taken_back), (1, 1));
+    }
+}
