--- a/crates/crank-node/src/entry.rs
+++ b/crates/crank-node/src/entry.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod lines;
 mod options;
+mod prepare;
 mod routed;
 mod search;
 mod transfer;
@@ -19,7 +20,7 @@
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use crank_engine::balance::ChosenTarget;
-use crank_engine::client_retry::{ClientRequest, ClientRetries};
+use crank_engine::client_retry::ClientRetries;
 use crank_engine::drain::Drain;
 use crank_engine::limit::Capacity;
 use crank_engine::route::{ResolvedRoute, RoutingTable};
@@ -33,14 +34,13 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::admission::{AdmissionController, AdmissionRequest, Permit};
+use crate::admission::AdmissionController;
 use crate::clock::Clock;
 use crate::quota::RateLimiter;
 use crate::rollout::Rollouts;
 use buffer::ResponseBuffers;
 use bulkhead::Bulkhead;
-use caller::{Caller, Rejected};
-use options::RequestOptions;
+use prepare::RequestPermits;
 use routed::RoutedRequest;
 use transfer::{ResponseTransfer, record};
 
@@ -121,12 +121,6 @@
     ending: CancellationToken,
 }
 
-/// The permits that a request holds.
-struct RequestPermits {
-    _node: Permit,
-    _service: Permit,
-}
-
 impl<T: Transport> crank_caller::Gateway for EntryProxy<T> {
     async fn call(&self, request: Request) -> Result<Response, RefusedRequest> {
         Self::call(self, request).await
@@ -244,87 +238,6 @@
         }
     }
 
-    async fn prepare(
-        &self,
-        request: Request,
-        started_at: Moment,
-    ) -> Result<(RoutedRequest, RequestPermits), Rejected> {
-        let table = self.table()?;
-        let rule = table
-            .find_for_host(&request.host, request.method, &request.path, rand::random())?
-            .clone();
-        let conventions = &self.shared.dependencies.conventions;
-        let caller = Caller::identify(&request, &rule, &table, &conventions.dialect)?;
-        let options = RequestOptions::parse(&request, &rule, &conventions.dialect)?;
-        if options.depth == 0 {
-            self.shared.drain.lock().admit(started_at, options.depth)?;
-        }
-        let client = ClientRequest {
-            deadline: started_at.after(options.caller_timeout),
-            route: rule.name.clone(),
-            account: caller.name().cloned(),
-        };
-        let first_arrival = self.first_arrival(started_at, &client);
-        let rejected = |refusal| {
-            self.record_failure(&client, first_arrival);
-            caller.rejected(refusal)
-        };
-        let token = caller
-            .name()
-            .map(|account| self.shared.rate_limiter.admit(account))
-            .transpose()
-            .map_err(rejected)?;
-        let deadline = started_at.after(options.timeout);
-        let deadline = self.shared.drain.lock().latest_end(deadline);
-        let bulkhead = self.bulkhead(&rule);
-        self.refresh(&bulkhead, table.version(), &rule);
-        let permits = self
-            .acquire_permits(&bulkhead, &rule, &caller, deadline, options.depth)
-            .await;
-        let permits = permits.map_err(|refusal| {
-            self.record(&rule, false, started_at);
-            rejected(refusal)
-        })?;
-        let routed = RoutedRequest {
-            client,
-            first_arrival,
-            label: lines::request_label(&request.headers, &conventions.dialect),
-            head: options.head(&request, &rule, table.version(), &caller, conventions),
-            body: request.body,
-            rule,
-            bulkhead,
-            caller,
-            token,
-            started_at,
-            deadline,
-        };
-        Ok((routed, permits))
-    }
-
-    /// Acquires the permit of the service first, so that no service waits for another's slots.
-    async fn acquire_permits(
-        &self,
-        bulkhead: &Bulkhead,
-        rule: &ResolvedRoute,
-        caller: &Caller,
-        deadline: Moment,
-        depth: u32,
-    ) -> Result<RequestPermits, Refusal> {
-        let request = AdmissionRequest {
-            importance: caller.importance(rule),
-            deadline,
-            depth,
-            expected_run_time: None,
-            account: caller.name().cloned(),
-        };
-        let service = bulkhead.admission().admit(request.clone()).await?;
-        let node_limit = &self.shared.node_limit;
-        Ok(RequestPermits {
-            _node: node_limit.admit(request).await?,
-            _service: service,
-        })
-    }
-
     /// Passes the response on. Its permits are held, and the request is counted, until the body
     /// ends.
     fn finish(
@@ -345,18 +258,6 @@
         transfer.pass_on(response, routed.deadline)
     }
 
-    /// Returns when the first attempt of a client's request arrived.
-    fn first_arrival(&self, now: Moment, client: &ClientRequest) -> Moment {
-        let mut retries = self.shared.client_retries.lock();
-        retries.first_arrival(now, client)
-    }
-
-    /// Remembers a request that the client may retry.
-    fn record_failure(&self, client: &ClientRequest, first_arrival: Moment) {
-        let mut retries = self.shared.client_retries.lock();
-        retries.record_failure(self.now(), client.clone(), first_arrival);
-    }
-
     fn table(&self) -> Result<Arc<RoutingTable>, Refusal> {
         if !*self.shared.dependencies.ready.borrow() {
             return Err(Refusal::NotReady);
