--- a/review/standins-2/ahead.rs
+++ b/review/standins-2/ahead.rs
@@ -19,7 +19,7 @@
 const ALLOWED: usize = 3;
 /// One answer in fifty is broken off: `garble` breaks off `x` (.02) of a server's answers.
 const BROKEN_OFF_EVERY: u64 = 50;
-const LARGE_BYTES: usize = 600_000;
+const LARGE_BYTES: usize = 300_000;
 const BATCHES: usize = 400;
 const ROUTES: [(&str, &str, &str, &str); 2] = [
     ("r-large", "safe", "/lepu270/", "huvo11a"),
