--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -24,6 +24,7 @@
 use crate::checked_body::{CheckedBody, PooledConnection};
 use crate::connection::{Connection, ConnectionPool};
 use crate::response_head::is_spliced;
+use crate::seen_headers::SeenHeaders;
 
 /// The `Retry-After` of a shed request if the backend server does not state one.
 const DEFAULT_RETRY_AFTER: Millis = Millis(100);
@@ -51,6 +52,7 @@
 pub struct Forwarder {
     dialect: Arc<HttpDialect>,
     pool: ConnectionPool,
+    seen_headers: SeenHeaders,
 }
 
 /// The response of a healthy backend server to a health check.
@@ -182,6 +184,7 @@
             log::warn!(address:% = address; "response head made of two: connection dropped");
             return Err(Refusal::Lost);
         }
+        self.seen_headers.record(address, response.headers());
         Ok((response, connection))
     }
 
--- a/crates/crank-server/src/lib.rs
+++ b/crates/crank-server/src/lib.rs
@@ -9,6 +9,7 @@
 mod heartbeat_tracker;
 mod report_body;
 mod response_head;
+mod seen_headers;
 
 pub use announcements::AnnouncementListener;
 pub use crank_engine::registration::Heard;
