Hold requests to the limit that a backend server states

Cause: nobody read the statement. A node admitted requests by slots, queue and time alone; heartbeats and health checks were the only things by which a server could change how it is used.

Change: the forwarder reads limit and leaving from the head of each answer and hands them to the server's registration; the node beside the server, through which every request reaches it, holds the starts of requests to the rate (crank_engine::limit::rate). A target without allowance reports its slots as taken, so that entries choose others; what can't wait for its turn is refused at once as not run.

--- a/crates/crank-engine/src/admission.rs
+++ b/crates/crank-engine/src/admission.rs
@@ -1,9 +1,9 @@
 //! Admission control at a target node: slots, queue, deadline and drain are checked before a
 //! request reaches the backend server.
 
-use crank_protocol::Millis;
 use crank_protocol::call::{Load, Refusal};
 use crank_protocol::member::Stage;
+use crank_protocol::{Millis, RequestRate};
 use serde::{Deserialize, Serialize};
 
 use crate::Moment;
@@ -125,6 +125,45 @@
         self.limit.resize(now, capacity)
     }
 
+    /// Sets the rate of requests that the backend server states as its limit, or none; see
+    /// [`ConcurrencyLimit::set_rate`].
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::admission::Admission;
+    /// # use crank_engine::limit::Capacity;
+    /// # use crank_protocol::RequestRate;
+    /// let mut admission = Admission::new(Capacity { slots: 9, queue: 1 });
+    /// admission.set_rate(Moment(0), Some(RequestRate(4_000)));
+    /// assert_eq!(admission.reported_load(Moment(0)).running, 7);
+    /// ```
+    pub fn set_rate(&mut self, now: Moment, rate: Option<RequestRate>) -> Vec<Decision> {
+        self.limit.set_rate(now, rate)
+    }
+
+    /// Returns when a waiting request may start; see [`ConcurrencyLimit::next_start`].
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, admission::Admission, limit::Capacity};
+    /// let admission = Admission::new(Capacity { slots: 1, queue: 1 });
+    /// assert_eq!(admission.next_start(Moment(0)), None);
+    /// ```
+    #[must_use]
+    pub fn next_start(&self, now: Moment) -> Option<Moment> {
+        self.limit.next_start(now)
+    }
+
+    /// Starts the waiting requests that may start now; see [`ConcurrencyLimit::start_due`].
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, admission::Admission, limit::Capacity};
+    /// let mut admission = Admission::new(Capacity { slots: 1, queue: 1 });
+    /// assert_eq!(admission.start_due(Moment(0)), []);
+    /// ```
+    pub fn start_due(&mut self, now: Moment) -> Vec<Decision> {
+        self.limit.start_due(now)
+    }
+
     /// Sets the stage that the backend server announced.
     ///
     /// Unless the server is ready, all waiting requests are refused.
@@ -221,18 +260,36 @@
         }
     }
 
+    /// Returns the load as other nodes are to see it: slots that no request may take because of the
+    /// stated rate count as running requests.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, admission::Admission, limit::Capacity};
+    /// let admission = Admission::new(Capacity { slots: 2, queue: 1 });
+    /// assert_eq!(admission.reported_load(Moment(0)).running, 0);
+    /// ```
+    #[must_use]
+    pub fn reported_load(&self, now: Moment) -> Load {
+        let load = self.load();
+        let taken = load.slots.saturating_sub(self.limit.room(now));
+        Load {
+            running: load.running.max(taken),
+            ..load
+        }
+    }
+
     /// Returns the refusal for a request that can neither run nor wait, with the time after which
     /// the caller may retry.
     ///
     /// ```
-    /// # use crank_engine::{admission::Admission, limit::Capacity};
+    /// # use crank_engine::{Moment, admission::Admission, limit::Capacity};
     /// # use crank_protocol::call::Refusal;
     /// let admission = Admission::new(Capacity { slots: 1, queue: 0 });
-    /// assert!(matches!(admission.overload_refusal(), Refusal::Overloaded { .. }));
+    /// assert!(matches!(admission.overload_refusal(Moment(0)), Refusal::Overloaded { .. }));
     /// ```
     #[must_use]
-    pub fn overload_refusal(&self) -> Refusal {
-        self.limit.overload_refusal()
+    pub fn overload_refusal(&self, now: Moment) -> Refusal {
+        self.limit.overload_refusal(now)
     }
 }
 
--- a/crates/crank-engine/src/limit.rs
+++ b/crates/crank-engine/src/limit.rs
@@ -11,21 +11,26 @@
 //! Among client accounts, slots and queue are shared fairly. The time after which refused callers
 //! may retry is spread, so that a crowd that was refused does not return as one.
 //!
+//! A backend server may also state how many requests a second it takes; then a request needs a part of
+//! that rate besides a free slot.
+//!
 //! An entry node keeps one limit for each service, and a target node keeps one for its backend
 //! server.
 
 mod queue;
+mod rate;
 mod share;
 
 use std::collections::BTreeMap;
 
 use crank_protocol::call::Refusal;
 use crank_protocol::config::Importance;
-use crank_protocol::{Millis, Name};
+use crank_protocol::{Millis, Name, RequestRate};
 use serde::{Deserialize, Serialize};
 
 use crate::Moment;
 use queue::{Queue, WaitingRequest};
+use rate::RateGate;
 
 /// The minimum `retry_after` of an overload refusal.
 pub const MIN_RETRY_AFTER: Millis = Millis(10);
@@ -102,6 +107,8 @@
     waiting: Queue,
     mean_micros: u64,
     last_id: u64,
+    #[serde(default)]
+    rate: RateGate,
 }
 
 impl ConcurrencyLimit {
@@ -129,6 +136,7 @@
             waiting: Queue::default(),
             mean_micros: 0,
             last_id: 0,
+            rate: RateGate::default(),
         }
     }
 
@@ -151,7 +159,62 @@
     /// ```
     pub fn resize(&mut self, now: Moment, capacity: Capacity) -> Vec<Decision> {
         self.capacity = capacity;
-        self.start_waiting_requests(now)
+        self.start_due(now)
+    }
+
+    /// Sets the rate at which requests may start, or none, and starts waiting requests that it
+    /// allows.
+    ///
+    /// The requests that run when a rate is first set count against what may start at first.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::limit::{Capacity, ConcurrencyLimit, Decision, PendingRequest};
+    /// use crank_protocol::RequestRate;
+    /// let mut limit = ConcurrencyLimit::new(Capacity { slots: 9, queue: 9 });
+    /// let request = |id| PendingRequest {
+    ///     id, importance: Default::default(), deadline: Moment(9_000_000), depth: 0,
+    ///     expected_run_time: None,
+    ///     account: None,
+    /// };
+    /// limit.set_rate(Moment(0), Some(RequestRate(1_000)));
+    /// assert_eq!(limit.admit(Moment(0), request(1)), [Decision::Run { id: 1 }]);
+    /// assert_eq!(limit.admit(Moment(0), request(2)), []);
+    /// assert_eq!(limit.next_start(Moment(0)), Some(Moment(750_000)));
+    /// assert_eq!(limit.start_due(Moment(750_000)), [Decision::Run { id: 2 }]);
+    /// ```
+    pub fn set_rate(&mut self, now: Moment, rate: Option<RequestRate>) -> Vec<Decision> {
+        self.rate.set(now, rate, self.running.len());
+        self.start_due(now)
+    }
+
+    /// Returns when a waiting request may start because the rate allows it; `None` if none waits for
+    /// the rate alone.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::limit::{Capacity, ConcurrencyLimit};
+    /// let limit = ConcurrencyLimit::new(Capacity { slots: 1, queue: 1 });
+    /// assert_eq!(limit.next_start(Moment(0)), None);
+    /// ```
+    #[must_use]
+    pub fn next_start(&self, now: Moment) -> Option<Moment> {
+        let waits = !self.waiting.is_empty() && self.has_free_slot();
+        waits.then(|| Moment(now.0.saturating_add(self.rate.wait_micros(now, 0))))
+    }
+
+    /// Returns how many requests may start now, by slots and rate.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::limit::{Capacity, ConcurrencyLimit};
+    /// let limit = ConcurrencyLimit::new(Capacity { slots: 3, queue: 1 });
+    /// assert_eq!(limit.room(Moment(0)), 3);
+    /// ```
+    #[must_use]
+    pub fn room(&self, now: Moment) -> u32 {
+        let free = self.capacity.slots.saturating_sub(self.running());
+        free.min(self.rate.available(now).unwrap_or(u32::MAX))
     }
 
     /// Runs, queues or refuses a request.
@@ -178,15 +241,15 @@
             return vec![refuse(request.id, Refusal::TooLate)];
         }
         let request = self.waiting.place(request, self.mean_micros);
-        if self.has_free_slot() && self.waiting.is_empty() {
+        if self.can_start(now) && self.waiting.is_empty() {
             self.waiting.book(&request);
             return vec![self.start(now, &request)];
         }
         let id = request.position.id;
         if self.expected_end(now, &request) > request.position.deadline {
-            return vec![refuse(id, self.overload_refusal())];
+            return vec![refuse(id, self.overload_refusal(now))];
         }
-        self.enqueue(request)
+        self.enqueue(now, request)
     }
 
     /// Runs a request if a slot is free and no other request waits, and refuses it otherwise.
@@ -206,8 +269,8 @@
     /// ```
     pub fn admit_without_wait(&mut self, now: Moment, request: PendingRequest) -> Vec<Decision> {
         self.last_id = request.id;
-        if request.deadline > now && !(self.has_free_slot() && self.waiting.is_empty()) {
-            return vec![refuse(request.id, self.overload_refusal())];
+        if request.deadline > now && !(self.can_start(now) && self.waiting.is_empty()) {
+            return vec![refuse(request.id, self.overload_refusal(now))];
         }
         self.admit(now, request)
     }
@@ -215,20 +278,21 @@
     fn start(&mut self, now: Moment, request: &WaitingRequest) -> Decision {
         let id = request.position.id;
         self.waiting.start(request);
+        self.rate.spend(now);
         self.running.insert(id, now);
         Decision::Run { id }
     }
 
-    fn enqueue(&mut self, request: WaitingRequest) -> Vec<Decision> {
+    fn enqueue(&mut self, now: Moment, request: WaitingRequest) -> Vec<Decision> {
         let mut decisions = Vec::new();
         if self.waiting.len() >= self.capacity.queue as usize {
             match self.waiting.last() {
                 Some(last) if last.gives_way_to(&request.position) => {
                     self.waiting.remove(last.id);
-                    decisions.push(refuse(last.id, self.overload_refusal()));
+                    decisions.push(refuse(last.id, self.overload_refusal(now)));
                 }
                 Some(_) | None => {
-                    return vec![refuse(request.position.id, self.overload_refusal())];
+                    return vec![refuse(request.position.id, self.overload_refusal(now))];
                 }
             }
         }
@@ -249,7 +313,7 @@
             Some(started) => self.record_run_time(now.0.saturating_sub(started.0)),
             None => self.waiting.remove(id),
         }
-        self.start_waiting_requests(now)
+        self.start_due(now)
     }
 
     /// Refuses all waiting requests for the given reason.
@@ -311,14 +375,17 @@
     /// different from request to request, clamped to [`MIN_RETRY_AFTER`] and [`MAX_RETRY_AFTER`].
     ///
     /// ```
+    /// # use crank_engine::Moment;
     /// # use crank_engine::limit::{Capacity, ConcurrencyLimit, MIN_RETRY_AFTER};
     /// # use crank_protocol::call::Refusal;
-    /// let refusal = ConcurrencyLimit::new(Capacity { slots: 1, queue: 1 }).overload_refusal();
+    /// let refusal = ConcurrencyLimit::new(Capacity { slots: 1, queue: 1 }).overload_refusal(Moment(0));
     /// assert_eq!(refusal, Refusal::Overloaded { retry_after: MIN_RETRY_AFTER });
     /// ```
     #[must_use]
-    pub fn overload_refusal(&self) -> Refusal {
+    pub fn overload_refusal(&self, now: Moment) -> Refusal {
+        let wait_for_rate = self.rate.wait_micros(now, self.waiting.len());
         let micros = self.queue_wait_micros(self.waiting.work_micros());
+        let micros = micros.max(wait_for_rate);
         let spread = 1.0 + RETRY_SPREAD * (self.last_id as f64 * GOLDEN_FRACTION).fract();
         let retry_after = Millis((micros as f64 * spread) as u64 / MICROS_PER_MILLI);
         Refusal::Overloaded {
@@ -326,11 +393,18 @@
         }
     }
 
-    /// Starts waiting requests while slots are free, and refuses those that can no longer meet
-    /// their deadline.
-    fn start_waiting_requests(&mut self, now: Moment) -> Vec<Decision> {
+    /// Starts waiting requests while slots and rate allow it, and refuses those that can no longer
+    /// meet their deadline.
+    ///
+    /// ```
+    /// # use crank_engine::Moment;
+    /// # use crank_engine::limit::{Capacity, ConcurrencyLimit};
+    /// let mut limit = ConcurrencyLimit::new(Capacity { slots: 1, queue: 1 });
+    /// assert_eq!(limit.start_due(Moment(0)), []);
+    /// ```
+    pub fn start_due(&mut self, now: Moment) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        while self.has_free_slot() {
+        while self.can_start(now) {
             let Some(request) = self.waiting.pop_first() else {
                 break;
             };
@@ -350,10 +424,16 @@
         self.running.len() < self.capacity.slots as usize
     }
 
+    fn can_start(&self, now: Moment) -> bool {
+        self.has_free_slot() && self.rate.is_open(now)
+    }
+
     /// Returns when a new request is expected to end if it is queued now.
     fn expected_end(&self, now: Moment, request: &WaitingRequest) -> Moment {
         let ahead = self.waiting.work_micros_before(request.position);
-        let wait = self.queue_wait_micros(ahead);
+        let requests_ahead = self.waiting.len_before(request.position);
+        let wait_for_rate = self.rate.wait_micros(now, requests_ahead);
+        let wait = self.queue_wait_micros(ahead).max(wait_for_rate);
         Moment(
             now.0
                 .saturating_add(wait)
--- a/crates/crank-engine/src/limit/queue.rs
+++ b/crates/crank-engine/src/limit/queue.rs
@@ -132,6 +132,11 @@
         sum_micros(self.waiting.range(..position).map(|(_, request)| request))
     }
 
+    /// Returns the number of requests that run before this position.
+    pub(super) fn len_before(&self, position: QueuePosition) -> usize {
+        self.waiting.range(..position).count()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
--- a/crates/crank-engine/src/registration.rs
+++ b/crates/crank-engine/src/registration.rs
@@ -4,17 +4,19 @@
 //! restarted. A late message must not make a server ready that has drained or deregistered since.
 
 mod departure;
+mod stated_limit;
 
 use std::net::SocketAddr;
 
-use crank_protocol::Millis;
-use crank_protocol::heartbeat::{Announcement, HeartbeatReport, ProcessStart};
+use crank_protocol::heartbeat::{Announcement, HeartbeatReport, ProcessStart, Statement};
 use crank_protocol::member::{Endpoint, Stage};
+use crank_protocol::{Millis, RequestRate};
 use serde::{Deserialize, Serialize};
 
 use crate::Moment;
 use crate::heartbeat::{Heartbeat, effective_stage};
 use departure::{Departure, Departures};
+use stated_limit::LastStatedLimit;
 
 /// How long a heartbeat may be on its way.
 ///
@@ -62,6 +64,9 @@
     heartbeat_timeout: Millis,
     last: Option<LastHeartbeat>,
     departures: Departures,
+    /// The processes that have stated in a response that they leave.
+    leaving: Departures,
+    limit: LastStatedLimit,
 }
 
 /// The newest heartbeat of the server.
@@ -99,6 +104,8 @@
             heartbeat_timeout,
             last: None,
             departures: Departures::default(),
+            leaving: Departures::default(),
+            limit: LastStatedLimit::default(),
         }
     }
 
@@ -135,6 +142,9 @@
         {
             report.stage = report.stage.max(earliest_stage(last.heartbeat.stage));
         }
+        if self.leaving.include(&report.start) {
+            report.stage = report.stage.max(Stage::Draining);
+        }
         let heartbeat = Heartbeat {
             stage: report.stage,
             received_at: now,
@@ -190,6 +200,61 @@
         })
     }
 
+    /// Records what the server with this id states about itself in the response to a request that was
+    /// sent at `sent_at`; `unix_now_ms` is the time of day of the instance.
+    ///
+    /// A server that states that it leaves counts as draining, and no heartbeat of the same process
+    /// makes it ready again. What another server states than the one whose heartbeats are
+    /// received is ignored; without an id it is taken for that one.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, registration::Registration};
+    /// use crank_protocol::heartbeat::{StatedLimit, Statement};
+    /// let mut registration = Registration::new(crank_protocol::Millis(3_000), Moment(0));
+    /// let limit = StatedLimit::Limited(crank_protocol::RequestRate(17_300));
+    /// let statement = Statement { limit, is_leaving: false };
+    /// registration.record_statement(Moment(2), Moment(1), Some("s1"), statement, 9);
+    /// assert_eq!(registration.stated_rate(), None);
+    /// ```
+    pub fn record_statement(
+        &mut self,
+        now: Moment,
+        sent_at: Moment,
+        server_id: Option<&str>,
+        statement: Statement,
+        unix_now_ms: u64,
+    ) {
+        let Some(last) = self.last.as_mut() else {
+            return;
+        };
+        if server_id.is_some() && server_id != last.report.start.server_id.as_deref() {
+            return;
+        }
+        if statement.is_leaving {
+            last.heartbeat.stage = last.heartbeat.stage.max(Stage::Draining);
+            last.report.stage = last.report.stage.max(Stage::Draining);
+            if let Some(server_id) = last.report.start.server_id.clone() {
+                self.leaving.record(Departure {
+                    server_id,
+                    started_by_ms: last.report.start.started_at_ms.unwrap_or(unix_now_ms),
+                });
+            }
+        }
+        self.limit.record(now, sent_at, statement.limit);
+    }
+
+    /// Returns the rate of requests that the server states as its limit, if it states one.
+    ///
+    /// ```
+    /// # use crank_engine::{Moment, registration::Registration};
+    /// let registration = Registration::new(crank_protocol::Millis(3_000), Moment(0));
+    /// assert_eq!(registration.stated_rate(), None);
+    /// ```
+    #[must_use]
+    pub fn stated_rate(&self) -> Option<RequestRate> {
+        self.limit.rate()
+    }
+
     /// Records a successful health check: the server with this id is ready and is not leaving.
     ///
     /// ```
--- a/crates/crank-engine/tests/nested_calls.rs
+++ b/crates/crank-engine/tests/nested_calls.rs
@@ -74,7 +74,8 @@
 
 impl ArrivalOrder {
     fn refusal(id: u64) -> Decision {
-        let refusal = ConcurrencyLimit::new(Capacity { slots: 1, queue: 1 }).overload_refusal();
+        let refusal =
+            ConcurrencyLimit::new(Capacity { slots: 1, queue: 1 }).overload_refusal(Moment(0));
         Decision::Refuse { id, refusal }
     }
 }
--- a/crates/crank-node/src/admission.rs
+++ b/crates/crank-node/src/admission.rs
@@ -12,7 +12,7 @@
 use crank_protocol::call::{Load, Refusal};
 use crank_protocol::config::Importance;
 use crank_protocol::member::Stage;
-use crank_protocol::{Millis, Name};
+use crank_protocol::{Millis, Name, RequestRate};
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
@@ -100,6 +100,8 @@
     slot_time: SlotTime,
     waiters: HashMap<u64, oneshot::Sender<Result<(), Refusal>>>,
     next_id: u64,
+    /// When a task starts the requests that wait for the rate; `None` if there is no such task.
+    wakes_at: Option<Moment>,
 }
 
 impl State {
@@ -137,6 +139,7 @@
         state.waiters.remove(&self.id);
         let decisions = state.admission.finish(now, self.id);
         state.apply(decisions);
+        self.controller.wake_when_due(&mut state, now);
     }
 }
 
@@ -159,6 +162,7 @@
             slot_time: SlotTime::default(),
             waiters: HashMap::new(),
             next_id: 0,
+            wakes_at: None,
         };
         Self {
             clock,
@@ -231,10 +235,62 @@
         state.count_slot_time(now);
         let decisions = admit(&mut state.admission, now, request.into_pending(id));
         state.apply(decisions);
+        self.wake_when_due(&mut state, now);
         let controller = self.clone();
         (Permit { controller, id }, receiver)
     }
 
+    /// Sets the rate of requests that the server states as its limit, or none.
+    ///
+    /// ```
+    /// # use crank_engine::limit::Capacity;
+    /// # use crank_node::{clock::Clock, admission::AdmissionController};
+    /// # use crank_protocol::RequestRate;
+    /// let controller = AdmissionController::new(Clock::new(), Capacity { slots: 9, queue: 0 });
+    /// controller.set_rate(Some(RequestRate(4_000)));
+    /// assert_eq!(controller.load().running, 7);
+    /// ```
+    pub fn set_rate(&self, rate: Option<RequestRate>) {
+        let mut state = self.state.lock();
+        let now = self.clock.now();
+        state.count_slot_time(now);
+        let decisions = state.admission.set_rate(now, rate);
+        state.apply(decisions);
+        self.wake_when_due(&mut state, now);
+    }
+
+    /// Spawns a task that starts waiting requests as soon as the rate allows it.
+    fn wake_when_due(&self, state: &mut State, now: Moment) {
+        let Some(due) = state.admission.next_start(now) else {
+            return;
+        };
+        if state.wakes_at.is_some_and(|wakes_at| wakes_at <= due) {
+            return;
+        }
+        // Without a runtime, as at its end, no request waits for an answer.
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        state.wakes_at = Some(due);
+        let controller = self.clone();
+        runtime.spawn(async move {
+            tokio::time::sleep_until(controller.clock.to_instant(due)).await;
+            controller.start_due(due);
+        });
+    }
+
+    fn start_due(&self, due: Moment) {
+        let mut state = self.state.lock();
+        if state.wakes_at == Some(due) {
+            state.wakes_at = None;
+        }
+        let now = self.clock.now();
+        state.count_slot_time(now);
+        let decisions = state.admission.start_due(now);
+        state.apply(decisions);
+        self.wake_when_due(&mut state, now);
+    }
+
     /// Changes the number of slots and the length of the queue.
     ///
     /// ```
@@ -337,7 +393,8 @@
     /// ```
     #[must_use]
     pub fn overload_refusal(&self) -> Refusal {
-        self.state.lock().admission.overload_refusal()
+        let now = self.clock.now();
+        self.state.lock().admission.overload_refusal(now)
     }
 
     /// Returns for how long slots were free and requests waited so far.
@@ -372,7 +429,8 @@
         self.state.lock().slowdown.record(now, run);
     }
 
-    /// Returns the number of running and waiting requests, the number of slots and the slowdown.
+    /// Returns the number of running and waiting requests, the number of slots and the slowdown, as
+    /// other nodes are to see them; see [`Admission::reported_load`].
     ///
     /// ```
     /// # use crank_engine::limit::Capacity;
@@ -382,10 +440,11 @@
     /// ```
     #[must_use]
     pub fn load(&self) -> Load {
+        let now = self.clock.now();
         let state = self.state.lock();
         Load {
-            slowdown: state.slowdown.current(self.clock.now()),
-            ..state.admission.load()
+            slowdown: state.slowdown.current(now),
+            ..state.admission.reported_load(now)
         }
     }
 }
--- a/crates/crank-node/src/node.rs
+++ b/crates/crank-node/src/node.rs
@@ -13,7 +13,7 @@
 use crank_protocol::member::{Member, Place, State};
 use crank_protocol::wire::{Hello, PROTOCOL_VERSION};
 use crank_protocol::{Millis, Name};
-use crank_server::Announcement;
+use crank_server::{Announcement, HeartbeatTracker};
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -60,8 +60,8 @@
     pub linger: Millis,
     /// The client of the platform's table service.
     pub platform: P,
-    /// The latest announcement of the backend server beside the node.
-    pub announcement: watch::Receiver<Option<Announcement>>,
+    /// The state of the backend server beside the node.
+    pub server: HeartbeatTracker,
     /// The listener for callers.
     pub caller_listener: crank_caller::Edge,
     /// The conventions of the platform at the entry.
@@ -109,16 +109,18 @@
         let (sockets, accepted) = mpsc::channel(CALL_SOCKET_QUEUE);
         let mesh = crank_mesh::start(mesh_settings(&options), sockets).await?;
         let hello = build_hello(&options, &mesh);
-        let announced = handover::drain_before_notice_end(options.announcement, mesh.config());
+        let announced = handover::drain_before_notice_end(options.server.watch(), mesh.config());
         let dialect = options.conventions.dialect.clone();
+        let forwarder = crank_server::Forwarder::new().with_dialect(dialect.clone());
         let target = Target::new(target::Dependencies {
             clock,
             config: mesh.config(),
             announcement: announced.clone(),
+            stated_rate: options.server.watch_rate(),
             account: options.account,
             platform: options.platform,
             dialect: dialect.clone(),
-            forwarder: crank_server::Forwarder::new().with_dialect(dialect.clone()),
+            forwarder: forwarder.with_tracker(options.server),
         });
         tokio::spawn(target.clone().track_changes());
         let burn = Arc::new(Mutex::new(BurnCounter::new(clock.now())));
@@ -142,26 +144,23 @@
         tokio::spawn(entry.rate_limiter().run(mesh.clone()));
         let uplink = SharedUplink::new(options.link_mbits);
         let call_connections = TaskTracker::new();
-        let server = CallServer {
+        let call_server = CallServer {
             hello: Arc::new(hello),
             target: target.clone(),
             uplink,
             closing: closing.clone(),
             connections: call_connections.clone(),
         };
-        tokio::spawn(server.run(accepted));
+        tokio::spawn(call_server.run(accepted));
         let refused_config = RefusedConfig::default();
-        let metrics = Arc::new(Metrics::new());
-        metrics.add_mesh(mesh.clone());
-        metrics.add_slot_time(target.admission().clone());
-        metrics.add_refused_config(refused_config.clone());
-        metrics.add_rollouts(entry.rollouts().clone());
-        metrics.add_accounts(entry.rate_limiter());
+        let metrics = Arc::new(register_metrics(&mesh, &target, &entry, &refused_config));
         metrics.add_longest_pause(LongestPause::start(clock));
         let gateway = MeteredGateway::new(entry.clone(), metrics.clone());
-        let edge = options.caller_listener.with_dialect(dialect);
-        let edge = edge.with_config(mesh.config());
-        let edge = edge.with_close_delay(MIN_CLOSE_DELAY.max(options.linger.into()));
+        let edge = options
+            .caller_listener
+            .with_dialect(dialect)
+            .with_config(mesh.config())
+            .with_close_delay(MIN_CLOSE_DELAY.max(options.linger.into()));
         let caller_task = tokio::spawn(edge.run(gateway, closing.clone()));
         Ok(Self {
             name: options.name,
@@ -416,6 +415,22 @@
     }
 }
 
+fn register_metrics<P: Rows>(
+    mesh: &Handle,
+    target: &NodeTarget<P>,
+    entry: &NodeEntry<P>,
+    refused_config: &RefusedConfig,
+) -> Metrics {
+    let metrics = Metrics::new();
+    metrics.add_mesh(mesh.clone());
+    metrics.add_slot_time(target.admission().clone());
+    metrics.add_stated_rate(target.stated_rate());
+    metrics.add_refused_config(refused_config.clone());
+    metrics.add_rollouts(entry.rollouts().clone());
+    metrics.add_accounts(entry.rate_limiter());
+    metrics
+}
+
 /// Waits until callers and other nodes have taken the responses that are on their way to them.
 async fn close_connections(
     caller_task: tokio::task::JoinHandle<()>,
--- a/crates/crank-node/src/recall.rs
+++ b/crates/crank-node/src/recall.rs
@@ -9,6 +9,7 @@
 use crank_protocol::{Millis, Name};
 use crank_server::{Forwarder, HeartbeatReport, HeartbeatTracker, ProcessStart};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Only a few: each health check costs the server a slot, and a heartbeat arrives soon anyway.
 const MAX_CHECKS: u32 = 3;
@@ -82,6 +83,7 @@
             if !self.needs_check() {
                 return true;
             }
+            let sent_at = Instant::now();
             let health = self
                 .forwarder
                 .check_health(*address, &self.path, CHECK_TIMEOUT)
@@ -93,7 +95,7 @@
                     slots = health.slots;
                     "backend server found well"
                 );
-                let server = health.server_id.clone();
+                let (server, statement) = (health.server_id.clone(), health.statement);
                 if self.tracker.watch().borrow().is_none() {
                     let start = ProcessStart {
                         server_id: Some(health.server_id),
@@ -107,7 +109,9 @@
                         start,
                     });
                 }
-                self.tracker.confirm_ready(&server);
+                let tracker = &self.tracker;
+                tracker.record_statement(sent_at, Some(&server), statement);
+                tracker.confirm_ready(&server);
                 return true;
             }
             tokio::time::sleep(CHECK_INTERVAL).await;
--- a/crates/crank-node/src/run.rs
+++ b/crates/crank-node/src/run.rs
@@ -82,7 +82,7 @@
         grace: settings.grace,
         linger: NO_LINGER,
         platform: platform.clone(),
-        announcement: listeners.announcements.watch(),
+        server: listeners.announcements.tracker(),
         caller_listener: listeners.edge,
         conventions: Conventions::default(),
     })
--- a/crates/crank-node/src/target.rs
+++ b/crates/crank-node/src/target.rs
@@ -15,7 +15,7 @@
 use crank_protocol::call::{Header, Load, Refusal, RefusedRequest, RequestHead, Response};
 use crank_protocol::config::{Service, Snapshot};
 use crank_protocol::member::Stage;
-use crank_protocol::{HttpDialect, Millis, Name};
+use crank_protocol::{HttpDialect, Millis, Name, RequestRate};
 use crank_server::Announcement;
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -65,6 +65,9 @@
     pub config: watch::Receiver<Option<Arc<Snapshot>>>,
     /// What the backend server last announced: `crank_server::AnnouncementListener::watch`.
     pub announcement: watch::Receiver<Option<Announcement>>,
+    /// The rate of requests that the backend server states as its limit, if it states one:
+    /// `crank_server::HeartbeatTracker::watch_rate`.
+    pub stated_rate: watch::Receiver<Option<RequestRate>>,
     /// The name of the owner, from the node's settings.
     pub account: Name,
     /// The client of the table service, which holds the claims of requests that may run only once.
@@ -136,8 +139,8 @@
         target
     }
 
-    /// Applies announcements and configuration changes to the admission controller until both
-    /// channels close.
+    /// Applies announcements, stated limits and configuration changes to the admission controller
+    /// until all channels close.
     ///
     /// ```
     /// # use crank_node::target::{Forwarder, Target};
@@ -149,10 +152,12 @@
     pub async fn track_changes(self) {
         let mut config = self.shared.dependencies.config.clone();
         let mut announced = self.shared.dependencies.announcement.clone();
+        let mut stated_rate = self.shared.dependencies.stated_rate.clone();
         loop {
             self.refresh();
             tokio::select! {
                 Ok(()) = config.changed() => {}
+                Ok(()) = stated_rate.changed() => {}
                 Ok(()) = announced.changed() => {}
                 else => return,
             }
@@ -163,6 +168,8 @@
     /// time, so that an older announcement never overwrites a newer one.
     fn refresh(&self) -> Option<Announcement> {
         let _guard = self.shared.refresh_lock.lock();
+        let stated_rate = *self.shared.dependencies.stated_rate.borrow();
+        self.shared.admission.set_rate(stated_rate);
         let announced = self.shared.dependencies.announcement.borrow().clone();
         let Some(announced) = announced else {
             self.shared
@@ -402,6 +409,10 @@
         self.shared.admission.load()
     }
 
+    pub(crate) fn stated_rate(&self) -> watch::Receiver<Option<RequestRate>> {
+        self.shared.dependencies.stated_rate.clone()
+    }
+
     pub(crate) fn admission(&self) -> &AdmissionController {
         &self.shared.admission
     }
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -307,6 +307,7 @@
         clock: Clock::new(),
         config: config.subscribe(),
         announcement: announced.subscribe(),
+        stated_rate: watch::Sender::new(None).subscribe(),
         account: name("lenha-viva"),
         platform,
         dialect: Arc::default(),
--- a/crates/crank-protocol/src/dialect.rs
+++ b/crates/crank-protocol/src/dialect.rs
@@ -24,6 +24,11 @@
     /// The header with a backend server's load: running requests, waiting requests, slots, and
     /// optionally how long requests take there now, in percent of what is usual.
     pub load_header: Option<Arc<str>>,
+    /// The header with the number of requests a second that a backend server takes from all nodes
+    /// together, as a decimal number.
+    pub rate_limit_header: Option<Arc<str>>,
+    /// The header with which a backend server states that it leaves, if its value is `1`.
+    pub leaving_header: Option<Arc<str>>,
     /// The header whose presence says that the backend server has not run the request.
     pub not_run_header: Option<Arc<str>>,
     /// The header that every successful response of a backend server must carry; a response
@@ -52,6 +57,8 @@
             instance_id_header: None,
             calling_service_header: None,
             load_header: None,
+            rate_limit_header: None,
+            leaving_header: None,
             not_run_header: None,
             signature_header: None,
             key_header: Arc::from(call::KEY_HEADER),
--- a/crates/crank-protocol/src/heartbeat.rs
+++ b/crates/crank-protocol/src/heartbeat.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Name;
 use crate::member::{Endpoint, Stage};
+use crate::{Name, RequestRate};
 
 /// A heartbeat of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,3 +52,26 @@
     /// The id of the server, if it reports one.
     pub server_id: Option<Arc<str>>,
 }
+
+/// What a backend server states about itself in the head of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Statement {
+    /// The limit on requests from all nodes together.
+    pub limit: StatedLimit,
+    /// Whether the server says that it leaves.
+    pub is_leaving: bool,
+}
+
+/// The limit on requests that a response of a backend server states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StatedLimit {
+    /// The response says nothing about limits, as one without the header of a whole run.
+    #[default]
+    Unknown,
+    /// The server has no limit.
+    Unlimited,
+    /// The server takes this rate.
+    Limited(RequestRate),
+}
--- a/crates/crank-protocol/src/lib.rs
+++ b/crates/crank-protocol/src/lib.rs
@@ -21,4 +21,4 @@
 pub use dialect::HttpDialect;
 pub use error::Error;
 pub use name::Name;
-pub use unit::{Bytes, Millis, Permille};
+pub use unit::{Bytes, Millis, Permille, RequestRate};
--- a/crates/crank-server/src/announcements.rs
+++ b/crates/crank-server/src/announcements.rs
@@ -80,6 +80,18 @@
         self.address
     }
 
+    /// Returns the tracker of the backend server's state.
+    ///
+    /// ```
+    /// # fn example(announcements: &crank_server::AnnouncementListener) {
+    /// assert!(announcements.tracker().address().is_none());
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn tracker(&self) -> HeartbeatTracker {
+        self.tracker.clone()
+    }
+
     /// Watches the current state of the backend server; `None` until its first heartbeat.
     ///
     /// ```
--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -10,6 +10,7 @@
     ResponseHead, VERSION_HEADER,
 };
 use crank_protocol::config::Method;
+use crank_protocol::heartbeat::Statement;
 use crank_protocol::{HttpDialect, Millis, Permille};
 use http::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
@@ -23,8 +24,10 @@
 use crate::body_end::BodyEnd;
 use crate::checked_body::{CheckedBody, PooledConnection};
 use crate::connection::{Connection, ConnectionPool};
+use crate::heartbeat_tracker::HeartbeatTracker;
 use crate::response_head::is_spliced;
 use crate::seen_headers::SeenHeaders;
+use crate::statement;
 
 /// The `Retry-After` of a shed request if the backend server does not state one.
 const DEFAULT_RETRY_AFTER: Millis = Millis(100);
@@ -53,6 +56,7 @@
     dialect: Arc<HttpDialect>,
     pool: ConnectionPool,
     seen_headers: SeenHeaders,
+    tracker: Option<HeartbeatTracker>,
 }
 
 /// The response of a healthy backend server to a health check.
@@ -62,6 +66,8 @@
     pub server_id: Arc<str>,
     /// How many requests the server runs at once.
     pub slots: u32,
+    /// What the server states about itself.
+    pub statement: Statement,
 }
 
 impl Forwarder {
@@ -86,6 +92,21 @@
         Self { dialect, ..self }
     }
 
+    /// Sets the tracker that learns what the backend server states about itself in its responses.
+    ///
+    /// ```
+    /// use crank_server::{Forwarder, HeartbeatTracker};
+    /// let tracker = HeartbeatTracker::new(crank_protocol::Millis(3_000));
+    /// let forwarder = Forwarder::new().with_tracker(tracker);
+    /// ```
+    #[must_use]
+    pub fn with_tracker(self, tracker: HeartbeatTracker) -> Self {
+        Self {
+            tracker: Some(tracker),
+            ..self
+        }
+    }
+
     /// Sends a request to the backend server at `address` and waits for the head of its response.
     ///
     /// Dropping the future or the response body closes the connection, which tells the backend
@@ -113,7 +134,8 @@
         body: Bytes,
         time_left: Millis,
     ) -> Result<Response, Refusal> {
-        let deadline = Instant::now() + Duration::from(time_left);
+        let sent_at = Instant::now();
+        let deadline = sent_at + Duration::from(time_left);
         let request = self.build_request(address, head, body, time_left)?;
         let request_id = request
             .headers()
@@ -127,6 +149,7 @@
             log::warn!(address:% = address; "response with another request id: connection dropped");
             return Err(Refusal::Lost);
         }
+        self.record_statement(sent_at, self.expected_server(head), &response);
         let pooled = PooledConnection {
             pool: self.pool.clone(),
             limit: keep_alive_timeout(headers),
@@ -163,12 +186,42 @@
         let (response, _connection) = response.ok()?.ok()?;
         let server = response.headers().get(name)?.to_str().ok()?;
         let load = self.parse_load(response.headers())?;
-        (response.status() == StatusCode::OK).then(|| Health {
+        let statement = statement::read(&self.dialect, response.headers(), false);
+        let is_healthy = response.status() == StatusCode::OK && !statement.is_leaving;
+        is_healthy.then(|| Health {
             server_id: Arc::from(server),
             slots: load.slots,
+            statement,
         })
     }
 
+    /// Returns the id of the server that the request is meant for.
+    fn expected_server<'a>(&self, head: &'a RequestHead) -> Option<&'a str> {
+        let name = self.dialect.expected_instance_header.as_deref()?;
+        let mut headers = head.headers.iter();
+        let header = headers.rfind(|header| header.name.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(&header.value).ok()
+    }
+
+    fn record_statement<B>(
+        &self,
+        sent_at: Instant,
+        server: Option<&str>,
+        response: &HttpResponse<B>,
+    ) {
+        let Some(tracker) = &self.tracker else {
+            return;
+        };
+        // Another server than the expected one has the address.
+        if response.status() == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let headers = response.headers();
+        let is_whole = response.status().is_success() && self.is_signed(headers);
+        let statement = statement::read(&self.dialect, headers, is_whole);
+        tracker.record_statement(sent_at, server, statement);
+    }
+
     /// Sends a request and waits for the head of its response, which must be one head.
     async fn exchange(
         &self,
--- a/crates/crank-server/src/heartbeat_tracker.rs
+++ b/crates/crank-server/src/heartbeat_tracker.rs
@@ -6,9 +6,9 @@
 
 use crank_engine::Moment;
 use crank_engine::registration::{Heard, Registration};
-use crank_protocol::Millis;
-use crank_protocol::heartbeat::{Announcement, HeartbeatReport, ProcessStart};
+use crank_protocol::heartbeat::{Announcement, HeartbeatReport, ProcessStart, Statement};
 use crank_protocol::member::Stage;
+use crank_protocol::{Millis, RequestRate};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -26,6 +26,7 @@
     started: Instant,
     registration: Mutex<Registration>,
     announcement: watch::Sender<Option<Announcement>>,
+    stated_rate: watch::Sender<Option<RequestRate>>,
 }
 
 impl HeartbeatTracker {
@@ -43,6 +44,7 @@
                 started: Instant::now(),
                 registration: Mutex::new(Registration::new(heartbeat_timeout, Moment(0))),
                 announcement: watch::Sender::new(None),
+                stated_rate: watch::Sender::new(None),
             }),
         }
     }
@@ -59,6 +61,51 @@
         self.shared.announcement.subscribe()
     }
 
+    /// Watches the rate of requests that the server states as its limit; `None` if it states none.
+    ///
+    /// ```
+    /// let tracker = crank_server::HeartbeatTracker::new(crank_protocol::Millis(3_000));
+    /// assert!(tracker.watch_rate().borrow().is_none());
+    /// ```
+    #[must_use]
+    pub fn watch_rate(&self) -> watch::Receiver<Option<RequestRate>> {
+        self.shared.stated_rate.subscribe()
+    }
+
+    /// Records what the server with this id states in the response to a request that was sent at
+    /// `sent_at`; see [`Registration::record_statement`].
+    ///
+    /// ```
+    /// # use crank_server::{HeartbeatTracker, Statement};
+    /// let tracker = HeartbeatTracker::new(crank_protocol::Millis(3_000));
+    /// let sent_at = tokio::time::Instant::now();
+    /// tracker.record_statement(sent_at, Some("s1"), Statement::default());
+    /// ```
+    pub fn record_statement(
+        &self,
+        sent_at: Instant,
+        server_id: Option<&str>,
+        statement: Statement,
+    ) {
+        let now = self.now();
+        let sent_at = self.to_moment(sent_at);
+        let mut registration = self.shared.registration.lock();
+        registration.record_statement(now, sent_at, server_id, statement, unix_now_ms());
+        let rate = registration.stated_rate();
+        let is_changed = self.shared.stated_rate.send_if_modified(|current| {
+            let is_new = *current != rate;
+            *current = rate;
+            is_new
+        });
+        drop(registration);
+        if is_changed {
+            log::info!(server:? = server_id, rate:? = rate; "backend server changes its limit");
+        }
+        if statement.is_leaving && self.publish() {
+            log::info!(server:? = server_id; "backend server states that it leaves");
+        }
+    }
+
     /// Records a heartbeat, unless a newer one was received before; see
     /// [`Registration::record_heartbeat`].
     ///
@@ -203,8 +250,12 @@
     }
 
     fn now(&self) -> Moment {
-        let micros = self.shared.started.elapsed().as_micros();
-        Moment(u64::try_from(micros).unwrap_or(u64::MAX))
+        self.to_moment(Instant::now())
+    }
+
+    fn to_moment(&self, instant: Instant) -> Moment {
+        let since_start = instant.saturating_duration_since(self.shared.started);
+        Moment(u64::try_from(since_start.as_micros()).unwrap_or(u64::MAX))
     }
 }
 
--- a/crates/crank-server/src/lib.rs
+++ b/crates/crank-server/src/lib.rs
@@ -10,10 +10,13 @@
 mod report_body;
 mod response_head;
 mod seen_headers;
+mod statement;
 
 pub use announcements::AnnouncementListener;
 pub use crank_engine::registration::Heard;
-pub use crank_protocol::heartbeat::{Announcement, HeartbeatReport, ProcessStart};
+pub use crank_protocol::heartbeat::{
+    Announcement, HeartbeatReport, ProcessStart, StatedLimit, Statement,
+};
 pub use error::Error;
 pub use forwarder::{Forwarder, Health};
 pub use heartbeat_tracker::HeartbeatTracker;
