Pass on no answer whose status is none of a final answer

Cause: statuses were numbers that nobody checked. Change: one predicate, 200 to 599, asked where a server's answer is read, where another node's answer is read (the attempt is lost, the connection stays), where a recorded answer is replayed from the store (it ran, its answer is lost), and where an answer is written to a caller. A write whose answer from the store has a status that doesn't say that it was refused counts as possibly done.

--- a/crates/crank-caller/src/reply.rs
+++ b/crates/crank-caller/src/reply.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use crank_protocol::call::{
     Body, OUTCOME_HEADER, Outcome, REFUSAL_HEADER, Refusal, RefusedRequest, Response, ResponseHead,
+    is_final_status,
 };
 use crank_protocol::config::Method;
 use crank_protocol::{HttpDialect, Millis};
@@ -60,8 +61,13 @@
 
 /// Returns the response in place of one whose body was cut short before any of it was passed on.
 pub(crate) fn cut_short() -> warp::reply::Response {
+    in_place_of_answer(Refusal::Cut)
+}
+
+/// Returns the response in place of an answer that cannot be passed on.
+fn in_place_of_answer(refusal: Refusal) -> warp::reply::Response {
     let refused = RefusedRequest {
-        refusal: Refusal::Cut,
+        refusal,
         outcome: Outcome::Unknown,
         load: None,
         reached: true,
@@ -208,13 +214,16 @@
         length,
         ..
     } = response.head;
+    let Some(status_code) = final_status(status) else {
+        return in_place_of_answer(Refusal::Lost);
+    };
     let body = CheckedBody::new(
         response.body,
         length.filter(|_| has_body(method, status)),
         hold,
     );
     let mut http_response = warp::reply::stream(body).into_response();
-    *http_response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *http_response.status_mut() = status_code;
     let target_headers = http_response.headers_mut();
     for header in headers {
         let name = HeaderName::from_bytes(header.name.as_bytes());
@@ -231,6 +240,11 @@
     http_response
 }
 
+fn final_status(status: u16) -> Option<StatusCode> {
+    let is_final = is_final_status(status);
+    StatusCode::from_u16(status).ok().filter(|_| is_final)
+}
+
 fn has_body(method: Method, status: u16) -> bool {
     method != Method::Head && !matches!(status, 204 | 304)
 }
--- a/crates/crank-caller/tests/responses_to_callers.rs
+++ b/crates/crank-caller/tests/responses_to_callers.rs
@@ -88,6 +88,11 @@
                     Outcome::NotRun,
                 ))
             }
+            path if path.starts_with("/status/") => {
+                let mut response = response(Some(4), body(vec![half()]));
+                response.head.status = path.rsplit('/').next().unwrap().parse().unwrap();
+                Ok(response)
+            }
             "/lost" => Err(refused(Refusal::Lost, Outcome::Unknown)),
             "/wait" => {
                 let guard = DropGuard(self.dropped.clone());
@@ -177,6 +182,25 @@
     }
 }
 
+// Guards against a gateway whose answer has a status that no answer may have: the caller must not get
+// the answer's headers and body under another status.
+#[tokio::test]
+async fn a_response_without_a_final_status_is_replaced_by_a_refusal() {
+    let edge = RunningEdge::start().await;
+    for status in [0, 1, 99, 100, 101, 199, 600, 999, 65_535] {
+        let request =
+            format!("GET /status/{status} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+        let answer = edge.send_raw(request.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 502 "), "{status}: {answer}");
+        assert!(
+            answer.contains("crank-outcome: unknown"),
+            "{status}: {answer}"
+        );
+        assert!(!answer.contains("x-mark"), "{status}: {answer}");
+        assert!(!answer.ends_with("half"), "{status}: {answer}");
+    }
+}
+
 #[tokio::test]
 async fn refusals_carry_outcome_refusal_and_retry_after() {
     let edge = RunningEdge::start().await;
--- a/crates/crank-mesh/src/call/reader.rs
+++ b/crates/crank-mesh/src/call/reader.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use crank_protocol::call::{Body, Outcome, Refusal, RefusedRequest, ResponseHead};
+use crank_protocol::call::{Body, Outcome, Refusal, RefusedRequest, ResponseHead, is_final_status};
 use crank_protocol::wire::Call;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
@@ -55,7 +55,12 @@
         event: Option<AttemptEvent>,
     ) -> Result<ResponseHead, RefusedRequest> {
         match event {
-            Some(AttemptEvent::Head(head)) => Ok(head),
+            Some(AttemptEvent::Head(head)) if is_final_status(head.status) => Ok(head),
+            Some(AttemptEvent::Head(head)) => {
+                log::warn!(attempt = self.attempt, status = head.status; "status of no final answer: response dropped");
+                self.fail(Refusal::Lost);
+                Err(lost_refusal())
+            }
             Some(AttemptEvent::Refused(refused)) => {
                 self.is_ended = true;
                 Err(refused)
--- a/crates/crank-mesh/tests/call_connections.rs
+++ b/crates/crank-mesh/tests/call_connections.rs
@@ -70,6 +70,11 @@
                 let chunks = vec![Ok(sent), Err(Refusal::Cut)];
                 Ok(response(None, body(chunks)))
             }
+            path if path.starts_with("/status/") => {
+                let mut odd = response(Some(0), body(Vec::new()));
+                odd.head.status = path.rsplit('/').next().unwrap().parse().unwrap();
+                Ok(odd)
+            }
             "/short" => Ok(response(
                 Some(9),
                 body(vec![Ok(Bytes::from_static(b"half"))]),
@@ -115,6 +120,28 @@
     assert_eq!(slow.await.unwrap(), Ok(Bytes::from("slow")));
 }
 
+// Guards against another node that passes on what its server sent in the place of a status.
+#[tokio::test]
+async fn a_response_without_a_final_status_is_lost_and_ends_no_other_attempt() {
+    let handler = PathHandler::new();
+    let connection = connect(start_server(handler.clone(), CancellationToken::new()).await).await;
+    let waiting = connection.send_request(head("/wait"), Bytes::from("a"));
+    let odd = async {
+        for status in ["0", "1", "99", "100", "101", "199", "600", "999", "65535"] {
+            let path = format!("/status/{status}");
+            let sent = connection.send_request(head(&path), Bytes::new()).await;
+            let refused = sent
+                .err()
+                .unwrap_or_else(|| panic!("{status} was answered"));
+            assert_eq!(refused.refusal, Refusal::Lost, "{status}");
+            assert_eq!(refused.outcome, Outcome::Unknown, "{status}");
+        }
+        handler.gate.add_permits(1);
+    };
+    let (waited, ()) = tokio::join!(waiting, odd);
+    assert_eq!(read(waited.unwrap()).await, Ok(Bytes::from("a")));
+}
+
 #[tokio::test]
 async fn a_slow_reader_does_not_block_other_attempts() {
     let connection =
--- a/crates/crank-node/src/target/once.rs
+++ b/crates/crank-node/src/target/once.rs
@@ -8,7 +8,9 @@
 use crank_engine::{Moment, Nonce};
 use crank_platform_client::{Error, Rows, claims};
 use crank_protocol::Millis;
-use crank_protocol::call::{Body, Outcome, Refusal, RefusedRequest, RequestHead, Response};
+use crank_protocol::call::{
+    Body, Outcome, Refusal, RefusedRequest, RequestHead, Response, is_final_status,
+};
 use futures::StreamExt;
 use serde_bytes::ByteBuf;
 use tokio::task::JoinHandle;
@@ -124,7 +126,8 @@
     }
 
     fn replay(&self, recorded: &RecordedAnswer) -> Result<Response, RefusedRequest> {
-        let Some(body) = &recorded.body else {
+        let is_final = is_final_status(recorded.head.status);
+        let Some(body) = recorded.body.as_ref().filter(|_| is_final) else {
             return Err(self.refused(Refusal::Cut));
         };
         let mut head = recorded.head.clone();
--- a/crates/crank-node/tests/common/mod.rs
+++ b/crates/crank-node/tests/common/mod.rs
@@ -253,6 +253,8 @@
     pub runs: Arc<Mutex<BTreeMap<u128, u32>>>,
     pub answers: Arc<Semaphore>,
     pub refusal: Arc<Mutex<Option<Refusal>>>,
+    /// The status of its answers.
+    pub status: Arc<Mutex<u16>>,
 }
 
 impl FakeServer {
@@ -261,6 +263,7 @@
             runs: Arc::default(),
             answers: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
             refusal: Arc::default(),
+            status: Arc::new(Mutex::new(200)),
         }
     }
 
@@ -289,7 +292,9 @@
         }
         *self.runs.lock().entry(head.request_id).or_default() += 1;
         self.answers.acquire().await.unwrap().forget();
-        Ok(answer("confirmed"))
+        let mut response = answer("confirmed");
+        response.head.status = *self.status.lock();
+        Ok(response)
     }
 }
 
--- a/crates/crank-node/tests/requests_that_run_once.rs
+++ b/crates/crank-node/tests/requests_that_run_once.rs
@@ -51,6 +51,22 @@
     assert_eq!(server.runs(), 1);
 }
 
+// Guards against a record in the store whose status is none: it ran, and its answer is lost.
+#[tokio::test]
+async fn a_recorded_answer_without_a_final_status_is_not_replayed() {
+    for status in [0, 101, 199, 600, 999] {
+        let (platform, server) = (Memory::new(), FakeServer::new());
+        *server.status.lock() = status;
+        let node = target_node("tickets", platform, server.clone());
+        let first = node.target.run(head("tickets", 1, KEY), "12 t".into());
+        drop(first.await);
+        let again = node.target.run(head("tickets", 2, KEY), "12 t".into());
+        let refused = again.await.err().unwrap();
+        assert_eq!(refused.refusal, Refusal::Cut, "{status}");
+        assert_eq!(server.runs(), 1);
+    }
+}
+
 #[tokio::test]
 async fn a_key_that_was_used_for_another_request_is_refused() {
     let (platform, server) = (Memory::new(), FakeServer::new());
--- a/crates/crank-protocol/src/call.rs
+++ b/crates/crank-protocol/src/call.rs
@@ -1,5 +1,6 @@
 //! Requests on their way from a caller to a backend server, and their responses.
 
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::sync::Arc;
 
@@ -221,6 +222,22 @@
     pub load: Load,
 }
 
+/// The statuses of final answers; any other one is no answer to a request.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Returns whether a status is one of a final answer. An answer with another status, whoever sends it,
+/// is not passed on to a caller.
+///
+/// ```
+/// use crank_protocol::call::is_final_status;
+/// assert!(is_final_status(404));
+/// assert!(!is_final_status(0) && !is_final_status(101) && !is_final_status(700));
+/// ```
+#[must_use]
+pub fn is_final_status(status: u16) -> bool {
+    FINAL_STATUSES.contains(&status)
+}
+
 /// A request as a caller sent it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Request {
--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use crank_protocol::call::{
     DEPTH_HEADER, Header, Load, OUTCOME_HEADER, REFUSAL_HEADER, Refusal, RequestHead, Response,
-    ResponseHead, VERSION_HEADER,
+    ResponseHead, VERSION_HEADER, is_final_status,
 };
 use crank_protocol::config::Method;
 use crank_protocol::heartbeat::Statement;
@@ -318,6 +318,10 @@
     ) -> Result<Response, Refusal> {
         let status = response.status();
         let load = self.parse_load(response.headers());
+        if !is_final_status(status.as_u16()) {
+            log::warn!(address:% = pooled.address, status = status.as_u16(); "status of no final answer: connection dropped");
+            return Err(Refusal::Lost);
+        }
         if let Some(refusal) = self.stated_refusal(status, response.headers()) {
             return Err(refusal);
         }
