Order what the store tells by era and revision

Rows by which nodes find each other stayed lost for up to ten minutes.

Cause: positions were bare revisions; a confirmation with a lower revision was taken for an older one, also when the store had begun anew. Change: StorePosition, the pair of era and revision, wherever a position is compared or kept; an answer of another era than the position that was asked for leads to one fresh read, after a short random pause; contact rows are written again when the era rises. One number on the wire, the plain revision in the first era, so that old and new nodes understand each other. crank_store_era and one log line tell operators.

--- a/crates/crank-engine/src/spread/freshness.rs
+++ b/crates/crank-engine/src/spread/freshness.rs
@@ -2,7 +2,7 @@
 //! checks the store itself.
 
 use crank_protocol::Millis;
-use crank_protocol::config::{Revision, Version};
+use crank_protocol::config::{StorePosition, Version};
 use crank_protocol::wire::Confirmation;
 use rand::{Rng, RngExt};
 
@@ -24,9 +24,9 @@
 pub enum StoreCheck {
     /// Reads the changes since the last confirmation, of which there are mostly none.
     Changes {
-        /// The confirmed revision of the store.
-        since: Revision,
-        /// The newest version at that revision, which this node holds.
+        /// The confirmed position of the store.
+        since: StorePosition,
+        /// The newest version at that position, which this node holds.
         version: Version,
     },
     /// Reads the newest configuration, which this node is known to lack.
@@ -41,16 +41,17 @@
 ///
 /// ```
 /// use crank_engine::{Moment, spread::{Freshness, StoreCheck}};
-/// use crank_protocol::{Millis, config::{Revision, Version}, wire::Confirmation};
+/// use crank_protocol::{Millis, config::{Revision, StorePosition, Version}, wire::Confirmation};
 /// use rand::SeedableRng;
 /// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
 /// let mut freshness = Freshness::default();
-/// let confirmation = Confirmation { version: Version(3), revision: Revision(7), age: Millis(0) };
+/// let position = StorePosition::new(0, Revision(7));
+/// let confirmation = Confirmation { version: Version(3), position, age: Millis(0) };
 /// freshness.record(&confirmation, Moment(0), &mut rng);
 /// let held = Some(Version(3));
 /// assert_eq!(freshness.check_due(held, false, Moment(0)), None);
 /// let later = Moment(0).after(Millis(5_000));
-/// let check = StoreCheck::Changes { since: Revision(7), version: Version(3) };
+/// let check = StoreCheck::Changes { since: position, version: Version(3) };
 /// assert_eq!(freshness.check_due(held, false, later), Some(check));
 /// ```
 #[derive(Debug, Clone, Default)]
@@ -68,7 +69,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Confirmed {
     version: Version,
-    revision: Revision,
+    position: StorePosition,
     at: Moment,
 }
 
@@ -77,13 +78,13 @@
     pub fn record(&mut self, confirmation: &Confirmation, now: Moment, rng: &mut impl Rng) {
         let at = now.before(confirmation.age);
         let latest = self.latest;
-        if latest.is_some_and(|latest| confirmation.revision < latest.revision) {
+        if latest.is_some_and(|latest| confirmation.position < latest.position) {
             return;
         }
         let is_later = latest.is_none_or(|latest| at > latest.at);
         self.latest = Some(Confirmed {
             version: confirmation.version,
-            revision: confirmation.revision,
+            position: confirmation.position,
             at: latest.map_or(at, |latest| at.max(latest.at)),
         });
         if is_later {
@@ -113,7 +114,7 @@
         self.passed_on = Some((latest.version, latest.at));
         Some(Confirmation {
             version: latest.version,
-            revision: latest.revision,
+            position: latest.position,
             age: Millis(now.since(latest.at).0 + FORWARDING_DELAY.0),
         })
     }
@@ -136,11 +137,22 @@
         }
         self.lacking_since = None;
         (now >= self.check_at).then_some(StoreCheck::Changes {
-            since: latest.revision,
+            since: latest.position,
             version: latest.version,
         })
     }
 
+    /// Returns how often the store has come back from an older copy, as far as was confirmed.
+    ///
+    /// ```
+    /// # use crank_engine::spread::Freshness;
+    /// assert_eq!(Freshness::default().era(), 0);
+    /// ```
+    #[must_use]
+    pub fn era(&self) -> u16 {
+        self.latest.map_or(0, |latest| latest.position.era)
+    }
+
     /// Returns how long ago the store's state was last confirmed.
     ///
     /// ```
--- a/crates/crank-engine/tests/freshness.rs
+++ b/crates/crank-engine/tests/freshness.rs
@@ -4,7 +4,7 @@
 use crank_engine::Moment;
 use crank_engine::spread::{Freshness, StoreCheck};
 use crank_protocol::Millis;
-use crank_protocol::config::{Revision, Version};
+use crank_protocol::config::{Revision, StorePosition, Version};
 use crank_protocol::wire::Confirmation;
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -22,7 +22,7 @@
 fn confirmation(version: u64, revision: u64, age: u64) -> Confirmation {
     Confirmation {
         version: Version(version),
-        revision: Revision(revision),
+        position: StorePosition::new(0, Revision(revision)),
         age: Millis(age),
     }
 }
@@ -41,7 +41,7 @@
         let mut freshness = Freshness::default();
         freshness.record(&confirmation(3, 7, age), at(10_000), &mut rng);
         prop_assert_eq!(freshness.check_due(HELD, false, at(10_000)), None);
-        let check = StoreCheck::Changes { since: Revision(7), version: Version(3) };
+        let check = StoreCheck::Changes { since: StorePosition::new(0, Revision(7)), version: Version(3) };
         let latest = at(10_000 - age + MAX_APPLY_TIME.0 - READ_TIME.0);
         prop_assert_eq!(freshness.check_due(HELD, false, latest), Some(check));
     }
@@ -68,7 +68,7 @@
     freshness.record(&confirmation(2, 5, 0), at(1_900), &mut rng);
     assert_eq!(freshness.age(at(2_000)), Some(Millis(2_000)));
     let check = StoreCheck::Changes {
-        since: Revision(7),
+        since: StorePosition::new(0, Revision(7)),
         version: Version(3),
     };
     assert_eq!(freshness.check_due(HELD, false, at(2_000)), Some(check));
@@ -105,3 +105,38 @@
     freshness.record(&confirmation(4, 9, 0), at(600), &mut rng);
     assert!(freshness.take_unsent(Some(Version(4)), at(600)).is_some());
 }
+
+// The store has come back from an older copy: its revisions are lower, and what is older arrives late.
+#[test]
+fn a_confirmation_of_a_later_era_counts_though_its_revision_is_lower() {
+    let at_era = |era, revision| Confirmation {
+        position: StorePosition::new(era, Revision(revision)),
+        ..confirmation(3, 0, 0)
+    };
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut freshness = Freshness::default();
+    freshness.record(&at_era(0, 39), Moment(0), &mut rng);
+    freshness.record(&at_era(1, 8), Moment(1_000), &mut rng);
+    freshness.record(&at_era(0, 40), Moment(2_000), &mut rng);
+    assert_eq!(freshness.era(), 1);
+    let late = Moment(0).after(Millis(9_000));
+    let since = StorePosition::new(1, Revision(8));
+    let version = Version(3);
+    let check = freshness.check_due(Some(version), false, late);
+    assert_eq!(check, Some(StoreCheck::Changes { since, version }));
+}
+
+proptest::proptest! {
+    // A position is one number between nodes; one of the first era is the revision that older nodes know.
+    #[test]
+    fn positions_keep_their_order_between_nodes(
+        (era, other_era) in (0_u16.., 0_u16..),
+        (revision, other_revision) in (0_u64..1 << 48, 0_u64..1 << 48),
+    ) {
+        let position = StorePosition::new(era, Revision(revision));
+        let other = StorePosition::new(other_era, Revision(other_revision));
+        proptest::prop_assert_eq!(StorePosition::from(u64::from(position)), position);
+        proptest::prop_assert_eq!(position.cmp(&other), u64::from(position).cmp(&u64::from(other)));
+        proptest::prop_assert_eq!(u64::from(StorePosition::new(0, Revision(revision))), revision);
+    }
+}
--- a/crates/crank-mesh/src/actor.rs
+++ b/crates/crank-mesh/src/actor.rs
@@ -68,6 +68,7 @@
         should_follow_store: receivers.should_follow_store,
         store_check: receivers.store_check,
         confirmed_at: receivers.confirmed_at,
+        store_era: receivers.store_era,
         rollouts: receivers.rollouts,
         messages: receivers.messages,
         local_status: local_status.into(),
--- a/crates/crank-mesh/src/actor/confirmations.rs
+++ b/crates/crank-mesh/src/actor/confirmations.rs
@@ -21,10 +21,28 @@
         let age = self.freshness.age(now).map(Duration::from);
         let confirmed_at = age.and_then(|age| Instant::now().checked_sub(age));
         self.outputs.confirmed_at.send_replace(confirmed_at);
+        self.publish_store_era(confirmation);
         self.update_store_check(now);
         self.pass_on_confirmation(from, now);
     }
 
+    /// Publishes the era of the store, and logs that a new one has begun.
+    fn publish_store_era(&self, confirmation: &Confirmation) {
+        let era = self.freshness.era();
+        let has_risen = self
+            .outputs
+            .store_era
+            .send_if_modified(|held| std::mem::replace(held, era) != era);
+        if has_risen {
+            log::warn!(
+                event = "store_era",
+                position:% = confirmation.position,
+                version = confirmation.version.0;
+                "the store has come back from an older copy: what was written since is lost there"
+            );
+        }
+    }
+
     /// Passes the newest confirmation on over every connection except `from`, unless that was done
     /// or this node lacks the confirmed version.
     pub(crate) fn pass_on_confirmation(&mut self, from: Option<u64>, now: Moment) {
--- a/crates/crank-mesh/src/actor/state.rs
+++ b/crates/crank-mesh/src/actor/state.rs
@@ -68,6 +68,7 @@
     pub(crate) should_follow_store: watch::Sender<bool>,
     pub(crate) store_check: watch::Sender<Option<StoreCheck>>,
     pub(crate) confirmed_at: watch::Sender<Option<Instant>>,
+    pub(crate) store_era: watch::Sender<u16>,
     pub(crate) rollouts: watch::Sender<Arc<[Rollout]>>,
     pub(crate) messages: broadcast::Sender<ReceivedMessage>,
     pub(crate) traffic: Arc<Traffic>,
@@ -82,6 +83,7 @@
     pub(crate) should_follow_store: watch::Receiver<bool>,
     pub(crate) store_check: watch::Receiver<Option<StoreCheck>>,
     pub(crate) confirmed_at: watch::Receiver<Option<Instant>>,
+    pub(crate) store_era: watch::Receiver<u16>,
     pub(crate) rollouts: watch::Receiver<Arc<[Rollout]>>,
     /// New receivers of messages subscribe here.
     pub(crate) messages: broadcast::Sender<ReceivedMessage>,
@@ -96,6 +98,7 @@
         let (should_follow_store, should_follow_store_receiver) = watch::channel(true);
         let (store_check, store_check_receiver) = watch::channel(None);
         let (confirmed_at, confirmed_at_receiver) = watch::channel(None);
+        let (store_era, store_era_receiver) = watch::channel(0);
         let (rollouts, rollouts_receiver) = watch::channel(Arc::from(Vec::new()));
         let messages = broadcast::Sender::new(MAX_UNREAD_MESSAGES);
         let outputs = Self {
@@ -105,6 +108,7 @@
             should_follow_store,
             store_check,
             confirmed_at,
+            store_era,
             rollouts,
             messages: messages.clone(),
             traffic: Arc::default(),
@@ -117,6 +121,7 @@
             should_follow_store: should_follow_store_receiver,
             store_check: store_check_receiver,
             confirmed_at: confirmed_at_receiver,
+            store_era: store_era_receiver,
             rollouts: rollouts_receiver,
             messages,
         };
--- a/crates/crank-mesh/src/handle.rs
+++ b/crates/crank-mesh/src/handle.rs
@@ -100,6 +100,7 @@
     pub(crate) should_follow_store: watch::Receiver<bool>,
     pub(crate) store_check: watch::Receiver<Option<StoreCheck>>,
     pub(crate) confirmed_at: watch::Receiver<Option<std::time::Instant>>,
+    pub(crate) store_era: watch::Receiver<u16>,
     pub(crate) rollouts: watch::Receiver<Arc<[Rollout]>>,
     pub(crate) messages: broadcast::Sender<ReceivedMessage>,
     pub(crate) local_status: Arc<watch::Sender<LocalStatus>>,
--- a/crates/crank-mesh/src/handle/store.rs
+++ b/crates/crank-mesh/src/handle/store.rs
@@ -116,6 +116,29 @@
         self.confirmed_at.borrow().map(|at| at.elapsed())
     }
 
+    /// Returns a channel that holds how often the store has come back from an older copy, as far as
+    /// this node knows.
+    ///
+    /// ```
+    /// # use crank_mesh::{Settings, start};
+    /// # use crank_protocol::{Name, member::Place};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let place = Place { region: Name::new("bahia")?, data_centre: Name::new("bahia-1")? };
+    /// # let listen = "127.0.0.1:0".parse()?;
+    /// # let account = Name::new("lenha-viva")?;
+    /// # let settings = Settings::new(account, Name::new("node-1")?, place, listen);
+    /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
+    /// # let mesh = start(settings, calls).await?;
+    /// assert_eq!(*mesh.store_era().borrow(), 0);
+    /// # Ok(())
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn store_era(&self) -> watch::Receiver<u16> {
+        self.store_era.clone()
+    }
+
     /// Reports what the store's newest configuration was; other nodes are told of it.
     ///
     /// # Errors
@@ -132,9 +155,9 @@
     /// # let settings = Settings::new(account, Name::new("node-1")?, place, listen);
     /// # let (calls, _accepted) = tokio::sync::mpsc::channel(16);
     /// # let mesh = start(settings, calls).await?;
-    /// use crank_protocol::{Millis, config::{Revision, Version}, wire::Confirmation};
-    /// let (version, revision, age) = (Version(1), Revision(4), Millis(0));
-    /// mesh.confirm(Confirmation { version, revision, age }).await?;
+    /// use crank_protocol::{Millis, config::{StorePosition, Version}, wire::Confirmation};
+    /// let (version, position, age) = (Version(1), StorePosition::default(), Millis(0));
+    /// mesh.confirm(Confirmation { version, position, age }).await?;
     /// assert!(mesh.confirmation_age().is_some());
     /// # Ok(())
     /// # }
--- a/crates/crank-node/src/join.rs
+++ b/crates/crank-node/src/join.rs
@@ -10,6 +10,8 @@
 use crank_protocol::member::Place;
 
 const CONTACT_REFRESH_INTERVAL: Duration = Duration::from_secs(600);
+/// Contact rows that the store has lost are written again within this time, spread over the nodes.
+const MAX_REWRITE_DELAY: Duration = Duration::from_millis(1_000);
 const MIN_SEARCH_INTERVAL: Duration = Duration::from_millis(500);
 const MAX_SEARCH_INTERVAL: Duration = Duration::from_millis(2_000);
 
@@ -80,7 +82,8 @@
         Ok(())
     }
 
-    /// Writes and refreshes this node's contact row, by which nodes that start later find it.
+    /// Writes and refreshes this node's contact row, by which nodes that start later find it. It is
+    /// written again soon after the store has come back from an older copy, which may lack it.
     ///
     /// Runs until the future is dropped.
     ///
@@ -93,6 +96,7 @@
     /// ```
     pub async fn keep_registered(self) {
         let mut failures = 0;
+        let mut era = self.mesh.store_era();
         loop {
             let contact = Contact {
                 id: self.node.clone(),
@@ -110,7 +114,10 @@
                     backoff::delay(failures, &mut rand::rng()).into()
                 }
             };
-            tokio::time::sleep(wait).await;
+            if let Ok(Ok(())) = tokio::time::timeout(wait, era.changed()).await {
+                let spread = MAX_REWRITE_DELAY.mul_f64(rand::random());
+                tokio::time::sleep(spread).await;
+            }
         }
     }
 }
--- a/crates/crank-node/src/metrics/mesh.rs
+++ b/crates/crank-node/src/metrics/mesh.rs
@@ -42,6 +42,9 @@
             let help = "Time since it was confirmed that the store has no newer configuration";
             encode_seconds(&mut encoder, "config_confirmed", help, age)?;
         }
+        let era = u64::from(*self.0.store_era().borrow());
+        let help = "How often the store has come back from an older copy";
+        encode_gauge(&mut encoder, "store_era", help, era)?;
         let ready = u64::from(*self.0.ready().borrow());
         encode_gauge(
             &mut encoder,
--- a/crates/crank-node/src/source.rs
+++ b/crates/crank-node/src/source.rs
@@ -10,7 +10,7 @@
 use crank_engine::config::digest;
 use crank_mesh::{Handle, StoreCheck, StoreHead};
 use crank_protocol::Millis;
-use crank_protocol::config::{Config, Revision, Snapshot, Stamp, Version};
+use crank_protocol::config::{Config, Snapshot, Stamp, StorePosition, Version};
 use crank_protocol::rollout::{RolloutOrder, RolloutState};
 use crank_protocol::wire::Confirmation;
 use thiserror::Error as ThisError;
@@ -33,6 +33,8 @@
 const MAX_CHECK_RETRY_PAUSE: Duration = Duration::from_millis(2_000);
 /// The pause after a check, in case the store knows less than other nodes have told.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// The longest pause before the store is read anew because it no longer holds a position.
+const MAX_REREAD_DELAY: Duration = Duration::from_millis(200);
 const NO_WAIT: Millis = Millis(0);
 
 /// A configuration that the store has accepted.
@@ -47,19 +49,20 @@
 /// The store's answer to a read or a wait for changes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SourceUpdate {
-    /// The revision of the store, from which to wait for the next change.
-    pub revision: Revision,
-    /// The newest configuration, if it has changed since the previous revision, or why this node
+    /// The position of the store, from which to wait for the next change.
+    pub position: StorePosition,
+    /// The newest configuration, if it has changed since the previous position, or why this node
     /// cannot use it.
     pub config: Option<Result<AcceptedConfig, ConfigFault>>,
-    /// The orders to roll out a release that have changed since the previous revision.
+    /// The orders to roll out a release that have changed since the previous position.
     pub rollouts: Vec<RolloutOrder>,
 }
 
 /// The reasons why a store gave no answer that can be used.
 #[derive(Debug, Clone, PartialEq, Eq, ThisError)]
 pub enum SourceError {
-    /// The history no longer reaches back to the given revision.
+    /// The store no longer holds the changes since the given position: its history does not reach
+    /// back so far, or the store has come back from an older copy.
     #[error(
         "the store no longer holds the changes since the last read: read the latest configuration"
     )]
@@ -80,21 +83,21 @@
     /// Returns [`SourceError::Unavailable`].
     fn latest(&self) -> impl Future<Output = Result<SourceUpdate, SourceError>> + Send;
 
-    /// Waits for changes after a revision, for at most `wait`.
+    /// Waits for changes after a position, for at most `wait`.
     ///
     /// # Errors
     /// Returns any [`SourceError`].
     fn wait_for_changes(
         &self,
-        after: Revision,
+        after: StorePosition,
         wait: Millis,
     ) -> impl Future<Output = Result<SourceUpdate, SourceError>> + Send;
 }
 
-/// What the store last told: its revision, and the newest version at that revision.
+/// What the store last told: its position, and the newest version there.
 #[derive(Debug, Clone, Copy)]
-struct Position {
-    revision: Revision,
+struct Known {
+    position: StorePosition,
     version: Option<Version>,
 }
 
@@ -111,11 +114,11 @@
 /// }
 /// ```
 pub async fn follow<S: Source>(source: S, mesh: Handle, refused: RefusedConfig) {
-    let mut position: Option<Position> = None;
+    let mut known: Option<Known> = None;
     let mut outage = Outage::default();
     let mut should_follow = mesh.should_follow_store();
     loop {
-        if position.is_some() && !*should_follow.borrow() {
+        if known.is_some() && !*should_follow.borrow() {
             log::info!("other nodes follow the store for this one");
             outage.end();
             if should_follow
@@ -126,12 +129,12 @@
                 return;
             }
             log::info!("following the store again");
-            position = None;
+            known = None;
         }
         let started = Instant::now();
-        let result = match position {
+        let result = match known {
             None => source.latest().await,
-            Some(known) => source.wait_for_changes(known.revision, CHANGE_WAIT).await,
+            Some(known) => source.wait_for_changes(known.position, CHANGE_WAIT).await,
         };
         match result {
             Ok(update) => {
@@ -139,7 +142,7 @@
                 let has_changed = update.config.is_some();
                 offer_rollouts(&update, &mesh).await;
                 let update = usable_update(update, &refused);
-                position = Some(apply_update(update, position, started, &mesh).await);
+                known = Some(apply_update(update, known, started, &mesh).await);
                 if has_changed {
                     tokio::time::sleep(PAUSE_AFTER_CHANGE).await;
                 }
@@ -148,11 +151,13 @@
                 log::info!(
                     "the store no longer holds the changes since the last read; reading it anew"
                 );
-                position = None;
+                known = None;
+                // Spreads the reads of nodes that learn of this at the same moment.
+                tokio::time::sleep(MAX_REREAD_DELAY.mul_f64(rand::random())).await;
             }
             Err(error) => {
                 outage.begin(&error);
-                if position.is_none() {
+                if known.is_none() {
                     report_head(&mesh, StoreHead::Unavailable).await;
                 }
                 tokio::time::sleep(outage.retry_pause(MAX_RETRY_PAUSE)).await;
@@ -186,8 +191,8 @@
             None => continue,
             Some(StoreCheck::Latest) => (source.latest().await, None),
             Some(StoreCheck::Changes { since, version }) => {
-                let known = Position {
-                    revision: since,
+                let known = Known {
+                    position: since,
                     version: Some(version),
                 };
                 (source.wait_for_changes(since, NO_WAIT).await, Some(known))
@@ -225,7 +230,7 @@
 
 /// An update without what this node cannot use.
 struct UsableUpdate {
-    revision: Revision,
+    position: StorePosition,
     accepted: Option<AcceptedConfig>,
     is_refused: bool,
 }
@@ -233,21 +238,21 @@
 /// Records whether the configuration of an update can be used.
 fn usable_update(update: SourceUpdate, refused: &RefusedConfig) -> UsableUpdate {
     let SourceUpdate {
-        revision, config, ..
+        position, config, ..
     } = update;
     let (accepted, is_refused) = match config {
         None => (None, false),
         Some(Ok(accepted)) => {
-            refused.accept(revision);
+            refused.accept(position);
             (Some(accepted), false)
         }
         Some(Err(fault)) => {
-            refused.refuse(revision, fault);
+            refused.refuse(position, fault);
             (None, true)
         }
     };
     UsableUpdate {
-        revision,
+        position,
         accepted,
         is_refused,
     }
@@ -269,14 +274,14 @@
 /// started; the answer may have been on its way for long.
 async fn apply_update(
     update: UsableUpdate,
-    known: Option<Position>,
+    known: Option<Known>,
     started: Instant,
     mesh: &Handle,
-) -> Position {
+) -> Known {
     let accepted = update.accepted;
     let version = accepted.as_ref().map(|accepted| accepted.version);
-    let position = Position {
-        revision: update.revision,
+    let now_known = Known {
+        position: update.position,
         version: version.or(known.and_then(|known| known.version)),
     };
     match accepted {
@@ -287,17 +292,17 @@
         None if known.is_none() => report_head(mesh, StoreHead::Empty).await,
         None => {}
     }
-    if let Some(version) = position.version {
+    if let Some(version) = now_known.version {
         let confirmation = Confirmation {
             version,
-            revision: position.revision,
+            position: now_known.position,
             age: Millis::from(started.elapsed()),
         };
         if let Err(error) = mesh.confirm(confirmation).await {
             log::error!(error:% = error; "the version could not be confirmed to the mesh");
         }
     }
-    position
+    now_known
 }
 
 async fn apply_accepted(accepted: AcceptedConfig, mesh: &Handle) {
--- a/crates/crank-node/src/source/refused.rs
+++ b/crates/crank-node/src/source/refused.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use crank_protocol::config::Revision;
+use crank_protocol::config::StorePosition;
 use parking_lot::Mutex;
 
 /// Why a configuration of the store cannot be used.
@@ -42,8 +42,8 @@
 
 #[derive(Debug, Default)]
 struct Record {
-    /// The revision of the newest answer of the store.
-    revision: Revision,
+    /// The position of the newest answer of the store.
+    position: StorePosition,
     fault: Option<ConfigFault>,
     refusals: u64,
 }
@@ -73,16 +73,16 @@
     }
 
     /// Records a refusal; logs and counts it once, although the store may be read several times.
-    pub(super) fn refuse(&self, revision: Revision, fault: ConfigFault) {
+    pub(super) fn refuse(&self, position: StorePosition, fault: ConfigFault) {
         let mut record = self.record.lock();
-        if !record.advance_to(revision) || record.fault.as_ref() == Some(&fault) {
+        if !record.advance_to(position) || record.fault.as_ref() == Some(&fault) {
             return;
         }
         log::error!(
             document = *fault.document,
             path = *fault.path,
             detail = *fault.detail,
-            revision = revision.0;
+            position:% = position;
             "configuration of the store refused: the last accepted one stays in force"
         );
         record.refusals += 1;
@@ -90,9 +90,9 @@
     }
 
     /// Records that the store holds a configuration that can be used.
-    pub(super) fn accept(&self, revision: Revision) {
+    pub(super) fn accept(&self, position: StorePosition) {
         let mut record = self.record.lock();
-        if record.advance_to(revision) {
+        if record.advance_to(position) {
             record.fault = None;
         }
     }
@@ -100,9 +100,9 @@
 
 impl Record {
     /// Returns whether an answer is at least as new as those before; answers may overtake others.
-    fn advance_to(&mut self, revision: Revision) -> bool {
-        let is_current = revision >= self.revision;
-        self.revision = self.revision.max(revision);
+    fn advance_to(&mut self, position: StorePosition) -> bool {
+        let is_current = position >= self.position;
+        self.position = self.position.max(position);
         is_current
     }
 }
--- a/crates/crank-protocol/src/wire.rs
+++ b/crates/crank-protocol/src/wire.rs
@@ -6,7 +6,7 @@
 use serde_bytes::ByteBuf;
 
 use crate::call::{Load, Outcome, Refusal, RequestHead, ResponseHead};
-use crate::config::{Delta, Revision, Snapshot, Stamp, Version};
+use crate::config::{Delta, Snapshot, Stamp, StorePosition, Version};
 use crate::member::Member;
 use crate::rollout::RolloutState;
 use crate::{Millis, Name, compact};
@@ -177,8 +177,9 @@
 pub struct Confirmation {
     /// The version of the configuration.
     pub version: Version,
-    /// The revision of the store at that time.
-    pub revision: Revision,
+    /// The position of the store at that time.
+    #[serde(rename = "revision")]
+    pub position: StorePosition,
     /// How long ago that was.
     pub age: Millis,
 }
