--- a/crates/crank-caller/src/edge.rs
+++ b/crates/crank-caller/src/edge.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -230,10 +231,19 @@
             let connection = self.door.enter().await;
             let server = server.for_connection(connection.clone());
             let stream = connection.guard(FairStream::new(stream));
-            let http = self.http();
+            let (http, buffer_bytes) = self.http();
             let closing = self.closing.child_token();
+            let outgrown = self.limits.clone().outgrow(buffer_bytes);
             let task = self.tasks.spawn(async move {
-                if let Err(error) = server.serve(&http, stream, closing).await {
+                let mut serving = pin!(server.serve(&http, stream, closing.clone()));
+                let served = tokio::select! {
+                    served = &mut serving => served,
+                    () = outgrown => {
+                        closing.cancel();
+                        serving.await
+                    }
+                };
+                if let Err(error) = served {
                     log::debug!(error:% = error; "caller connection closed");
                 }
             });
@@ -248,19 +258,22 @@
         self.tasks.wait().await;
     }
 
-    /// Returns the HTTP library's settings for a new connection.
-    fn http(&self) -> http1::Builder {
+    /// Returns the HTTP library's settings for a new connection, and the size of its buffers.
+    ///
+    /// The library keeps these settings for as long as the connection is open. Therefore it limits a
+    /// head by the buffers alone, and leaves time-outs to the [`Door`]; the operator's limit on heads,
+    /// as it is then, is checked with each request.
+    fn http(&self) -> (http1::Builder, usize) {
+        let buffer_bytes = self.limits.buffer_bytes();
         let mut http = http1::Builder::new();
         http.timer(TokioTimer::new())
-            .header_read_timeout(self.limits.head_wait())
-            .max_buf_size(self.limits.buffer_bytes());
-        if let Some(bytes) = self.limits.head_bytes() {
-            http.max_header_size(bytes);
-        }
+            .header_read_timeout(None)
+            .max_buf_size(buffer_bytes)
+            .max_header_size(buffer_bytes);
         if let Some(fields) = self.limits.fields() {
             http.max_headers(fields);
         }
-        http
+        (http, buffer_bytes)
     }
 }
 
--- a/crates/crank-caller/src/limits.rs
+++ b/crates/crank-caller/src/limits.rs
@@ -1,7 +1,6 @@
 //! The limits that the operator sets for callers, as the configuration in force states them.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use crank_engine::caller_budget::{Bounds, MachineLimits, Timeouts};
 use crank_protocol::Millis;
@@ -98,10 +97,20 @@
         }
     }
 
-    /// Returns how long a connection waits for a head at most, idle time included.
-    pub(crate) fn head_wait(&self) -> Duration {
-        let timeouts = self.timeouts();
-        Duration::from(timeouts.idle) + Duration::from(timeouts.head)
+    /// Waits until a head may be larger than a connection with buffers of this size can take.
+    pub(crate) async fn outgrow(mut self, buffer_bytes: usize) {
+        loop {
+            if self.buffer_bytes() > buffer_bytes {
+                return;
+            }
+            let changed = match &mut self.config {
+                Some(config) => config.changed().await.is_ok(),
+                None => false,
+            };
+            if !changed {
+                std::future::pending::<()>().await;
+            }
+        }
     }
 
     /// Keeps the time-outs of the connections up to date, for ever.
