Rate limits: an answer of a home says when it was cut

Cause: a home names at most 48 limited accounts in an answer, and an entry took those that are not named for unlimited. Change: a cut answer says so, and what it does not name is held to an equal part of the limit at each entry.

--- a/crates/crank-engine/src/quota/entry.rs
+++ b/crates/crank-engine/src/quota/entry.rs
@@ -126,6 +126,7 @@
         let is_granted = line.is_valid(now) && line.version >= lowered;
         let mode = match (is_granted, line.shares.get(&account)) {
             (false, _) => Mode::Alone,
+            (true, None) if line.is_cut => Mode::Alone,
             (true, None) => Mode::Open,
             (true, Some(share)) => mode_of(share),
         };
@@ -287,7 +288,7 @@
     /// # use crank_engine::quota::EntryLimiter;
     /// # use crank_protocol::{Name, config::Version, quota::{Grants, ReportNumber, Shard}};
     /// let grants = Grants { shard: Shard(0), number: ReportNumber(1), start: 7,
-    ///     version: Version(1), shares: Vec::new() };
+    ///     version: Version(1), shares: Vec::new(), is_cut: false };
     /// EntryLimiter::new(7).receive(&Name::new("node-1").unwrap(), grants);
     /// ```
     pub fn receive(&mut self, from: &Name, grants: Grants) {
@@ -310,6 +311,7 @@
         }
         line.valid_until = Some(valid_until);
         line.version = grants.version;
+        line.is_cut = grants.is_cut;
         let mut unanswered = line
             .sent
             .iter()
--- a/crates/crank-engine/src/quota/entry/line.rs
+++ b/crates/crank-engine/src/quota/entry/line.rs
@@ -31,6 +31,8 @@
     pub(super) valid_until: Option<Moment>,
     pub(super) version: Version,
     pub(super) shares: HashMap<AccountHash, Share>,
+    /// Whether the home had no room to name all limited accounts.
+    pub(super) is_cut: bool,
     pub(super) is_urgent: bool,
     /// The shares that the home before has granted, and when the entry turned to the present one.
     inherited: Option<(Moment, HashMap<AccountHash, Share>)>,
--- a/crates/crank-engine/src/quota/entry/meter.rs
+++ b/crates/crank-engine/src/quota/entry/meter.rs
@@ -26,7 +26,8 @@
     Limited { per_second: f64 },
     /// The home has granted this part of the requests, because the share is small.
     Chance { part: f64, per_second: f64 },
-    /// There is no valid grant: an equal share of the limit holds.
+    /// There is no valid grant, or one that may not name the account: an equal share of the limit
+    /// holds.
     Alone,
 }
 
--- a/crates/crank-engine/src/quota/home.rs
+++ b/crates/crank-engine/src/quota/home.rs
@@ -295,6 +295,7 @@
         }
         // Accounts that the entry has callers of come first, if there is no room for all.
         shares.sort_by_key(|(is_used, share)| (!is_used, share.account));
+        let is_cut = shares.len() > MAX_SHARES;
         shares.truncate(MAX_SHARES);
         Some(Grants {
             shard,
@@ -302,6 +303,7 @@
             start,
             version: limits.version(),
             shares: shares.into_iter().map(|(_, share)| share).collect(),
+            is_cut,
         })
     }
 }
--- a/crates/crank-engine/tests/quota_holds_over_all_nodes.rs
+++ b/crates/crank-engine/tests/quota_holds_over_all_nodes.rs
@@ -396,3 +396,38 @@
         "{bytes:?} bytes a node a second"
     );
 }
+
+/// Plays accounts that all send six times their limit, after it has fallen; returns the worst window.
+fn worst_of_many(accounts: usize) -> (u64, u64) {
+    const NODES: usize = 6;
+    const BEFORE: (u32, u32) = (40, 20);
+    const LIMIT: (u32, u32) = (2, 2);
+    const LOAD: f64 = 12.0;
+    let names: Vec<String> = (0..accounts).map(|number| format!("a-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let all = |limit: (u32, u32)| {
+        let rows: Vec<_> = names.iter().map(|name| (*name, limit.0, limit.1)).collect();
+        limits(&rows)
+    };
+    let mut world = World::new(1, NODES, all(BEFORE));
+    world.run_until(2 * SECOND, &[], |_, _| 0.0);
+    let even = |_: &str, _: usize| LOAD / NODES as f64;
+    world.run_until(3 * SECOND, &names, even);
+    world.configure(2, all(LIMIT), |_| true);
+    world.run_until(15 * SECOND, &names, even);
+    let worst = |name: &&str| world.worst_window(name, 8 * SECOND, 15 * SECOND).0;
+    let worst = names.iter().map(worst).max().unwrap();
+    (worst, allowed(LIMIT))
+}
+
+// Guards against accounts that a home has no room to name: entries took those for unlimited.
+#[test]
+fn any_number_of_limited_accounts_is_limited() {
+    for accounts in [40, 260, 1_000] {
+        let (worst, allowed) = worst_of_many(accounts);
+        assert!(
+            worst <= allowed,
+            "{accounts} accounts: {worst} requests in a window, allowed {allowed}"
+        );
+    }
+}
--- a/crates/crank-protocol/src/quota.rs
+++ b/crates/crank-protocol/src/quota.rs
@@ -100,9 +100,16 @@
     pub start: u64,
     /// The version of the configuration whose limits the home keeps.
     pub version: Version,
-    /// The shares of the accounts that are at their limit; the other accounts of the shard are
-    /// not limited for now.
+    /// The shares of accounts that are at their limit. Unless `is_cut`, the other accounts of the
+    /// shard are not limited for now.
     pub shares: Vec<Share>,
+    /// Whether there was no room for all shares: an account that is not named may be at its limit.
+    #[serde(rename = "cut", default, skip_serializing_if = "is_false")]
+    pub is_cut: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 /// An entry's share of an account's rate limit.
