--- a/crates/crank-server/src/forwarder.rs
+++ b/crates/crank-server/src/forwarder.rs
@@ -6,16 +6,13 @@
 
 use bytes::Bytes;
 use crank_protocol::call::{
-    DEPTH_HEADER, Header, Load, OUTCOME_HEADER, REFUSAL_HEADER, Refusal, RequestHead, Response,
-    ResponseHead, VERSION_HEADER, is_final_status,
+    DEPTH_HEADER, Load, OUTCOME_HEADER, Refusal, RequestHead, Response, ResponseHead,
+    is_final_status,
 };
 use crank_protocol::config::Method;
 use crank_protocol::heartbeat::Statement;
 use crank_protocol::{HttpDialect, Millis, Permille};
-use http::header::{
-    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
-    RETRY_AFTER,
-};
+use http::header::{CONTENT_ENCODING, HOST, HeaderMap, HeaderName, HeaderValue};
 use http::{Request, Response as HttpResponse, StatusCode};
 use http_body_util::{BodyDataStream, Full};
 use hyper::body::Incoming;
@@ -25,30 +22,12 @@
 use crate::checked_body::{CheckedBody, PooledConnection};
 use crate::connection::{Connection, ConnectionPool};
 use crate::heartbeat_tracker::HeartbeatTracker;
+use crate::response_fields::{forwarded_headers, keep_alive_timeout, parse_retry_after};
 use crate::response_head::is_spliced;
 use crate::seen_headers::SeenHeaders;
 use crate::statement;
 
-/// The `Retry-After` of a shed request if the backend server does not state one.
-const DEFAULT_RETRY_AFTER: Millis = Millis(100);
-const MILLIS_PER_SECOND: u64 = 1_000;
 const PERMILLE_PER_PERCENT: u32 = 10;
-/// Idle connections are dropped this much earlier than the backend server closes them.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
-
-/// Response headers that are not forwarded: hop-by-hop ones, and those that only nodes may set.
-const STRIPPED_RESPONSE_HEADERS: [&str; 10] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    OUTCOME_HEADER,
-    REFUSAL_HEADER,
-    VERSION_HEADER,
-];
 
 /// Forwards requests to a backend server, sending each request at most once.
 #[derive(Debug, Clone, Default)]
@@ -389,24 +368,6 @@
     Refusal::Lost
 }
 
-/// Returns how long the backend server keeps the connection open; `None` if it does not say.
-fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let closes = headers.get(CONNECTION).is_some_and(|value| {
-        value
-            .to_str()
-            .is_ok_and(|text| text.eq_ignore_ascii_case("close"))
-    });
-    if closes {
-        return Some(Duration::ZERO);
-    }
-    let text = headers.get("keep-alive")?.to_str().ok()?;
-    let stated = text
-        .split(',')
-        .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    let seconds = stated.trim().parse().ok()?;
-    Some(Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN))
-}
-
 fn parse_header_name(name: &str) -> Result<HeaderName, Refusal> {
     HeaderName::from_bytes(name.as_bytes()).map_err(bad_request)
 }
@@ -437,22 +398,3 @@
         Method::Delete => http::Method::DELETE,
     }
 }
-fn parse_retry_after(headers: &HeaderMap) -> Millis {
-    let seconds = headers.get(RETRY_AFTER);
-    let seconds = seconds.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-    seconds.map_or(DEFAULT_RETRY_AFTER, |seconds| {
-        Millis(seconds.saturating_mul(MILLIS_PER_SECOND))
-    })
-}
-
-fn forwarded_headers(headers: &HeaderMap) -> Vec<Header> {
-    let forwarded = headers.iter().filter(|(name, _)| {
-        *name != CONTENT_LENGTH && !STRIPPED_RESPONSE_HEADERS.contains(&name.as_str())
-    });
-    forwarded
-        .map(|(name, value)| Header {
-            name: Arc::from(name.as_str()),
-            value: value.as_bytes().to_vec(),
-        })
-        .collect()
-}
--- a/crates/crank-server/src/lib.rs
+++ b/crates/crank-server/src/lib.rs
@@ -8,6 +8,7 @@
 mod forwarder;
 mod heartbeat_tracker;
 mod report_body;
+mod response_fields;
 mod response_head;
 mod seen_headers;
 mod statement;
